--- /dev/null
+++ b/src/cmd/standin/main.go
@@ -0,0 +1,134 @@
+// Command standin plays the systems that rosecroft serves.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/standin"
+)
+
+// common are the options of every upstream.
+type common struct {
+	Name       string        `help:"Name that the upstream announces." required:""`
+	Service    string        `help:"Service that the upstream belongs to." required:""`
+	Listen     string        `help:"Address to serve on." required:""`
+	Entries    []string      `help:"Base URLs that take announcements." required:""`
+	DataCentre string        `help:"Data centre to announce." required:""`
+	Class      string        `help:"Machine class to announce." default:"standard"`
+	Price      float64       `help:"Price per hour to announce." default:"1"`
+	OnDemand   bool          `help:"Announce an on-demand instance, which is not reclaimable."`
+	Notice     time.Duration `help:"Time between SIGTERM and the stop." default:"5s"`
+}
+
+type engineCommand struct {
+	common
+	Model        string        `help:"Model to serve." required:""`
+	ModelVersion string        `help:"Version of the model." default:"1"`
+	Slots        int           `help:"Sequences that run at once." default:"16"`
+	Step         time.Duration `help:"Time of one step." default:"2ms"`
+	Prefill      int           `help:"Prompt tokens computed in a step." default:"128"`
+	CacheBlocks  int           `help:"Blocks that the prefix cache holds." default:"512"`
+}
+
+type plainCommand struct {
+	common
+	Work time.Duration `help:"Time that a call takes." default:"5ms"`
+}
+
+type options struct {
+	Engine engineCommand `cmd:"" help:"Play a model engine."`
+	Plain  plainCommand  `cmd:"" help:"Play a plain service."`
+}
+
+func main() {
+	parsed := kong.Parse(&options{})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run())
+}
+
+// Run plays a model engine until the notice has passed.
+func (c *engineCommand) Run(ctx context.Context) error {
+	engine := &standin.Engine{
+		Options: standin.EngineOptions{
+			Model:          c.Model,
+			ModelVersion:   c.ModelVersion,
+			Slots:          c.Slots,
+			Step:           c.Step,
+			PrefillPerStep: c.Prefill,
+			CacheBlocks:    c.CacheBlocks,
+		},
+	}
+	server := &standin.ModelServer{
+		Engine: engine,
+		Ledger: &standin.Ledger{},
+	}
+	host, err := c.host(server.Ledger)
+	if err != nil {
+		return err
+	}
+	host.About.Model = c.Model
+	host.About.ModelVersion = c.ModelVersion
+	host.About.Slots = uint32(c.Slots)
+	host.About.StepMs = float64(c.Step) / float64(time.Millisecond)
+	host.Services = server.Services()
+	host.Leave = func() { server.Leaving.Store(true) }
+	host.Load = func() *messages.Load {
+		running, queued, tokens := engine.Load()
+		return &messages.Load{
+			Running:      uint32(running),
+			Queued:       uint32(queued),
+			QueuedTokens: uint64(tokens),
+		}
+	}
+	go engine.Run(context.WithoutCancel(ctx))
+	return host.Run(ctx)
+}
+
+// Run plays a plain service until the notice has passed.
+func (c *plainCommand) Run(ctx context.Context) error {
+	plain := &standin.Plain{
+		Ledger: &standin.Ledger{},
+		Work:   c.Work,
+	}
+	host, err := c.host(plain.Ledger)
+	if err != nil {
+		return err
+	}
+	host.Services = plain.Services()
+	host.Leave = func() { plain.Leaving.Store(true) }
+	return host.Run(ctx)
+}
+
+func (c *common) host(ledger *standin.Ledger) (*standin.Host, error) {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w; choose a free port", c.Listen, err)
+	}
+	return &standin.Host{
+		Listener: listener,
+		Entries:  c.Entries,
+		Ledger:   ledger,
+		Notice:   c.Notice,
+		About: &messages.Announcement{
+			Upstream:     c.Name,
+			Service:      c.Service,
+			Address:      "http://" + listener.Addr().String(),
+			DataCentre:   c.DataCentre,
+			MachineClass: c.Class,
+			Reclaimable:  !c.OnDemand,
+			PricePerHour: c.Price,
+			Incarnation:  uint64(time.Now().UnixNano()),
+		},
+	}, nil
+}
--- /dev/null
+++ b/src/configurator/doc.go
@@ -0,0 +1,5 @@
+// Package configurator decides about submitted configurations.
+//
+// Its state is replicated: every voter applies the same submissions in the
+// order of the log and reaches the same outcome for each.
+package configurator
--- /dev/null
+++ b/src/connector/client.go
@@ -0,0 +1,141 @@
+package connector
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"google.golang.org/protobuf/proto"
+)
+
+// dialTimeout bounds the set-up of one connection.
+const dialTimeout = time.Second
+
+// quiet keeps the library from logging; callers log the errors they get.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
+// Client calls other processes, over one connection for each address.
+type Client struct {
+	// TLS is nil only where the settings allow plain loopback.
+	TLS *tls.Config
+
+	mu    sync.Mutex
+	conns map[string]*jsonrpc2.Conn
+}
+
+// Call sends a request and fills response with the answer.
+//
+// A call that runs into its deadline closes the connection: one that has gone
+// silent stays so, and each later call would wait in vain on it.
+func (c *Client) Call(ctx context.Context, address string, method Method, request, response proto.Message) error {
+	params, err := encode(request)
+	if err != nil {
+		return err
+	}
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	var result json.RawMessage
+	err = conn.Call(ctx, string(method), params, &result)
+	if err != nil {
+		c.dropUnlessAnswered(address, conn, err)
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	return decode(&result, response)
+}
+
+// Notify sends a message without waiting for an answer; it may be lost.
+func (c *Client) Notify(ctx context.Context, address string, method Method, message proto.Message) error {
+	params, err := encode(message)
+	if err != nil {
+		return err
+	}
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := conn.Notify(ctx, string(method), params); err != nil {
+		c.drop(address, conn)
+		return fmt.Errorf("notify %s at %s: %w", method, address, err)
+	}
+	return nil
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = nil
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	stream, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(stream), refuser{}, quiet)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		_ = conn.Close()
+		return other, nil
+	}
+	if c.conns == nil {
+		c.conns = make(map[string]*jsonrpc2.Conn)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if c.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	secured := &tls.Dialer{
+		NetDialer: dialer,
+		Config:    c.TLS,
+	}
+	return secured.DialContext(ctx, "tcp", address)
+}
+
+func (c *Client) dropUnlessAnswered(address string, conn *jsonrpc2.Conn, err error) {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return
+	}
+	c.drop(address, conn)
+}
+
+func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// refuser answers requests on a connection that only calls.
+type refuser struct{}
+
+// Handle ignores the request, since no process calls back on this connection.
+func (refuser) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/src/control/control.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/inspector"
+	"github.com/rosecroft/rosecroft/src/keeper"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/parser"
+)
+
+// Control is one control process; its fields are set before Run.
+type Control struct {
+	Settings *parser.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+	// Peers and Operators are bound to the addresses in the settings.
+	Peers     net.Listener
+	Operators net.Listener
+	Client    *connector.Client
+
+	coordinator *coordinator
+}
+
+// Run serves until ctx ends; an error means that the process must not go on.
+func (c *Control) Run(ctx context.Context) error {
+	kept, state, records, err := keeper.Open(c.Settings.DataFolder)
+	if err != nil {
+		return fmt.Errorf("open the data folder: %w", err)
+	}
+	defer func() { _ = kept.Close() }()
+	out := newOutbox(c.Client, c.Settings)
+	c.coordinator = newCoordinator(c.Settings, c.Log, kept, state, records, out)
+	group, ctx := errgroup.WithContext(ctx)
+	out.run(ctx)
+	group.Go(func() error { return c.coordinator.run(ctx) })
+	group.Go(func() error { return c.peerServer().Run(ctx) })
+	group.Go(func() error { return c.operatorServer().Run(ctx) })
+	c.Log.Info().
+		Str("operators", c.Operators.Addr().String()).
+		Str("peers", c.Peers.Addr().String()).
+		Int("records", len(records)).
+		Msg("started")
+	return group.Wait()
+}
+
+func (c *Control) peerServer() *connector.Server {
+	server := &connector.Server{
+		Listener: c.Peers,
+	}
+	connector.Handle(server, MethodLog, c.onLog)
+	connector.Handle(server, MethodSubmit, c.onSubmit)
+	connector.Handle(server, MethodHeartbeat, c.onHeartbeat)
+	connector.Handle(server, MethodStatus, c.onStatus)
+	return server
+}
+
+func (c *Control) operatorServer() *inspector.Inspector {
+	return &inspector.Inspector{
+		Listener: c.Operators,
+		Dump:     c.dump,
+		Ready:    func() bool { return true },
+		Metrics:  c.Meter.Handler,
+		Services: []*restful.WebService{c.operatorRoutes()},
+	}
+}
+
+func (c *Control) onLog(ctx context.Context, _ connector.Peer, message *messages.LogMessage) (*messages.LogMessage, error) {
+	return nil, c.post(ctx, arrived{message: message})
+}
+
+func (c *Control) onSubmit(ctx context.Context, _ connector.Peer, submission *messages.Submission) (*messages.SubmissionResult, error) {
+	return c.submitHere(ctx, submission)
+}
+
+func (c *Control) onHeartbeat(ctx context.Context, _ connector.Peer, heartbeat *messages.EntryHeartbeat) (*messages.EntryHeartbeatResponse, error) {
+	reply := make(chan *messages.EntryHeartbeatResponse, 1)
+	if err := c.post(ctx, heard{heartbeat: heartbeat, reply: reply}); err != nil {
+		return nil, err
+	}
+	return await(ctx, reply)
+}
+
+func (c *Control) onStatus(ctx context.Context, _ connector.Peer, _ *messages.StatusRequest) (*messages.Status, error) {
+	return c.statusHere(ctx)
+}
+
+func (c *Control) submitHere(ctx context.Context, submission *messages.Submission) (*messages.SubmissionResult, error) {
+	reply := make(chan submitReply, 1)
+	command := &messages.Command{
+		Change: &messages.Command_Submission{
+			Submission: submission,
+		},
+	}
+	if err := c.post(ctx, submitted{command: command, reply: reply}); err != nil {
+		return nil, err
+	}
+	answer, err := await(ctx, reply)
+	if err != nil {
+		return nil, err
+	}
+	return answer.result, answer.err
+}
+
+func (c *Control) statusHere(ctx context.Context) (*messages.Status, error) {
+	reply := make(chan statusReply, 1)
+	if err := c.post(ctx, asked{reply: reply}); err != nil {
+		return nil, err
+	}
+	answer, err := await(ctx, reply)
+	if err != nil {
+		return nil, err
+	}
+	return answer.status, answer.err
+}
+
+func (c *Control) dump(ctx context.Context) (any, error) {
+	reply := make(chan *Dump, 1)
+	if err := c.post(ctx, dumped{reply: reply}); err != nil {
+		return nil, err
+	}
+	return await(ctx, reply)
+}
+
+func (c *Control) post(ctx context.Context, e event) error {
+	select {
+	case c.coordinator.box <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func await[T any](ctx context.Context, reply <-chan T) (T, error) {
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		var none T
+		return none, fmt.Errorf("wait for the coordinator: %w", ctx.Err())
+	}
+}
+
+// requestTimeout bounds an operator's request.
+const requestTimeout = 5 * time.Second
--- /dev/null
+++ b/src/control/coordinator.go
@@ -0,0 +1,259 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosecroft/rosecroft/src/configurator"
+	"github.com/rosecroft/rosecroft/src/keeper"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/replicator"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	boxSize      = 1024
+	tickInterval = 10 * time.Millisecond
+	// goneAfter is how many fence periods an entry may be silent before it no longer counts.
+	goneAfter = 2
+)
+
+// coordinator owns the state of one control process.
+type coordinator struct {
+	settings  *parser.Settings
+	log       zerolog.Logger
+	keeper    *keeper.Keeper
+	node      *replicator.Node
+	state     configurator.State
+	box       chan event
+	outbox    *outbox
+	proposals map[uint64]chan<- submitReply
+	nextToken uint64
+	// pending holds the proposals that stand in the log and are not committed.
+	pending map[units.Index]pendingProposal
+	entries map[units.Instance]*entryState
+	role    replicator.RoleChanged
+}
+
+type pendingProposal struct {
+	term  units.Term
+	reply chan<- submitReply
+}
+
+// entryState is what the leader last heard of an entry.
+type entryState struct {
+	heartbeat *messages.EntryHeartbeat
+	at        time.Time
+}
+
+func newCoordinator(settings *parser.Settings, log zerolog.Logger, kept *keeper.Keeper,
+	state *messages.HardState, records []*messages.LogRecord, out *outbox,
+) *coordinator {
+	voters := make([]units.Instance, 0, len(settings.Control))
+	for _, control := range settings.Control {
+		voters = append(voters, control.Name)
+	}
+	return &coordinator{
+		settings: settings,
+		log:      log,
+		keeper:   kept,
+		node: replicator.New(time.Now(), replicator.Options{
+			ID:        settings.Name,
+			Voters:    voters,
+			Heartbeat: settings.Timing.Heartbeat,
+			Election:  settings.Timing.Election,
+			Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		}, state, records),
+		box:       make(chan event, boxSize),
+		outbox:    out,
+		proposals: make(map[uint64]chan<- submitReply),
+		pending:   make(map[units.Index]pendingProposal),
+		entries:   make(map[units.Instance]*entryState),
+	}
+}
+
+// run takes events until ctx ends or the disk fails.
+func (c *coordinator) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			err = c.step(replicator.Ticked{})
+		case e := <-c.box:
+			err = c.take(e)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *coordinator) take(e event) error {
+	switch e := e.(type) {
+	case arrived:
+		return c.step(replicator.Received{Message: e.message})
+	case submitted:
+		return c.propose(e)
+	case heard:
+		e.reply <- c.hear(e.heartbeat)
+	case asked:
+		e.reply <- c.status()
+	case dumped:
+		e.reply <- c.dump()
+	}
+	return nil
+}
+
+func (c *coordinator) propose(e submitted) error {
+	c.nextToken++
+	c.proposals[c.nextToken] = e.reply
+	return c.step(replicator.Proposed{
+		Command: e.command,
+		Token:   c.nextToken,
+	})
+}
+
+func (c *coordinator) step(e replicator.Event) error {
+	for _, action := range c.node.Step(time.Now(), e) {
+		if err := c.carryOut(action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *coordinator) carryOut(action replicator.Action) error {
+	switch a := action.(type) {
+	case replicator.Persist:
+		// A voter that goes on after a failed sync would acknowledge what a
+		// crash takes back; it stops instead, and the majority goes on.
+		if err := c.keeper.Save(a.State, a.Records); err != nil {
+			return fmt.Errorf("write the data folder: %w; free or replace the disk and start again", err)
+		}
+	case replicator.Send:
+		c.outbox.post(a.Message)
+	case replicator.Apply:
+		c.apply(a.Records)
+	case replicator.Appended:
+		c.pending[a.Index] = pendingProposal{
+			term:  a.Term,
+			reply: c.proposals[a.Token],
+		}
+		delete(c.proposals, a.Token)
+	case replicator.Rejected:
+		c.proposals[a.Token] <- submitReply{err: &NotLeaderError{Leader: a.Leader}}
+		delete(c.proposals, a.Token)
+	case replicator.RoleChanged:
+		c.changeRole(a)
+	}
+	return nil
+}
+
+func (c *coordinator) changeRole(a replicator.RoleChanged) {
+	c.role = a
+	c.log.Info().
+		Stringer("new-role", a.Role).
+		Uint64("term", uint64(a.Term)).
+		Str("leader", string(a.Leader)).
+		Msg("role-changed")
+	if a.Role == replicator.Leader {
+		return
+	}
+	for index, proposal := range c.pending {
+		proposal.reply <- submitReply{err: &LostLeadershipError{}}
+		delete(c.pending, index)
+	}
+}
+
+func (c *coordinator) apply(records []*messages.LogRecord) {
+	for _, record := range records {
+		result := c.applyCommand(record.GetCommand())
+		index := units.Index(record.GetIndex())
+		proposal, waiting := c.pending[index]
+		if !waiting {
+			continue
+		}
+		delete(c.pending, index)
+		if proposal.term != units.Term(record.GetTerm()) {
+			proposal.reply <- submitReply{err: &LostLeadershipError{}}
+			continue
+		}
+		proposal.reply <- submitReply{result: result}
+	}
+}
+
+func (c *coordinator) applyCommand(command *messages.Command) *messages.SubmissionResult {
+	submission := command.GetSubmission()
+	if submission == nil {
+		return nil
+	}
+	result := c.state.Submit(submission)
+	c.log.Info().
+		Uint64("version", submission.GetVersion()).
+		Str("operator", submission.GetOperator()).
+		Stringer("outcome", result.GetOutcome()).
+		Msg("submission-applied")
+	return result
+}
+
+func (c *coordinator) hear(heartbeat *messages.EntryHeartbeat) *messages.EntryHeartbeatResponse {
+	response := &messages.EntryHeartbeatResponse{
+		LeaderAddress: addressOf(c.settings, c.node.LeaderID()),
+	}
+	if !c.node.Lead(time.Now()) {
+		return response
+	}
+	c.entries[units.Instance(heartbeat.GetEntry())] = &entryState{
+		heartbeat: heartbeat,
+		at:        time.Now(),
+	}
+	response.IsLeader = true
+	response.AcceptedVersion = uint64(c.state.Version())
+	if heartbeat.GetVersionInForce() < response.GetAcceptedVersion() {
+		response.Document = c.state.Document()
+	}
+	return response
+}
+
+func (c *coordinator) status() statusReply {
+	if !c.node.Lead(time.Now()) {
+		return statusReply{err: &NotLeaderError{Leader: c.node.LeaderID()}}
+	}
+	status := &messages.Status{
+		Leader:          string(c.settings.Name),
+		Term:            uint64(c.node.Term()),
+		AcceptedVersion: uint64(c.state.Version()),
+	}
+	for name, entry := range c.entries {
+		silence := time.Since(entry.at)
+		if silence > goneAfter*c.settings.Timing.Fence {
+			delete(c.entries, name)
+			continue
+		}
+		status.Entries++
+		if entry.heartbeat.GetVersionInForce() == status.GetAcceptedVersion() && silence < c.settings.Timing.Fence {
+			status.InForce++
+			continue
+		}
+		status.Missing = append(status.Missing, missing(entry, silence))
+	}
+	return statusReply{status: status}
+}
+
+func missing(entry *entryState, silence time.Duration) *messages.EntryStatus {
+	return &messages.EntryStatus{
+		Entry:          entry.heartbeat.GetEntry(),
+		VersionInForce: entry.heartbeat.GetVersionInForce(),
+		Fenced:         entry.heartbeat.GetFenced(),
+		Reason:         fmt.Sprintf("last heard %s ago", silence.Round(time.Millisecond)),
+	}
+}
--- /dev/null
+++ b/src/control/routes.go
@@ -0,0 +1,127 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/configurator"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	maxSubmission  = 8 << 20
+	jsonType       = "application/json"
+	operatorHeader = "Rosecroft-Operator"
+)
+
+func (c *Control) operatorRoutes() *restful.WebService {
+	service := new(restful.WebService)
+	service.Path("/v1")
+	service.Route(service.PUT("/configuration").Consumes("application/yaml").To(c.putConfiguration))
+	service.Route(service.GET("/status").To(c.getStatus))
+	return service
+}
+
+func (c *Control) putConfiguration(request *restful.Request, response *restful.Response) {
+	ctx, cancel := context.WithTimeout(request.Request.Context(), requestTimeout)
+	defer cancel()
+	document, err := io.ReadAll(http.MaxBytesReader(response, request.Request.Body, maxSubmission))
+	if err != nil {
+		_ = response.WriteError(http.StatusRequestEntityTooLarge, err)
+		return
+	}
+	configuration, err := parser.ParseConfiguration("configuration", document)
+	if err != nil {
+		writeMessage(response, http.StatusUnprocessableEntity, &messages.SubmissionResult{
+			Outcome: messages.Outcome_OUTCOME_INVALID,
+			Detail:  err.Error(),
+		})
+		return
+	}
+	result, err := c.submitAnywhere(ctx, &messages.Submission{
+		Version:     uint64(configuration.Version),
+		Operator:    request.HeaderParameter(operatorHeader),
+		Document:    document,
+		ContentHash: configurator.Hash(document),
+	})
+	if err != nil {
+		_ = response.WriteError(http.StatusServiceUnavailable, err)
+		return
+	}
+	writeMessage(response, statusOf(result.GetOutcome()), result)
+}
+
+func (c *Control) getStatus(request *restful.Request, response *restful.Response) {
+	ctx, cancel := context.WithTimeout(request.Request.Context(), requestTimeout)
+	defer cancel()
+	status, err := c.statusAnywhere(ctx)
+	if err != nil {
+		_ = response.WriteError(http.StatusServiceUnavailable, err)
+		return
+	}
+	writeMessage(response, http.StatusOK, status)
+}
+
+// submitAnywhere submits at the leader, here or elsewhere.
+func (c *Control) submitAnywhere(ctx context.Context, submission *messages.Submission) (*messages.SubmissionResult, error) {
+	result, err := c.submitHere(ctx, submission)
+	address, elsewhere := c.leaderElsewhere(err)
+	if !elsewhere {
+		return result, err
+	}
+	result = &messages.SubmissionResult{}
+	return result, c.Client.Call(ctx, address, MethodSubmit, submission, result)
+}
+
+func (c *Control) statusAnywhere(ctx context.Context) (*messages.Status, error) {
+	status, err := c.statusHere(ctx)
+	address, elsewhere := c.leaderElsewhere(err)
+	if !elsewhere {
+		return status, err
+	}
+	status = &messages.Status{}
+	return status, c.Client.Call(ctx, address, MethodStatus, &messages.StatusRequest{}, status)
+}
+
+func (c *Control) leaderElsewhere(err error) (string, bool) {
+	var notLeader *NotLeaderError
+	if !errors.As(err, &notLeader) || notLeader.Leader == "" || notLeader.Leader == c.Settings.Name {
+		return "", false
+	}
+	return addressOf(c.Settings, notLeader.Leader), true
+}
+
+func addressOf(settings *parser.Settings, id units.Instance) string {
+	for _, control := range settings.Control {
+		if control.Name == id {
+			return control.Address
+		}
+	}
+	return ""
+}
+
+func statusOf(outcome messages.Outcome) int {
+	if outcome == messages.Outcome_OUTCOME_ACCEPTED {
+		return http.StatusOK
+	}
+	return http.StatusConflict
+}
+
+func writeMessage(response *restful.Response, status int, message proto.Message) {
+	content, err := protojson.Marshal(message)
+	if err != nil {
+		_ = response.WriteError(http.StatusInternalServerError, err)
+		return
+	}
+	response.AddHeader("Content-Type", jsonType)
+	response.WriteHeader(status)
+	_, _ = response.Write(content)
+}
--- /dev/null
+++ b/src/dispatcher/call.go
@@ -0,0 +1,100 @@
+package dispatcher
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Call is one accepted request; it is not changed once dispatched.
+type Call struct {
+	ID units.CallID
+	// Key is the caller's Idempotency-Key, or the call's id where there was none.
+	Key      string
+	Brand    units.Brand
+	Account  *parser.ClientAccount
+	Service  units.Service
+	Kind     parser.ServiceKind
+	Policy   parser.Policy
+	Method   string
+	Path     string
+	Query    string
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
+	// Repeatable says that running the call twice does no harm.
+	Repeatable bool
+	Stream     bool
+	Model      units.Model
+	// Prompt is the estimated size of the prompt, MaxOutput the most that may be generated.
+	Prompt    units.Tokens
+	MaxOutput units.Tokens
+	// Blocks are chained hashes over the prompt's whole blocks.
+	Blocks []uint64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Sink takes what goes back to the caller.
+type Sink interface {
+	// Answer writes a whole answer.
+	Answer(answer *Answer) error
+	// Begin starts a stream; it is called once, before the first event.
+	Begin(header http.Header) error
+	// Event writes one event of a stream with the count of tokens up to it.
+	Event(offset units.Tokens, data []byte) error
+	// End writes the final marker of a stream.
+	End() error
+}
+
+// Executed says whether a refused call ran.
+type Executed string
+
+// What can be said of a call that has no answer.
+const (
+	// ExecutedNo is said only where it is proved.
+	ExecutedNo      Executed = "no"
+	ExecutedUnknown Executed = "unknown"
+)
+
+// ProblemKind names a kind of refusal, the last part of its problem type.
+type ProblemKind string
+
+// The kinds of refusal that callers see.
+const (
+	ProblemNoUpstream  ProblemKind = "no-upstream"
+	ProblemLost        ProblemKind = "outcome-unknown"
+	ProblemDeadline    ProblemKind = "deadline-passed"
+	ProblemConflict    ProblemKind = "idempotency-conflict"
+	ProblemLimit       ProblemKind = "limit-reached"
+	ProblemOverload    ProblemKind = "overloaded"
+	ProblemUnready     ProblemKind = "unready"
+	ProblemBadRequest  ProblemKind = "bad-request"
+	ProblemUnknownHost ProblemKind = "unknown-brand"
+	ProblemBadKey      ProblemKind = "bad-key"
+	ProblemNotFound    ProblemKind = "not-found"
+	ProblemTooLarge    ProblemKind = "too-large"
+)
+
+// Refusal is the final answer to a call that gets no other.
+type Refusal struct {
+	Status   int
+	Kind     ProblemKind
+	Detail   string
+	Executed Executed
+	// RetryAfter is 0 where asking again cannot help.
+	RetryAfter time.Duration
+}
+
+// Error returns the refusal for logs.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (executed: %s)", r.Kind, r.Detail, r.Executed)
+}
--- /dev/null
+++ b/src/dispatcher/doc.go
@@ -0,0 +1,2 @@
+// Package dispatcher takes one call from admission through its attempts to its one answer.
+package dispatcher
--- /dev/null
+++ b/src/entry/announcement.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+const (
+	maxAnnouncement     = 64 << 10
+	announcementTimeout = 2 * time.Second
+)
+
+// receptionist takes the upstreams' announcements over HTTP.
+type receptionist struct {
+	listener    net.Listener
+	coordinator *coordinator
+}
+
+// run serves until ctx ends.
+func (r *receptionist) run(ctx context.Context) error {
+	container := restful.NewContainer()
+	service := new(restful.WebService)
+	service.Path("/v1")
+	service.Route(service.POST("/announcements").Consumes("application/json").To(r.announce))
+	container.Add(service)
+	server := &http.Server{
+		Handler:           container,
+		ReadHeaderTimeout: announcementTimeout,
+		ReadTimeout:       announcementTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(r.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve announcements: %w", err)
+	}
+	return nil
+}
+
+func (r *receptionist) announce(request *restful.Request, response *restful.Response) {
+	content, err := io.ReadAll(http.MaxBytesReader(response, request.Request.Body, maxAnnouncement))
+	if err != nil {
+		_ = response.WriteError(http.StatusRequestEntityTooLarge, err)
+		return
+	}
+	announcement := &messages.Announcement{}
+	if err := protojson.Unmarshal(content, announcement); err != nil {
+		_ = response.WriteError(http.StatusBadRequest, err)
+		return
+	}
+	reply := make(chan error, 1)
+	r.coordinator.box <- announced{
+		announcement: announcement,
+		reply:        reply,
+	}
+	if err := <-reply; err != nil {
+		_ = response.WriteError(http.StatusUnprocessableEntity, err)
+		return
+	}
+	response.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/src/entry/coordinator.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	boxSize      = 1024
+	tickInterval = 50 * time.Millisecond
+	// upstreamExpiry is several announcements long, so that a lost one does no harm.
+	upstreamExpiry = 3 * time.Second
+)
+
+// event is something the coordinator takes from its box.
+type event interface{ event() }
+
+// announced is an upstream's announcement; the reply is nil or why it was refused.
+type announced struct {
+	announcement *messages.Announcement
+	reply        chan<- error
+}
+
+// configured is a configuration that control has accepted.
+type configured struct {
+	document []byte
+}
+
+// dumped wants the process's state.
+type dumped struct {
+	reply chan<- *Dump
+}
+
+func (announced) event()  {}
+func (configured) event() {}
+func (dumped) event()     {}
+
+// coordinator owns an entry's control state.
+type coordinator struct {
+	settings      *parser.Settings
+	log           zerolog.Logger
+	box           chan event
+	tracker       *tracker.Tracker
+	configuration *parser.Configuration
+	snapshot      *atomic.Pointer[indexer.Snapshot]
+	inForce       *atomic.Uint64
+}
+
+func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot]) *coordinator {
+	return &coordinator{
+		settings: settings,
+		log:      log,
+		box:      make(chan event, boxSize),
+		tracker: &tracker.Tracker{
+			Expiry: upstreamExpiry,
+		},
+		snapshot: snapshot,
+		inForce:  new(atomic.Uint64),
+	}
+}
+
+// run takes events until ctx ends.
+func (c *coordinator) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			_ = c.track(tracker.Ticked{})
+		case e := <-c.box:
+			c.take(e)
+		}
+	}
+}
+
+func (c *coordinator) take(e event) {
+	switch e := e.(type) {
+	case announced:
+		e.reply <- c.track(tracker.Announced{Announcement: e.announcement})
+	case configured:
+		c.configure(e.document)
+	case dumped:
+		e.reply <- c.dump()
+	}
+}
+
+func (c *coordinator) track(e tracker.Event) error {
+	changed := false
+	var refused error
+	for _, action := range c.tracker.Step(time.Now(), e) {
+		switch a := action.(type) {
+		case tracker.Changed:
+			changed = true
+		case tracker.Left:
+			c.log.Info().
+				Str("upstream", string(a.Upstream.Name)).
+				Str("reason", a.Reason).
+				Msg("upstream-left")
+		case tracker.Refused:
+			refused = a.Err
+		}
+	}
+	if changed {
+		c.publish()
+	}
+	return refused
+}
+
+func (c *coordinator) configure(document []byte) {
+	configuration, err := parser.ParseConfiguration("accepted", document)
+	if err != nil {
+		c.log.Error().Err(err).Msg("configuration-unreadable")
+		return
+	}
+	// Answers of control can overtake each other; without this check an older
+	// one would undo a change that the operator was told is in force.
+	if configuration.Version <= units.Version(c.inForce.Load()) {
+		return
+	}
+	c.configuration = configuration
+	c.publish()
+	c.inForce.Store(uint64(configuration.Version))
+	c.log.Info().
+		Uint64("version", uint64(configuration.Version)).
+		Msg("configuration-in-force")
+}
+
+func (c *coordinator) publish() {
+	if c.configuration == nil {
+		return
+	}
+	c.snapshot.Store(indexer.Build(c.configuration, c.tracker.Usable()))
+}
--- /dev/null
+++ b/src/entry/entry.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/forwarder"
+	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/inspector"
+	"github.com/rosecroft/rosecroft/src/limiter"
+	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/recorder"
+	"github.com/rosecroft/rosecroft/src/router"
+	"github.com/rosecroft/rosecroft/src/server"
+)
+
+// keepFor is how long an answer is kept for resends.
+const keepFor = 10 * time.Minute
+
+// Entry is one entry process; its fields are set before Run.
+type Entry struct {
+	Settings *parser.Settings
+	Log      zerolog.Logger
+	Meter    *meter.Meter
+	Client   *connector.Client
+	// The listeners are bound to the addresses in the settings.
+	Callers   net.Listener
+	Upstreams net.Listener
+	Operators net.Listener
+
+	snapshot    atomic.Pointer[indexer.Snapshot]
+	coordinator *coordinator
+	stopping    atomic.Bool
+}
+
+// Run serves until ctx ends and the calls under way have finished.
+func (e *Entry) Run(ctx context.Context) error {
+	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	// The parts below serve until the last call has its answer, which is after
+	// ctx has ended.
+	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLasting()
+	group, lasting := errgroup.WithContext(lasting)
+	group.Go(func() error { return e.coordinator.run(lasting) })
+	group.Go(func() error { return e.follower().run(lasting) })
+	group.Go(func() error { return e.receptionist().run(lasting) })
+	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error {
+		defer stopLasting()
+		return e.serveCallers(ctx, lasting)
+	})
+	e.Log.Info().
+		Str("callers", e.Callers.Addr().String()).
+		Str("upstreams", e.Upstreams.Addr().String()).
+		Str("operators", e.Operators.Addr().String()).
+		Msg("started")
+	return group.Wait()
+}
+
+// serveCallers serves until the planned stop or the failure of another part.
+func (e *Entry) serveCallers(ctx, lasting context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(lasting, cancel)()
+	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
+	if err := e.callerServer().Run(ctx); err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	e.Log.Info().Msg("drained")
+	return nil
+}
+
+func (e *Entry) ready() bool {
+	return !e.stopping.Load() && e.snapshot.Load() != nil
+}
+
+func (e *Entry) callerServer() *server.Server {
+	return &server.Server{
+		Listener: e.Callers,
+		Log:      e.Log,
+		Scope:    e.Meter.Scope,
+		Snapshot: &e.snapshot,
+		Dispatcher: &dispatcher.Dispatcher{
+			Limiter: &limiter.Limiter{},
+			Recorder: &recorder.Recorder{
+				KeepFor: keepFor,
+			},
+			Router: &router.Router{
+				Snapshot: &e.snapshot,
+			},
+			Exchanger: &forwarder.Forwarder{
+				Client: forwarder.NewClient(),
+			},
+		},
+		Ready: e.ready,
+		Drain: e.Settings.Timing.Drain,
+	}
+}
+
+func (e *Entry) follower() *follower {
+	return &follower{
+		settings:    e.Settings,
+		client:      e.Client,
+		coordinator: e.coordinator,
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+}
+
+func (e *Entry) receptionist() *receptionist {
+	return &receptionist{
+		listener:    e.Upstreams,
+		coordinator: e.coordinator,
+	}
+}
+
+func (e *Entry) operatorServer() *inspector.Inspector {
+	return &inspector.Inspector{
+		Listener: e.Operators,
+		Dump:     e.dump,
+		Ready:    e.ready,
+		Metrics:  e.Meter.Handler,
+	}
+}
+
+func (e *Entry) dump(ctx context.Context) (any, error) {
+	reply := make(chan *Dump, 1)
+	e.coordinator.box <- dumped{reply: reply}
+	select {
+	case dump := <-reply:
+		return dump, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/src/indexer/doc.go
@@ -0,0 +1,2 @@
+// Package indexer turns the configuration and the live upstreams into an immutable snapshot for traffic.
+package indexer
--- /dev/null
+++ b/src/inspector/doc.go
@@ -0,0 +1,2 @@
+// Package inspector serves one process's state, metrics and health to operators.
+package inspector
--- /dev/null
+++ b/src/inspector/inspector.go
@@ -0,0 +1,94 @@
+package inspector
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/goccy/go-yaml"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	yamlType      = "application/yaml"
+)
+
+// Inspector is a process's HTTP server for operators.
+type Inspector struct {
+	Listener net.Listener
+	// TLS is nil only where the settings allow plain loopback.
+	TLS *tls.Config
+	// Dump returns the process's state without secrets, to be written as YAML.
+	Dump func(context.Context) (any, error)
+	// Ready says whether the balancer should send calls here.
+	Ready   func() bool
+	Metrics http.Handler
+	// Services are the routes of the process's own duty.
+	Services []*restful.WebService
+}
+
+// Run serves until ctx ends.
+func (i *Inspector) Run(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           i.handler(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	listener := i.Listener
+	if i.TLS != nil {
+		listener = tls.NewListener(listener, i.TLS)
+	}
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+func (i *Inspector) handler() http.Handler {
+	container := restful.NewContainer()
+	own := new(restful.WebService)
+	own.Route(own.GET("/dump").To(i.dump))
+	own.Route(own.GET("/healthz").To(i.health))
+	own.Route(own.GET("/readyz").To(i.readiness))
+	own.Route(own.GET("/metrics").To(func(request *restful.Request, response *restful.Response) {
+		i.Metrics.ServeHTTP(response.ResponseWriter, request.Request)
+	}))
+	container.Add(own)
+	for _, service := range i.Services {
+		container.Add(service)
+	}
+	return container
+}
+
+func (i *Inspector) dump(request *restful.Request, response *restful.Response) {
+	state, err := i.Dump(request.Request.Context())
+	if err != nil {
+		_ = response.WriteError(http.StatusServiceUnavailable, err)
+		return
+	}
+	content, err := yaml.Marshal(state)
+	if err != nil {
+		_ = response.WriteError(http.StatusInternalServerError, err)
+		return
+	}
+	response.AddHeader("Content-Type", yamlType)
+	_, _ = response.Write(content)
+}
+
+func (i *Inspector) health(_ *restful.Request, response *restful.Response) {
+	response.WriteHeader(http.StatusOK)
+}
+
+func (i *Inspector) readiness(_ *restful.Request, response *restful.Response) {
+	if !i.Ready() {
+		response.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	response.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/src/launcher/doc.go
@@ -0,0 +1,2 @@
+// Package launcher reads the command line and runs what it names.
+package launcher
--- /dev/null
+++ b/src/launcher/operators.go
@@ -0,0 +1,188 @@
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+const (
+	maxResponse  = 64 << 20
+	pollInterval = 100 * time.Millisecond
+	yamlType     = "application/yaml"
+)
+
+// controlFlags say which control instances to ask.
+type controlFlags struct {
+	Control []string `help:"Operators' addresses of control instances, tried in turn." default:"http://127.0.0.1:8082"`
+}
+
+type applyCommand struct {
+	controlFlags
+	File     string        `arg:"" help:"Configuration file, in YAML." type:"existingfile"`
+	Operator string        `help:"Name recorded with the change; your login name where left out."`
+	Wait     time.Duration `help:"How long to wait until the version is in force everywhere." default:"4s"`
+}
+
+type statusCommand struct {
+	controlFlags
+}
+
+type dumpCommand struct {
+	Address string `arg:"" help:"Operators' address of the process, such as http://127.0.0.1:8082."`
+}
+
+// Run submits a configuration and waits until it is in force.
+func (c *applyCommand) Run(ctx context.Context, console *console) error {
+	document, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("read the configuration: %w", err)
+	}
+	result := &messages.SubmissionResult{}
+	err = c.ask(ctx, http.MethodPut, "/v1/configuration", document, operatorName(c.Operator), result)
+	if err != nil {
+		return err
+	}
+	if result.GetOutcome() != messages.Outcome_OUTCOME_ACCEPTED {
+		return &ExitError{
+			Code: ExitRefused,
+			Err:  fmt.Errorf("%s: %s (winner %q)", result.GetOutcome(), result.GetDetail(), result.GetWinner()),
+		}
+	}
+	_, _ = fmt.Fprintf(console.out, "version %d %s\n", result.GetVersion(), result.GetDetail())
+	return c.awaitInForce(ctx, console, result.GetVersion())
+}
+
+func (c *applyCommand) awaitInForce(ctx context.Context, console *console, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	status := &messages.Status{}
+	for {
+		err := c.ask(ctx, http.MethodGet, "/v1/status", nil, "", status)
+		if err == nil && inForce(status, version) {
+			printStatus(console, status)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			printStatus(console, status)
+			return &ExitError{
+				Code: ExitFailed,
+				Err:  fmt.Errorf("version %d is accepted and not yet in force everywhere; see rosecroft status", version),
+			}
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func inForce(status *messages.Status, version uint64) bool {
+	return status.GetAcceptedVersion() >= version && status.GetEntries() > 0 && status.GetInForce() == status.GetEntries()
+}
+
+// Run prints the fleet's status.
+func (c *statusCommand) Run(ctx context.Context, console *console) error {
+	status := &messages.Status{}
+	if err := c.ask(ctx, http.MethodGet, "/v1/status", nil, "", status); err != nil {
+		return err
+	}
+	printStatus(console, status)
+	return nil
+}
+
+func printStatus(console *console, status *messages.Status) {
+	_, _ = fmt.Fprintf(console.out, "leader %s term %d: version %d accepted, in force at %d of %d\n",
+		status.GetLeader(), status.GetTerm(), status.GetAcceptedVersion(), status.GetInForce(), status.GetEntries())
+	for _, missing := range status.GetMissing() {
+		_, _ = fmt.Fprintf(console.out, "  %s has version %d, fenced %t: %s\n",
+			missing.GetEntry(), missing.GetVersionInForce(), missing.GetFenced(), missing.GetReason())
+	}
+}
+
+// Run prints a process's state.
+func (c *dumpCommand) Run(ctx context.Context, console *console) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	content, _, err := exchange(ctx, http.MethodGet, c.Address+"/dump", nil, "")
+	if err != nil {
+		return err
+	}
+	_, err = console.out.Write(content)
+	return err
+}
+
+// ask sends a request to the control instances until one answers. Asking again
+// does no harm, since a submission that comes twice gets its first outcome.
+func (f *controlFlags) ask(ctx context.Context, method, path string, body []byte, operator string, answer proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for {
+		err := f.askEach(ctx, method, path, body, operator, answer)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (f *controlFlags) askEach(ctx context.Context, method, path string, body []byte, operator string, answer proto.Message) error {
+	var failures error
+	for _, address := range f.Control {
+		content, status, err := exchange(ctx, method, address+path, body, operator)
+		if err == nil && status == http.StatusServiceUnavailable {
+			err = fmt.Errorf("%s: %s", address, content)
+		}
+		if err != nil {
+			failures = errors.Join(failures, err)
+			continue
+		}
+		if err := protojson.Unmarshal(content, answer); err != nil {
+			return fmt.Errorf("read the answer of %s: %w; use the same version on both sides", address, err)
+		}
+		return nil
+	}
+	return failures
+}
+
+func exchange(ctx context.Context, method, address string, body []byte, operator string) ([]byte, int, error) {
+	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, fmt.Errorf("form the request to %s: %w", address, err)
+	}
+	request.Header.Set("Content-Type", yamlType)
+	request.Header.Set("Rosecroft-Operator", operator)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, 0, fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	if err != nil {
+		return nil, 0, fmt.Errorf("read the answer of %s: %w", address, err)
+	}
+	return content, response.StatusCode, nil
+}
+
+func operatorName(given string) string {
+	if given != "" {
+		return given
+	}
+	if current, err := user.Current(); err == nil {
+		return current.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/src/launcher/options.go
@@ -0,0 +1,129 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/rosecroft/rosecroft/src/parser"
+)
+
+// ExitCode is what the shell sees.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK ExitCode = iota
+	// ExitFailed means that the command was tried and failed.
+	ExitFailed
+	// ExitUsage means that the command line is wrong.
+	ExitUsage
+	// ExitInvalid means that a file is wrong.
+	ExitInvalid
+	// ExitRefused means that control refused the change.
+	ExitRefused
+	// ExitPortInUse means that a listener's address is taken.
+	ExitPortInUse
+)
+
+// options is the whole command line.
+type options struct {
+	Entry   entryCommand   `cmd:"" group:"Processes" help:"Run an entry instance: take calls and bring them to upstreams."`
+	Control controlCommand `cmd:"" group:"Processes" help:"Run a control instance: keep the configuration and order the fleet."`
+	Run     runCommand     `cmd:"" group:"Processes" help:"Run control and an entry in one process, for a first try on one machine."`
+
+	Apply  applyCommand  `cmd:"" group:"Operators" help:"Submit a whole configuration."`
+	Status statusCommand `cmd:"" group:"Operators" help:"Print which version is accepted and where it is in force."`
+	Dump   dumpCommand   `cmd:"" group:"Operators" help:"Print one process's state."`
+
+	Check   checkCommand   `cmd:"" group:"Offline" help:"Check a configuration or settings file."`
+	MakeKey makeKeyCommand `cmd:"" group:"Offline" help:"Make an API key and the lines that configure it."`
+	Version versionCommand `cmd:"" group:"Offline" help:"Print the version."`
+
+	ShowVersion kong.VersionFlag `name:"version" help:"Print the version."`
+}
+
+// console is where commands print.
+type console struct {
+	out      io.Writer
+	err      io.Writer
+	version  string
+	revision string
+}
+
+// ExitError carries an exit code with its cause.
+type ExitError struct {
+	Code ExitCode
+	Err  error
+}
+
+// Error returns the cause's text.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// Run runs the command line and returns the exit code.
+func Run(arguments []string, version, revision string, out, errOut io.Writer) ExitCode {
+	exited := false
+	command, err := kong.New(&options{},
+		kong.Name("rosecroft"),
+		kong.Description("Serves language models and applications on reclaimable machines."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(int) { exited = true }),
+		kong.Vars{"version": version + " " + revision},
+		kong.ConfigureHelp(kong.HelpOptions{
+			Compact: true,
+		}),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitUsage
+	}
+	parsed, err := command.Parse(arguments)
+	if exited {
+		return ExitOK
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "rosecroft: %v; see rosecroft --help\n", err)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.Bind(&console{
+		out:      out,
+		err:      errOut,
+		version:  version,
+		revision: revision,
+	})
+	return report(parsed.Run(), errOut)
+}
+
+func report(err error, errOut io.Writer) ExitCode {
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintf(errOut, "rosecroft: %v\n", err)
+	var exit *ExitError
+	var problems parser.Problems
+	switch {
+	case errors.As(err, &exit):
+		return exit.Code
+	case errors.As(err, &problems):
+		return ExitInvalid
+	case errors.Is(err, syscall.EADDRINUSE):
+		return ExitPortInUse
+	}
+	return ExitFailed
+}
+
+// requestTimeout bounds a request to an instance.
+const requestTimeout = 10 * time.Second
--- /dev/null
+++ b/src/launcher/wire.go
@@ -0,0 +1,24 @@
+//go:build wireinject
+
+package launcher
+
+import (
+	"github.com/google/wire"
+
+	"github.com/rosecroft/rosecroft/src/control"
+	"github.com/rosecroft/rosecroft/src/entry"
+	"github.com/rosecroft/rosecroft/src/parser"
+)
+
+// shared provides what every process is built from.
+var shared = wire.NewSet(newMeter, newClient)
+
+func buildControl(console *console, settings *parser.Settings) (*control.Control, func()) {
+	wire.Build(shared, controlLogger, wire.Struct(new(control.Control), "Settings", "Log", "Meter", "Client"))
+	return nil, nil
+}
+
+func buildEntry(console *console, settings *parser.Settings) (*entry.Entry, func()) {
+	wire.Build(shared, entryLogger, wire.Struct(new(entry.Entry), "Settings", "Log", "Meter", "Client"))
+	return nil, nil
+}
--- /dev/null
+++ b/src/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter admits calls within the limits of their accounts.
+package limiter
--- /dev/null
+++ b/src/messages/doc.go
@@ -0,0 +1,2 @@
+// Package messages holds the wire types generated from proto/.
+package messages
--- /dev/null
+++ b/src/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter holds a process's metrics and serves them in the Prometheus format.
+package meter
--- /dev/null
+++ b/src/server/doc.go
@@ -0,0 +1,2 @@
+// Package server answers callers over HTTP.
+package server
--- /dev/null
+++ b/src/stager/doc.go
@@ -0,0 +1,2 @@
+// Package stager runs the real programs on loopback, for demonstrations, measurements and tests of failures.
+package stager
--- /dev/null
+++ b/src/tracker/doc.go
@@ -0,0 +1,2 @@
+// Package tracker knows which upstreams live, from what they announce of themselves.
+package tracker
--- /dev/null
+++ b/src/tracker/tracker_test.go
@@ -0,0 +1,79 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+const testExpiry = 3 * time.Second
+
+// A caller would get an error from an upstream that is taken back, if a late
+// announcement could undo its leaving mark: the announcement is sent, overtaken
+// by the mark, and arrives after it. The mark ends the incarnation, so only a
+// newer one counts.
+func TestLateAnnouncementRevivesNothing(t *testing.T) {
+	cases := map[string]struct {
+		late       *messages.Announcement
+		wantUsable int
+	}{
+		"older announcement of the same incarnation": {
+			late:       announcement(1, 1, false),
+			wantUsable: 0,
+		},
+		"newer announcement of the same incarnation": {
+			late:       announcement(1, 9, false),
+			wantUsable: 0,
+		},
+		"restarted upstream": {
+			late:       announcement(2, 1, false),
+			wantUsable: 1,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			table := &Tracker{
+				Expiry: testExpiry,
+			}
+			table.Step(now, Announced{Announcement: announcement(1, 2, false)})
+			table.Step(now, Announced{Announcement: announcement(1, 3, true)})
+			table.Step(now, Announced{Announcement: c.late})
+			if got, want := len(table.Usable()), c.wantUsable; got != want {
+				t.Errorf("usable upstreams: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// An upstream that leaves and is forgotten must not come back by a message
+// that was under way for longer than the upstream lived.
+func TestForgottenUpstreamStaysGone(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := &Tracker{
+		Expiry: testExpiry,
+	}
+	table.Step(now, Announced{Announcement: announcement(1, 1, true)})
+	now = now.Add(2 * testExpiry)
+	table.Step(now, Ticked{})
+	if got, want := len(table.All()), 0; got != want {
+		t.Fatalf("known upstreams after expiry: got %d, want %d", got, want)
+	}
+	table.Step(now, Announced{Announcement: announcement(1, 2, false)})
+	if got, want := len(table.Usable()), 0; got != want {
+		t.Errorf("usable upstreams: got %d, want %d", got, want)
+	}
+}
+
+func announcement(incarnation, sequence uint64, leaving bool) *messages.Announcement {
+	return &messages.Announcement{
+		Upstream:        "ember-1",
+		Service:         "ember-llm",
+		Address:         "http://127.0.0.1:9000",
+		Incarnation:     incarnation,
+		Sequence:        sequence,
+		Leaving:         leaving,
+		LeavingWithinMs: 1000,
+	}
+}
--- /dev/null
+++ b/src/tracker/upstream.go
@@ -0,0 +1,79 @@
+package tracker
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Upstream is one back end as it last announced itself; it is not changed once published.
+type Upstream struct {
+	Name         units.Upstream
+	Service      units.Service
+	Address      string
+	DataCentre   units.DataCentre
+	MachineClass units.MachineClass
+	Reclaimable  bool
+	Price        units.Price
+	Incarnation  units.Incarnation
+	Sequence     uint64
+	Leaving      bool
+	// LeavesAt is when a leaving upstream stops.
+	LeavesAt     time.Time
+	Model        units.Model
+	ModelVersion units.ModelVersion
+	Adapters     []string
+	Slots        int
+	Step         time.Duration
+	Load         Load
+	// HeardAt is when the announcement arrived here.
+	HeardAt time.Time
+	// Live is shared by all announcements of one incarnation.
+	Live *Live
+}
+
+// Load is an upstream's load as it measured it.
+type Load struct {
+	Running      int
+	Queued       int
+	QueuedTokens units.Tokens
+	MeasuredAt   time.Time
+}
+
+// Live counts what this entry has under way at an upstream; traffic changes it.
+type Live struct {
+	InFlight atomic.Int64
+	// Prefill counts prompt tokens sent and not yet answered by a first token.
+	Prefill atomic.Int64
+}
+
+func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
+	return &Upstream{
+		Name:         units.Upstream(a.GetUpstream()),
+		Service:      units.Service(a.GetService()),
+		Address:      a.GetAddress(),
+		DataCentre:   units.DataCentre(a.GetDataCentre()),
+		MachineClass: units.MachineClass(a.GetMachineClass()),
+		Reclaimable:  a.GetReclaimable(),
+		Price:        units.Price(a.GetPricePerHour()),
+		Incarnation:  units.Incarnation(a.GetIncarnation()),
+		Sequence:     a.GetSequence(),
+		Leaving:      a.GetLeaving(),
+		LeavesAt:     now.Add(time.Duration(a.GetLeavingWithinMs()) * time.Millisecond),
+		Model:        units.Model(a.GetModel()),
+		ModelVersion: units.ModelVersion(a.GetModelVersion()),
+		Adapters:     a.GetAdapters(),
+		Slots:        int(a.GetSlots()),
+		Step:         time.Duration(a.GetStepMs() * float64(time.Millisecond)),
+		Load: Load{
+			Running:      int(a.GetLoad().GetRunning()),
+			Queued:       int(a.GetLoad().GetQueued()),
+			QueuedTokens: units.Tokens(a.GetLoad().GetQueuedTokens()),
+			MeasuredAt:   now.Add(-time.Duration(a.GetLoad().GetAgeMs()) * time.Millisecond),
+		},
+		HeardAt: now,
+		Live:    &Live{},
+	}
+}
--- /dev/null
+++ b/src/units/units.go
@@ -0,0 +1,62 @@
+package units
+
+import "time"
+
+// Brand names a brand that operators resell the service under.
+type Brand string
+
+// Account names a client account of a brand.
+type Account string
+
+// Service names a service, a model pool or a plain application.
+type Service string
+
+// Upstream names one back end that announces itself.
+type Upstream string
+
+// Instance names one machine of the system or of the platform.
+type Instance string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Region names a group of data centres.
+type Region string
+
+// MachineClass names a class of instance that the platform sells.
+type MachineClass string
+
+// Model names a language model as callers write it.
+type Model string
+
+// ModelVersion names one set of weights of a model.
+type ModelVersion string
+
+// CallID identifies one accepted call over all its attempts.
+type CallID string
+
+// Term numbers a leadership period and serves as the fencing number of orders.
+type Term uint64
+
+// Index numbers a record of the replicated log, from 1.
+type Index uint64
+
+// Version numbers a configuration as operators submit it, from 1.
+type Version uint64
+
+// Incarnation numbers the lives of one named process; a higher one wins.
+type Incarnation uint64
+
+// Attempt numbers the tries of one call, from 1.
+type Attempt uint32
+
+// Tokens counts model tokens.
+type Tokens int64
+
+// Price is an amount of money per instance and hour, in the platform's currency.
+type Price float64
+
+// Cost returns the price of holding an instance for d.
+func (p Price) Cost(d time.Duration) float64 {
+	return float64(p) * d.Hours()
+}
