--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -36,6 +36,7 @@
 	Callers   net.Listener
 	Upstreams net.Listener
 	Operators net.Listener
+	Peers     net.Listener
 
 	snapshot    atomic.Pointer[indexer.Snapshot]
 	coordinator *coordinator
@@ -54,6 +55,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
 		return e.serveCallers(ctx, lasting)
@@ -106,6 +108,13 @@
 	}
 }
 
+// peerServer answers the other processes of the system.
+func (e *Entry) peerServer() *connector.Server {
+	return &connector.Server{
+		Listener: e.Peers,
+	}
+}
+
 func (e *Entry) follower() *follower {
 	return &follower{
 		settings:    e.Settings,
--- a/src/launcher/processes.go
+++ b/src/launcher/processes.go
@@ -56,6 +56,10 @@
 	if err != nil {
 		return err
 	}
+	entryPeers, err := freeAddress()
+	if err != nil {
+		return err
+	}
 	shared := parser.Settings{
 		DataCentre:       "local",
 		InsecureLoopback: true,
@@ -75,6 +79,7 @@
 	entry.Callers.Listen = c.Callers
 	entry.Upstreams.Listen = c.Upstreams
 	entry.Operators.Listen = entryOperators
+	entry.Peers.Listen = entryPeers
 	entry.FillDefaults()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return runControl(ctx, console, &control) })
@@ -116,6 +121,7 @@
 		{from: settings.Callers, to: &process.Callers},
 		{from: settings.Upstreams, to: &process.Upstreams},
 		{from: settings.Operators, to: &process.Operators},
+		{from: settings.Peers, to: &process.Peers},
 	}
 	for _, target := range targets {
 		listener, err := listen(target.from)
