--- /dev/null
+++ b/src/prover/main_test.go
@@ -0,0 +1,107 @@
+package prover
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/stager"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// awaitLimit bounds every wait for a state; no test asserts on speed.
+const awaitLimit = 30 * time.Second
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "rosecroft-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	programs = folder
+	build := exec.Command("go", "build", "-o", folder+"/", "../..", "../cmd/standin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build the programs:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// newStage returns a stage whose processes end with the test.
+func newStage(t *testing.T) *stager.Stage {
+	t.Helper()
+	stage := &stager.Stage{
+		Folder:  t.TempDir(),
+		Program: filepath.Join(programs, "rosecroft"),
+		Standin: filepath.Join(programs, "standin"),
+	}
+	t.Cleanup(stage.Stop)
+	return stage
+}
+
+// startFleet starts a fleet over the data centres and waits until it answers.
+func startFleet(t *testing.T, stage *stager.Stage, controls, entries int) {
+	t.Helper()
+	dataCentres := []units.DataCentre{"dc-a", "dc-b", "dc-c", "dc-d"}
+	if err := stage.StartFleet(controls, entries, dataCentres); err != nil {
+		t.Fatal(err)
+	}
+	if err := stage.AwaitHealthy(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// apply submits a configuration file and waits until it is in force everywhere.
+func apply(t *testing.T, stage *stager.Stage, file string) {
+	t.Helper()
+	command := exec.CommandContext(t.Context(), stage.Program, "apply", file,
+		"--control", stage.ControlURLs(), "--wait", awaitLimit.String())
+	output, err := command.CombinedOutput()
+	if err != nil {
+		t.Fatalf("apply %s: %v: %s", file, err, output)
+	}
+}
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), awaitLimit)
+	defer cancel()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s: got no, want yes within %s", what, awaitLimit)
+		case <-ticker.C:
+		}
+	}
+}
+
+// get returns the status code of a request without a body.
+func get(ctx context.Context, url string) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
