Add the interfaces for replicated machines and leader duties

Cause: entry views, orders and purchases plug into the log beside the configuration, each from its own file. A new part adds itself to machines, duties and hearers in newCoordinator.

--- a/src/control/control.go
+++ b/src/control/control.go
@@ -108,7 +108,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return answer.result, answer.err
+	result, _ := answer.result.(*messages.SubmissionResult)
+	return result, answer.err
 }
 
 func (c *Control) statusHere(ctx context.Context) (*messages.Status, error) {
--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
-	"github.com/rosecroft/rosecroft/src/configurator"
 	"github.com/rosecroft/rosecroft/src/keeper"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -25,11 +25,16 @@
 
 // coordinator owns the state of one control process.
 type coordinator struct {
-	settings  *parser.Settings
-	log       zerolog.Logger
-	keeper    *keeper.Keeper
-	node      *replicator.Node
-	state     configurator.State
+	settings *parser.Settings
+	log      zerolog.Logger
+	keeper   *keeper.Keeper
+	node     *replicator.Node
+	state    *configurationMachine
+	// machines hold the replicated state; each command goes to all of them.
+	machines  []machine
+	duties    []duty
+	hearers   []hearer
+	led       bool
 	box       chan event
 	outbox    *outbox
 	proposals map[uint64]chan<- submitReply
@@ -58,8 +63,13 @@
 	for _, control := range settings.Control {
 		voters = append(voters, control.Name)
 	}
+	configuration := &configurationMachine{
+		log: log,
+	}
 	return &coordinator{
 		settings: settings,
+		state:    configuration,
+		machines: []machine{configuration},
 		log:      log,
 		keeper:   kept,
 		node: replicator.New(time.Now(), replicator.Options{
@@ -87,7 +97,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			err = c.step(replicator.Ticked{})
+			err = c.tick()
 		case e := <-c.box:
 			err = c.take(e)
 		}
@@ -97,6 +107,35 @@
 	}
 }
 
+func (c *coordinator) tick() error {
+	if err := c.step(replicator.Ticked{}); err != nil {
+		return err
+	}
+	return c.lead(time.Now())
+}
+
+// lead lets the duties work while this instance leads.
+func (c *coordinator) lead(now time.Time) error {
+	leads := c.node.Lead(now)
+	if !leads && c.led {
+		for _, d := range c.duties {
+			d.Rest()
+		}
+	}
+	c.led = leads
+	if !leads {
+		return nil
+	}
+	for _, d := range c.duties {
+		for _, command := range d.Lead(now, c.node.Term()) {
+			if err := c.step(replicator.Proposed{Command: command}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (c *coordinator) take(e event) error {
 	switch e := e.(type) {
 	case arrived:
@@ -144,20 +183,37 @@
 	case replicator.Apply:
 		c.apply(a.Records)
 	case replicator.Appended:
-		c.pending[a.Index] = pendingProposal{
-			term:  a.Term,
-			reply: c.proposals[a.Token],
-		}
-		delete(c.proposals, a.Token)
+		c.await(a)
 	case replicator.Rejected:
-		c.proposals[a.Token] <- submitReply{err: &NotLeaderError{Leader: a.Leader}}
-		delete(c.proposals, a.Token)
+		c.reject(a)
 	case replicator.RoleChanged:
 		c.changeRole(a)
 	}
 	return nil
 }
 
+// await keeps the reply of a proposal; a duty's has none.
+func (c *coordinator) await(a replicator.Appended) {
+	reply, waiting := c.proposals[a.Token]
+	if !waiting {
+		return
+	}
+	delete(c.proposals, a.Token)
+	c.pending[a.Index] = pendingProposal{
+		term:  a.Term,
+		reply: reply,
+	}
+}
+
+func (c *coordinator) reject(a replicator.Rejected) {
+	reply, waiting := c.proposals[a.Token]
+	if !waiting {
+		return
+	}
+	delete(c.proposals, a.Token)
+	reply <- submitReply{err: &NotLeaderError{Leader: a.Leader}}
+}
+
 func (c *coordinator) changeRole(a replicator.RoleChanged) {
 	c.role = a
 	c.log.Info().
@@ -176,8 +232,8 @@
 
 func (c *coordinator) apply(records []*messages.LogRecord) {
 	for _, record := range records {
-		result := c.applyCommand(record.GetCommand())
 		index := units.Index(record.GetIndex())
+		result := c.applyCommand(index, record.GetCommand())
 		proposal, waiting := c.pending[index]
 		if !waiting {
 			continue
@@ -191,18 +247,14 @@
 	}
 }
 
-func (c *coordinator) applyCommand(command *messages.Command) *messages.SubmissionResult {
-	submission := command.GetSubmission()
-	if submission == nil {
-		return nil
+func (c *coordinator) applyCommand(index units.Index, command *messages.Command) proto.Message {
+	var outcome proto.Message
+	for _, m := range c.machines {
+		if result := m.Apply(index, command); result != nil {
+			outcome = result
+		}
 	}
-	result := c.state.Submit(submission)
-	c.log.Info().
-		Uint64("version", submission.GetVersion()).
-		Str("operator", submission.GetOperator()).
-		Stringer("outcome", result.GetOutcome()).
-		Msg("submission-applied")
-	return result
+	return outcome
 }
 
 func (c *coordinator) hear(heartbeat *messages.EntryHeartbeat) *messages.EntryHeartbeatResponse {
@@ -221,6 +273,9 @@
 	if heartbeat.GetVersionInForce() < response.GetAcceptedVersion() {
 		response.Document = c.state.Document()
 	}
+	for _, h := range c.hearers {
+		h.Hear(time.Now(), heartbeat, response)
+	}
 	return response
 }
 
--- a/src/control/event.go
+++ b/src/control/event.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -29,7 +31,8 @@
 
 // submitReply is the end of a submitted command; one of its fields is set.
 type submitReply struct {
-	result *messages.SubmissionResult
+	// result is what the command's machine returned, or nil.
+	result proto.Message
 	err    error
 }
 
