--- a/src/control/control.go
+++ b/src/control/control.go
@@ -33,13 +33,16 @@
 
 // Run serves until ctx ends; an error means that the process must not go on.
 func (c *Control) Run(ctx context.Context) error {
-	kept, state, records, err := keeper.Open(c.Settings.DataFolder)
+	folder, kept, err := keeper.Open(c.Settings.DataFolder, c.Settings.Name)
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
-	defer func() { _ = kept.Close() }()
+	defer func() { _ = folder.Close() }()
 	out := newOutbox(c.Client, c.Settings)
-	c.coordinator = newCoordinator(c.Settings, c.Log, kept, state, records, out)
+	c.coordinator, err = newCoordinator(c.Settings, c.Log, folder, kept, out)
+	if err != nil {
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	out.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
@@ -48,7 +51,9 @@
 	c.Log.Info().
 		Str("operators", c.Operators.Addr().String()).
 		Str("peers", c.Peers.Addr().String()).
-		Int("records", len(records)).
+		Str("voter", string(kept.ID)).
+		Int("records", len(kept.Records)).
+		Uint64("snapshot", kept.Snapshot.GetIndex()).
 		Msg("started")
 	return group.Wait()
 }
@@ -75,7 +80,7 @@
 }
 
 func (c *Control) onLog(ctx context.Context, _ connector.Peer, message *messages.LogMessage) (*messages.LogMessage, error) {
-	return nil, c.post(ctx, arrived{message: message})
+	return &messages.LogMessage{}, c.post(ctx, arrived{message: message})
 }
 
 func (c *Control) onSubmit(ctx context.Context, _ connector.Peer, submission *messages.Submission) (*messages.SubmissionResult, error) {
--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	boxSize      = 1024
-	tickInterval = 10 * time.Millisecond
+	boxSize = 1024
+	// snapshotRecords and snapshotBytes bound the log and the time of a restart.
+	snapshotRecords = 256
+	snapshotBytes   = 8 << 20
+	tickInterval    = 10 * time.Millisecond
 	// goneAfter is how many fence periods an entry may be silent before it no longer counts.
 	goneAfter = 2
 )
@@ -56,35 +59,56 @@
 	at        time.Time
 }
 
-func newCoordinator(settings *parser.Settings, log zerolog.Logger, kept *keeper.Keeper,
-	state *messages.HardState, records []*messages.LogRecord, out *outbox,
-) *coordinator {
-	voters := make([]units.Instance, 0, len(settings.Control))
-	for _, control := range settings.Control {
-		voters = append(voters, control.Name)
-	}
+func newCoordinator(settings *parser.Settings, log zerolog.Logger, folder *keeper.Keeper,
+	kept *keeper.Kept, out *outbox,
+) (*coordinator, error) {
 	configuration := &configurationMachine{
 		log: log,
 	}
-	return &coordinator{
-		settings: settings,
-		state:    configuration,
-		machines: []machine{configuration},
-		log:      log,
-		keeper:   kept,
-		node: replicator.New(time.Now(), replicator.Options{
-			ID:        settings.Name,
-			Voters:    voters,
-			Heartbeat: settings.Timing.Heartbeat,
-			Election:  settings.Timing.Election,
-			Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		}, state, records),
+	c := &coordinator{
+		settings:  settings,
+		log:       log,
+		keeper:    folder,
+		state:     configuration,
+		machines:  []machine{configuration},
 		box:       make(chan event, boxSize),
 		outbox:    out,
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
 	}
+	if err := c.restore(kept.Snapshot); err != nil {
+		return nil, err
+	}
+	c.node = replicator.New(time.Now(), options(settings, kept.ID), replicator.Stored{
+		State:    kept.State,
+		Snapshot: kept.Snapshot,
+		Base:     kept.Base,
+		Records:  kept.Records,
+	})
+	return c, nil
+}
+
+func options(settings *parser.Settings, id units.VoterID) replicator.Options {
+	places := make([]replicator.Place, 0, len(settings.Control))
+	for _, control := range settings.Control {
+		places = append(places, replicator.Place{
+			Instance:   control.Name,
+			DataCentre: control.DataCentre,
+		})
+	}
+	return replicator.Options{
+		ID:              id,
+		DataCentre:      settings.DataCentre,
+		Instances:       places,
+		Voters:          settings.Voters,
+		Heartbeat:       settings.Timing.Heartbeat,
+		Election:        settings.Timing.Election,
+		Repair:          settings.Timing.Repair,
+		SnapshotRecords: snapshotRecords,
+		SnapshotBytes:   snapshotBytes,
+		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
 // run takes events until ctx ends or the disk fails.
@@ -176,8 +200,20 @@
 		// A voter that goes on after a failed sync would acknowledge what a
 		// crash takes back; it stops instead, and the majority goes on.
 		if err := c.keeper.Save(a.State, a.Records); err != nil {
-			return fmt.Errorf("write the data folder: %w; free or replace the disk and start again", err)
+			return fmt.Errorf("keep log records: %w", err)
+		}
+	case replicator.PersistSnapshot:
+		if err := c.keeper.SaveSnapshot(a.State, a.Snapshot, a.Base, a.Records); err != nil {
+			return fmt.Errorf("keep a snapshot: %w", err)
 		}
+	case replicator.TakeSnapshot:
+		return c.takeSnapshot(a)
+	case replicator.Restore:
+		return c.restore(a.Snapshot)
+	case replicator.MembershipChanged:
+		c.reportMembership(a.Membership)
+	case replicator.Halt:
+		return a.Err
 	case replicator.Send:
 		c.outbox.post(a.Message)
 	case replicator.Apply:
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -9,15 +9,27 @@
 // Dump is a control process's state as `rosecroft dump` prints it.
 type Dump struct {
 	Name            units.Instance `yaml:"name"`
+	Voter           units.VoterID  `yaml:"voter"`
+	Log             string         `yaml:"log"`
 	Role            string         `yaml:"role"`
 	Term            units.Term     `yaml:"term"`
 	Leader          units.Instance `yaml:"leader"`
 	Commit          units.Index    `yaml:"commit"`
 	LastIndex       units.Index    `yaml:"last-index"`
+	SnapshotIndex   units.Index    `yaml:"snapshot-index"`
+	Membership      uint64         `yaml:"membership"`
+	Members         []MemberDump   `yaml:"members"`
 	AcceptedVersion units.Version  `yaml:"accepted-version"`
 	Entries         []EntryDump    `yaml:"entries"`
 }
 
+// MemberDump is one voter or learner of the log.
+type MemberDump struct {
+	ID         units.VoterID    `yaml:"id"`
+	DataCentre units.DataCentre `yaml:"data-centre"`
+	Learner    bool             `yaml:"learner"`
+}
+
 // EntryDump is what the leader knows of one entry.
 type EntryDump struct {
 	Name           units.Instance `yaml:"name"`
@@ -29,13 +41,24 @@
 func (c *coordinator) dump() *Dump {
 	dump := &Dump{
 		Name:            c.settings.Name,
+		Voter:           c.node.Identity(),
+		Log:             c.node.LogID(),
 		Role:            c.node.CurrentRole().String(),
 		Term:            c.node.Term(),
 		Leader:          c.node.LeaderID(),
 		Commit:          c.node.Commit(),
 		LastIndex:       c.node.LastIndex(),
+		SnapshotIndex:   c.node.SnapshotIndex(),
+		Membership:      c.node.Membership().GetNumber(),
 		AcceptedVersion: c.state.Version(),
 	}
+	for _, member := range c.node.Membership().GetMembers() {
+		dump.Members = append(dump.Members, MemberDump{
+			ID:         units.VoterID(member.GetId()),
+			DataCentre: units.DataCentre(member.GetDataCentre()),
+			Learner:    member.GetLearner(),
+		})
+	}
 	for name, entry := range c.entries {
 		dump.Entries = append(dump.Entries, EntryDump{
 			Name:           name,
--- a/src/control/outbox.go
+++ b/src/control/outbox.go
@@ -7,32 +7,33 @@
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-const (
-	queueSize   = 256
-	sendTimeout = time.Second
-)
+const queueSize = 256
 
-// outbox sends log messages, one queue and goroutine for each other voter, so
-// that a silent voter holds up no other.
+// outbox sends log messages, one queue and goroutine for each other instance, so
+// that a silent one holds up no other.
 type outbox struct {
 	client *connector.Client
-	queues map[string]chan *messages.LogMessage
-	voters []parser.ControlAddress
+	queues map[units.Instance]chan *messages.LogMessage
+	// Instances are the other control instances.
+	instances []parser.ControlAddress
+	timeout   time.Duration
 }
 
 func newOutbox(client *connector.Client, settings *parser.Settings) *outbox {
 	o := &outbox{
-		client: client,
-		queues: make(map[string]chan *messages.LogMessage),
+		client:  client,
+		queues:  make(map[units.Instance]chan *messages.LogMessage),
+		timeout: settings.Timing.Election / 2,
 	}
-	for _, voter := range settings.Control {
-		if voter.Name == settings.Name {
+	for _, instance := range settings.Control {
+		if instance.Name == settings.Name {
 			continue
 		}
-		o.voters = append(o.voters, voter)
-		o.queues[string(voter.Name)] = make(chan *messages.LogMessage, queueSize)
+		o.instances = append(o.instances, instance)
+		o.queues[instance.Name] = make(chan *messages.LogMessage, queueSize)
 	}
 	return o
 }
@@ -41,27 +42,42 @@
 // heartbeats send again what is missing.
 func (o *outbox) post(message *messages.LogMessage) {
 	select {
-	case o.queues[message.GetTo()] <- message:
+	case o.queues[units.VoterID(message.GetTo()).Instance()] <- message:
 	default:
 	}
 }
 
 // run sends until ctx ends.
 func (o *outbox) run(ctx context.Context) {
-	for _, voter := range o.voters {
-		go o.deliver(ctx, voter)
+	for _, instance := range o.instances {
+		go o.deliver(ctx, instance)
 	}
 }
 
-func (o *outbox) deliver(ctx context.Context, voter parser.ControlAddress) {
+// deliver waits for the receipt of each message. Without one, a connection that
+// both ends believe in and that carries nothing would take messages until the
+// system gives it up after minutes, and the voter would be cut off as long.
+func (o *outbox) deliver(ctx context.Context, instance parser.ControlAddress) {
+	queue := o.queues[instance.Name]
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case message := <-o.queues[string(voter.Name)]:
-			sendContext, cancel := context.WithTimeout(ctx, sendTimeout)
-			_ = o.client.Notify(sendContext, voter.Address, MethodLog, message)
+		case message := <-queue:
+			receiptContext, cancel := context.WithTimeout(ctx, o.timeout)
+			err := o.client.Call(receiptContext, instance.Address, MethodLog, message, &messages.LogMessage{})
 			cancel()
+			if err != nil {
+				discard(queue)
+			}
 		}
 	}
 }
+
+// discard drops what has waited while the other end was silent; the newest
+// messages matter, and heartbeats bring back what is missing.
+func discard(queue <-chan *messages.LogMessage) {
+	for range len(queue) {
+		<-queue
+	}
+}
--- /dev/null
+++ b/src/control/snapshot.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/replicator"
+)
+
+// takeSnapshot hands the state of all machines to the log.
+func (c *coordinator) takeSnapshot(a replicator.TakeSnapshot) error {
+	states := &messages.MachineStates{
+		States: make(map[string][]byte),
+	}
+	for _, m := range c.machines {
+		content, err := m.Snapshot()
+		if err != nil {
+			return fmt.Errorf("take a snapshot of %s: %w", m.Name(), err)
+		}
+		states.States[m.Name()] = content
+	}
+	content, err := proto.Marshal(states)
+	if err != nil {
+		return fmt.Errorf("encode a snapshot: %w", err)
+	}
+	c.log.Info().
+		Uint64("index", uint64(a.Index)).
+		Int("bytes", len(content)).
+		Msg("snapshot-taken")
+	return c.step(replicator.SnapshotTaken{
+		Index:   a.Index,
+		Content: content,
+	})
+}
+
+// restore replaces the state of all machines; a machine that the snapshot does
+// not know starts empty, as it stood when the snapshot was taken.
+func (c *coordinator) restore(snapshot *messages.LogSnapshot) error {
+	if len(snapshot.GetContent()) == 0 {
+		return nil
+	}
+	states := &messages.MachineStates{}
+	if err := proto.Unmarshal(snapshot.GetContent(), states); err != nil {
+		return fmt.Errorf("decode a snapshot: %w; run the same version on every control instance", err)
+	}
+	for _, m := range c.machines {
+		content, known := states.GetStates()[m.Name()]
+		if !known {
+			continue
+		}
+		if err := m.Restore(content); err != nil {
+			return fmt.Errorf("restore %s: %w; run the same version on every control instance", m.Name(), err)
+		}
+	}
+	c.log.Info().
+		Uint64("index", snapshot.GetIndex()).
+		Msg("snapshot-restored")
+	return nil
+}
+
+func (c *coordinator) reportMembership(membership *messages.Membership) {
+	var voters, learners []string
+	for _, member := range membership.GetMembers() {
+		if member.GetLearner() {
+			learners = append(learners, member.GetId())
+			continue
+		}
+		voters = append(voters, member.GetId())
+	}
+	c.log.Info().
+		Uint64("number", membership.GetNumber()).
+		Str("voters", strings.Join(voters, ",")).
+		Str("learners", strings.Join(learners, ",")).
+		Msg("membership-changed")
+}
--- a/src/keeper/keeper.go
+++ b/src/keeper/keeper.go
@@ -1,257 +1,234 @@
 package keeper
 
 import (
-	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-const (
-	recordsFile = "records"
-	stateFile   = "state"
-	frameHeader = 12
-	maxFrame    = 64 << 20
-	fileMode    = 0o600
-	folderMode  = 0o700
-)
-
-// DamageError says that a file in the data folder does not hold what was written.
-type DamageError struct {
-	Path   string
-	Offset int64
-	Reason string
-}
-
-// Error names the damage and the remedy.
-func (e *DamageError) Error() string {
-	return fmt.Sprintf("%s is damaged at byte %d: %s; move the data folder away and let this instance join again with an empty one",
-		e.Path, e.Offset, e.Reason)
-}
-
 // Keeper owns one data folder.
 type Keeper struct {
 	folder  string
-	records *os.File
-	// offsets holds where each record begins, from index 1.
-	offsets []int64
-	end     int64
-}
-
-// Open reads the data folder and returns what was kept in it.
-func Open(folder string) (*Keeper, *messages.HardState, []*messages.LogRecord, error) {
+	lock    *os.File
+	records *recordFile
+	state   *messages.HardState
+}
+
+// Kept is what a data folder holds.
+type Kept struct {
+	// ID is the voter that the folder belongs to.
+	ID    units.VoterID
+	State *messages.HardState
+	// Snapshot is nil in a folder that belongs to no log yet.
+	Snapshot *messages.LogSnapshot
+	// Base is the place in the log behind which Records begin.
+	Base    *messages.RecordsHeader
+	Records []*messages.LogRecord
+}
+
+// Open takes the data folder for an instance and returns what was kept in it.
+// A new folder gets a random identity.
+func Open(folder string, instance units.Instance) (*Keeper, *Kept, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, nil, nil, fmt.Errorf("create the data folder: %w", err)
+		return nil, nil, &WriteError{
+			Folder: folder,
+			Err:    err,
+		}
 	}
-	file, err := os.OpenFile(filepath.Join(folder, recordsFile), os.O_RDWR|os.O_CREATE, fileMode)
+	held, err := lock(folder)
 	if err != nil {
-		return nil, nil, nil, fmt.Errorf("open the records: %w", err)
+		return nil, nil, err
 	}
 	k := &Keeper{
-		folder:  folder,
-		records: file,
+		folder: folder,
+		lock:   held,
 	}
-	records, err := k.readRecords()
+	kept, err := k.open(instance)
 	if err != nil {
-		return nil, nil, nil, errors.Join(err, file.Close())
+		return nil, nil, errors.Join(err, k.Close())
 	}
-	state, err := k.readState()
-	if err != nil {
-		return nil, nil, nil, errors.Join(err, file.Close())
-	}
-	return k, state, records, nil
+	return k, kept, nil
 }
 
 // Close releases the data folder.
 func (k *Keeper) Close() error {
-	return k.records.Close()
+	var err error
+	if k.records != nil {
+		err = k.records.file.Close()
+	}
+	return errors.Join(err, k.lock.Close())
 }
 
-// Save keeps the state and the records and returns once both are synced.
-// The records replace all that stand from the first one's index on.
-func (k *Keeper) Save(state *messages.HardState, records []*messages.LogRecord) error {
-	if err := k.saveState(state); err != nil {
-		return fmt.Errorf("save the voter's state: %w", err)
+func (k *Keeper) open(instance units.Instance) (*Kept, error) {
+	identity, err := readIdentity(k.folder, instance)
+	if err != nil {
+		return nil, err
 	}
-	if len(records) == 0 {
-		return nil
+	if identity == nil {
+		identity, err = k.create(instance)
 	}
-	if err := k.saveRecords(records); err != nil {
-		return fmt.Errorf("save log records: %w", err)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	kept := &Kept{
+		ID: units.NewVoterID(instance, identity.GetIdentity()),
+	}
+	return kept, k.read(kept)
 }
 
-func (k *Keeper) saveRecords(records []*messages.LogRecord) error {
-	kept := int(records[0].GetIndex()) - 1
-	if kept < len(k.offsets) {
-		k.end = k.offsets[kept]
-		k.offsets = k.offsets[:kept]
-		if err := k.records.Truncate(k.end); err != nil {
-			return err
-		}
+// create prepares a new folder. The identity comes last, so that a folder with
+// one has a state too, and a missing state is damage.
+func (k *Keeper) create(instance units.Instance) (*messages.FolderIdentity, error) {
+	if err := refuseRemains(k.folder); err != nil {
+		return nil, err
 	}
-	var buffer []byte
-	for _, record := range records {
-		k.offsets = append(k.offsets, k.end+int64(len(buffer)))
-		framed, err := frame(buffer, record)
-		if err != nil {
-			return err
-		}
-		buffer = framed
+	if err := replaceMessage(filepath.Join(k.folder, stateFile), kindState, &messages.HardState{}); err != nil {
+		return nil, k.failed(err)
 	}
-	if _, err := k.records.WriteAt(buffer, k.end); err != nil {
-		return err
+	identity, err := createIdentity(k.folder, instance)
+	if err != nil {
+		return nil, k.failed(err)
 	}
-	k.end += int64(len(buffer))
-	return k.records.Sync()
+	return identity, nil
 }
 
-func (k *Keeper) saveState(state *messages.HardState) error {
-	framed, err := frame(nil, state)
+func (k *Keeper) read(kept *Kept) error {
+	kept.State = &messages.HardState{}
+	kept.Base = &messages.RecordsHeader{}
+	found, err := readFile(filepath.Join(k.folder, stateFile), kindState, kept.State)
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(k.folder, stateFile)
-	return replaceFile(path, framed)
-}
-
-// replaceFile swaps in new content so that a crash leaves the old or the new, never a mixture.
-func replaceFile(path string, content []byte) error {
-	next := path + ".next"
-	file, err := os.OpenFile(next, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if !found {
+		return k.missing(stateFile)
+	}
+	k.state = kept.State
+	if !kept.State.GetFounded() {
+		return nil
+	}
+	kept.Snapshot = &messages.LogSnapshot{}
+	found, err = readFile(filepath.Join(k.folder, snapshotFile), kindSnapshot, kept.Snapshot)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(content)
-	if err == nil {
-		err = file.Sync()
+	if !found {
+		return k.missing(snapshotFile)
 	}
-	if err = errors.Join(err, file.Close()); err != nil {
-		return err
+	k.records, kept.Base, kept.Records, err = openRecords(k.folder)
+	if errors.Is(err, os.ErrNotExist) {
+		return k.missing(recordsFile)
 	}
-	if err := os.Rename(next, path); err != nil {
+	if err != nil {
 		return err
 	}
-	return syncFolder(filepath.Dir(path))
+	return k.join(kept)
 }
 
-// syncFolder makes a rename last; without it a crash could bring back the old
-// file, and the voter would vote twice in a term.
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return err
+// missing refuses a folder that lacks a file which nothing ever removes: with
+// it went what this voter promised and acknowledged.
+func (k *Keeper) missing(name string) error {
+	return &DamageError{
+		Path:   filepath.Join(k.folder, name),
+		Reason: "it is missing",
 	}
-	return errors.Join(folder.Sync(), folder.Close())
 }
 
-func (k *Keeper) readState() (*messages.HardState, error) {
-	state := &messages.HardState{}
-	path := filepath.Join(k.folder, stateFile)
-	content, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return state, nil
+// join drops records that the snapshot has replaced, which a crash between the
+// writing of the two files leaves behind.
+func (k *Keeper) join(kept *Kept) error {
+	index, term := kept.Snapshot.GetIndex(), kept.Snapshot.GetTerm()
+	base := kept.Base
+	if base.GetBaseIndex() > index {
+		return k.records.damage("the records begin behind the snapshot")
 	}
-	if err != nil {
-		return nil, fmt.Errorf("read the voter's state: %w", err)
-	}
-	payload, _, reason := unframe(content)
-	if reason == "" && proto.Unmarshal(payload, state) != nil {
-		reason = "it cannot be decoded"
+	held := base.GetBaseTerm()
+	place := index - base.GetBaseIndex()
+	switch {
+	case place > uint64(len(kept.Records)):
+		return k.startRecords(kept)
+	case place > 0:
+		held = kept.Records[place-1].GetTerm()
 	}
-	if reason != "" {
-		return nil, &DamageError{
-			Path:   path,
-			Reason: reason,
-		}
+	if held != term {
+		return k.startRecords(kept)
 	}
-	return state, nil
+	return nil
 }
 
-func (k *Keeper) readRecords() ([]*messages.LogRecord, error) {
-	content, err := io.ReadAll(k.records)
-	if err != nil {
-		return nil, fmt.Errorf("read the records: %w", err)
-	}
-	var records []*messages.LogRecord
-	for int(k.end) < len(content) {
-		record := &messages.LogRecord{}
-		payload, size, reason := unframe(content[k.end:])
-		if reason == "" && proto.Unmarshal(payload, record) != nil {
-			reason = "a record cannot be decoded"
-		}
-		if reason != "" {
-			return records, k.cutTail(content, reason)
-		}
-		k.offsets = append(k.offsets, k.end)
-		k.end += int64(size)
-		records = append(records, record)
+func (k *Keeper) startRecords(kept *Kept) error {
+	kept.Records = nil
+	kept.Base = &messages.RecordsHeader{
+		BaseIndex: kept.Snapshot.GetIndex(),
+		BaseTerm:  kept.Snapshot.GetTerm(),
 	}
-	return records, nil
+	return k.replace(kept.Base, nil)
 }
 
-// cutTail drops a last frame that a crash left unfinished. Nothing was
-// acknowledged on it, since its sync never returned. Damage with whole frames
-// behind it is something else and is refused.
-func (k *Keeper) cutTail(content []byte, reason string) error {
-	rest := content[k.end:]
-	if !tornFrame(rest) {
-		return &DamageError{
-			Path:   k.records.Name(),
-			Offset: k.end,
-			Reason: reason,
-		}
+// Save keeps the state and the records and returns once both are synced.
+// The records replace all that stand from the first one's index on.
+func (k *Keeper) Save(state *messages.HardState, records []*messages.LogRecord) error {
+	if err := k.saveState(state); err != nil {
+		return k.failed(err)
+	}
+	if len(records) == 0 {
+		return nil
 	}
-	if err := k.records.Truncate(k.end); err != nil {
-		return fmt.Errorf("cut the torn tail of the records: %w", err)
+	if err := k.records.save(records); err != nil {
+		return k.failed(err)
 	}
-	return k.records.Sync()
+	return nil
 }
 
-// tornFrame reports whether rest is the beginning of one frame and no more.
-func tornFrame(rest []byte) bool {
-	if len(rest) < frameHeader {
-		return true
+// SaveSnapshot keeps a snapshot with the records that remain behind base.
+func (k *Keeper) SaveSnapshot(state *messages.HardState, snapshot *messages.LogSnapshot,
+	base *messages.RecordsHeader, records []*messages.LogRecord,
+) error {
+	if err := replaceMessage(filepath.Join(k.folder, snapshotFile), kindSnapshot, snapshot); err != nil {
+		return k.failed(err)
 	}
-	size := binary.LittleEndian.Uint32(rest)
-	return frameHeader+int(size) >= len(rest)
+	if err := k.replace(base, records); err != nil {
+		return k.failed(err)
+	}
+	// The state comes last: once it says that the voter belongs to a log, the
+	// other files are there, and a missing one is damage.
+	if err := k.saveState(state); err != nil {
+		return k.failed(err)
+	}
+	return nil
 }
 
-// frame appends a message with its length and checksum to buffer.
-func frame(buffer []byte, message proto.Message) ([]byte, error) {
-	payload, err := proto.Marshal(message)
+func (k *Keeper) replace(base *messages.RecordsHeader, records []*messages.LogRecord) error {
+	fresh, err := replaceRecords(k.folder, base, records)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(payload)))
-	buffer = binary.LittleEndian.AppendUint64(buffer, xxhash.Sum64(payload))
-	return append(buffer, payload...), nil
+	old := k.records
+	k.records = fresh
+	if old == nil {
+		return nil
+	}
+	return old.file.Close()
 }
 
-// unframe returns the first frame's payload and size, or why there is none.
-func unframe(content []byte) (payload []byte, size int, reason string) {
-	if len(content) < frameHeader {
-		return nil, 0, "a frame is cut short"
-	}
-	length := int(binary.LittleEndian.Uint32(content))
-	if length > maxFrame {
-		return nil, 0, "a frame's length is impossible"
+func (k *Keeper) saveState(state *messages.HardState) error {
+	if proto.Equal(state, k.state) {
+		return nil
 	}
-	size = frameHeader + length
-	if len(content) < size {
-		return nil, 0, "a frame is cut short"
+	if err := replaceMessage(filepath.Join(k.folder, stateFile), kindState, state); err != nil {
+		return err
 	}
-	payload = content[frameHeader:size]
-	if xxhash.Sum64(payload) != binary.LittleEndian.Uint64(content[4:]) {
-		return nil, 0, "a checksum does not match"
+	k.state = state
+	return nil
+}
+
+func (k *Keeper) failed(err error) error {
+	return &WriteError{
+		Folder: k.folder,
+		Err:    err,
 	}
-	return payload, size, ""
 }
--- a/src/parser/settings.go
+++ b/src/parser/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/units"
@@ -24,7 +25,10 @@
 	// Peers is where other processes of the system reach this one.
 	Peers   Listener         `yaml:"peers"`
 	Control []ControlAddress `yaml:"control"`
-	Timing  Timing           `yaml:"timing"`
+	// Voters is how many of the control instances carry the log; the others stand
+	// by as spares. It is an odd number, the same in the settings of all of them.
+	Voters int    `yaml:"voters"`
+	Timing Timing `yaml:"timing"`
 	// InsecureLoopback allows plain connections on loopback addresses.
 	InsecureLoopback bool `yaml:"insecure-loopback"`
 }
@@ -51,6 +55,8 @@
 	Election  time.Duration `yaml:"election"`
 	// Fence is how long an entry serves without contact to a majority.
 	Fence time.Duration `yaml:"fence"`
+	// Repair is how long a voter may be gone before a spare takes its place.
+	Repair time.Duration `yaml:"repair"`
 	// Drain is how long a planned stop waits for calls to finish.
 	Drain time.Duration `yaml:"drain"`
 }
@@ -61,6 +67,9 @@
 	defaultElection  = 500 * time.Millisecond
 	defaultFence     = 3 * time.Second
 	defaultDrain     = 20 * time.Second
+	defaultRepair    = 10 * time.Second
+	// mostVoters bounds the default, since each change waits for a majority of them.
+	mostVoters = 5
 )
 
 // Role is the kind of process that settings are for.
@@ -92,6 +101,10 @@
 	s.Timing.Election = orDefault(s.Timing.Election, defaultElection)
 	s.Timing.Fence = orDefault(s.Timing.Fence, defaultFence)
 	s.Timing.Drain = orDefault(s.Timing.Drain, defaultDrain)
+	s.Timing.Repair = orDefault(s.Timing.Repair, defaultRepair)
+	if s.Voters == 0 {
+		s.Voters = min((len(s.Control)+1)/2*2-1, mostVoters)
+	}
 }
 
 func (d *document) validateSettings(s *Settings, role Role) {
@@ -113,6 +126,10 @@
 	if len(s.Control) == 0 {
 		d.report("control", "", "at least one instance", "list the instances that carry control")
 	}
+	if s.Voters < 0 || s.Voters > len(s.Control) || s.Voters != 0 && s.Voters%2 == 0 {
+		d.report("voters", strconv.Itoa(s.Voters), "an odd number, at most that of the control instances",
+			"write 3 or 5, or leave it out")
+	}
 	names := make(map[units.Instance]bool)
 	for i, control := range s.Control {
 		at := fmt.Sprintf("control[%d]", i)
--- a/src/replicator/event.go
+++ b/src/replicator/event.go
@@ -11,7 +11,7 @@
 // Ticked says that time has passed.
 type Ticked struct{}
 
-// Received says that a message from another voter has arrived.
+// Received says that a message from another instance has arrived.
 type Received struct {
 	Message *messages.LogMessage
 }
@@ -23,9 +23,16 @@
 	Token uint64
 }
 
-func (Ticked) event()   {}
-func (Received) event() {}
-func (Proposed) event() {}
+// SnapshotTaken brings the replicated state that TakeSnapshot asked for.
+type SnapshotTaken struct {
+	Index   units.Index
+	Content []byte
+}
+
+func (Ticked) event()        {}
+func (Received) event()      {}
+func (Proposed) event()      {}
+func (SnapshotTaken) event() {}
 
 // Action is something that the caller of Step must carry out.
 type Action interface{ action() }
@@ -37,6 +44,26 @@
 	Records []*messages.LogRecord
 }
 
+// PersistSnapshot asks for a sync of a snapshot before any later action.
+type PersistSnapshot struct {
+	State    *messages.HardState
+	Snapshot *messages.LogSnapshot
+	// Base and Records replace all stored records.
+	Base    *messages.RecordsHeader
+	Records []*messages.LogRecord
+}
+
+// Restore asks to replace the replicated state by that of a snapshot.
+type Restore struct {
+	Snapshot *messages.LogSnapshot
+}
+
+// TakeSnapshot asks for the replicated state as it stands after the records
+// that were handed over so far, as the event SnapshotTaken.
+type TakeSnapshot struct {
+	Index units.Index
+}
+
 // Send asks for a message to be sent; it may be lost.
 type Send struct {
 	Message *messages.LogMessage
@@ -67,9 +94,24 @@
 	Leader units.Instance
 }
 
-func (Persist) action()     {}
-func (Send) action()        {}
-func (Apply) action()       {}
-func (Appended) action()    {}
-func (Rejected) action()    {}
-func (RoleChanged) action() {}
+// MembershipChanged says that another set of voters and learners counts.
+type MembershipChanged struct {
+	Membership *messages.Membership
+}
+
+// Halt says that the voter must stop, since its log contradicts the leader's.
+type Halt struct {
+	Err error
+}
+
+func (Persist) action()           {}
+func (PersistSnapshot) action()   {}
+func (Restore) action()           {}
+func (TakeSnapshot) action()      {}
+func (Send) action()              {}
+func (Apply) action()             {}
+func (Appended) action()          {}
+func (Rejected) action()          {}
+func (RoleChanged) action()       {}
+func (MembershipChanged) action() {}
+func (Halt) action()              {}
--- a/src/replicator/log.go
+++ b/src/replicator/log.go
@@ -1,31 +1,48 @@
 package replicator
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// recordLog holds the records of a log that starts at index 1.
+// recordLog holds the records behind a base, which a snapshot covers.
 type recordLog struct {
-	records []*messages.LogRecord
+	base     units.Index
+	baseTerm units.Term
+	records  []*messages.LogRecord
 }
 
 func (l *recordLog) lastIndex() units.Index {
-	return units.Index(len(l.records))
+	return l.base + units.Index(len(l.records))
 }
 
 func (l *recordLog) lastTerm() units.Term {
 	return l.termAt(l.lastIndex())
 }
 
+// termAt returns a record's term, or 0 where it is not known any more or not yet.
 func (l *recordLog) termAt(index units.Index) units.Term {
-	if index == 0 || index > l.lastIndex() {
+	if index == l.base {
+		return l.baseTerm
+	}
+	if index < l.base || index > l.lastIndex() {
 		return 0
 	}
-	return units.Term(l.records[index-1].GetTerm())
+	return units.Term(l.at(index).GetTerm())
 }
 
+func (l *recordLog) at(index units.Index) *messages.LogRecord {
+	return l.records[index-l.base-1]
+}
+
+// matches reports whether the record at index is the one of that term. What the
+// base covers is committed, and so is the same in every log.
 func (l *recordLog) matches(index units.Index, term units.Term) bool {
+	if index < l.base {
+		return true
+	}
 	return index <= l.lastIndex() && l.termAt(index) == term
 }
 
@@ -41,29 +58,69 @@
 // unknown drops the leading records that this log already holds.
 func (l *recordLog) unknown(records []*messages.LogRecord) []*messages.LogRecord {
 	for i, record := range records {
-		index := units.Index(record.GetIndex())
-		if index > l.lastIndex() || uint64(l.termAt(index)) != record.GetTerm() {
+		if !l.matches(units.Index(record.GetIndex()), units.Term(record.GetTerm())) {
 			return records[i:]
 		}
 	}
 	return nil
 }
 
+// conflict returns the first index of the term that stands at index, so that a
+// leader steps back over a whole term at once.
+func (l *recordLog) conflict(index units.Index) units.Index {
+	if index > l.lastIndex() {
+		return l.lastIndex() + 1
+	}
+	term := l.termAt(index)
+	for index > l.base+1 && l.termAt(index-1) == term {
+		index--
+	}
+	return index
+}
+
 func (l *recordLog) replaceFrom(records []*messages.LogRecord) {
-	first := records[0].GetIndex()
+	kept := units.Index(records[0].GetIndex()) - l.base - 1
 	// The capacity is cut too, so that no append writes into an array that an
 	// earlier message still refers to.
-	l.records = append(l.records[:first-1:first-1], records...)
+	l.records = append(l.records[:kept:kept], records...)
 }
 
-func (l *recordLog) from(index units.Index, most int) []*messages.LogRecord {
+// compact drops the records up to index.
+func (l *recordLog) compact(index units.Index) {
+	if index <= l.base {
+		return
+	}
+	term := l.termAt(index)
+	// A copy lets go of the array that holds the dropped records.
+	l.records = append([]*messages.LogRecord(nil), l.records[index-l.base:]...)
+	l.base, l.baseTerm = index, term
+}
+
+// from returns records from index on, bounded in number and bytes and at least one where there is one.
+func (l *recordLog) from(index units.Index, most, mostBytes int) []*messages.LogRecord {
 	if index > l.lastIndex() {
 		return nil
 	}
-	return l.between(index, min(l.lastIndex(), index+units.Index(most)-1))
+	last := min(l.lastIndex(), index+units.Index(most)-1)
+	size := 0
+	for i := index; i <= last; i++ {
+		size += proto.Size(l.at(i))
+		if size > mostBytes && i > index {
+			last = i - 1
+			break
+		}
+	}
+	return l.between(index, last)
 }
 
 // between returns the records from first to last, both included.
 func (l *recordLog) between(first, last units.Index) []*messages.LogRecord {
-	return l.records[first-1 : last]
+	return l.records[first-l.base-1 : last-l.base]
+}
+
+func (l *recordLog) header() *messages.RecordsHeader {
+	return &messages.RecordsHeader{
+		BaseIndex: uint64(l.base),
+		BaseTerm:  uint64(l.baseTerm),
+	}
 }
--- a/src/replicator/node.go
+++ b/src/replicator/node.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -26,22 +28,51 @@
 }
 
 const (
-	// maxRecords bounds the records of one append request.
-	maxRecords = 64
+	// maxRecords and maxRecordBytes bound the records of one append request.
+	maxRecords     = 64
+	maxRecordBytes = 1 << 20
+	// pieceBytes bounds one piece of a snapshot.
+	pieceBytes = 256 << 10
 	// electionSpread is the random part of an election timeout, in election timeouts.
 	electionSpread = 1.0
 	// maxRounds bounds the unanswered heartbeat rounds that a leader remembers.
 	maxRounds = 64
+	// driftShare is the part of an election timeout that clocks may drift apart in it.
+	driftShare = 10
+	// greetAfter is the silence after which a voter looks for its log, in election timeouts.
+	greetAfter = 2
+	// spareExpiry is how long a spare counts after its last hello, in election timeouts.
+	spareExpiry = 4
+	// retainedShare is the part of a snapshot's interval that stays in the log behind it.
+	retainedShare = 4
 )
 
 // Options sets up a voter; every field is needed.
 type Options struct {
-	ID        units.Instance
-	Voters    []units.Instance
+	ID         units.VoterID
+	DataCentre units.DataCentre
+	// Instances are all that may carry control, this one included, in the order
+	// that all of them are told.
+	Instances []Place
+	// Voters is the wanted number of voters.
+	Voters    int
 	Heartbeat time.Duration
 	// Election is the least silence after which a voter tries to lead.
 	Election time.Duration
-	Random   *rand.Rand
+	// Repair is the silence after which a voter is replaced by a spare.
+	Repair time.Duration
+	// SnapshotRecords and SnapshotBytes are how much is applied between snapshots.
+	SnapshotRecords units.Index
+	SnapshotBytes   int
+	Random          *rand.Rand
+}
+
+// Stored is what a voter had on disk; Snapshot is nil where it belongs to no log.
+type Stored struct {
+	State    *messages.HardState
+	Snapshot *messages.LogSnapshot
+	Base     *messages.RecordsHeader
+	Records  []*messages.LogRecord
 }
 
 // Node decides for one voter.
@@ -49,48 +80,85 @@
 	options Options
 
 	term     units.Term
-	votedFor units.Instance
+	votedFor units.VoterID
 	log      recordLog
 	commit   units.Index
 	applied  units.Index
 
-	role     Role
-	leader   units.Instance
-	deadline time.Time
-	heardAt  time.Time
-	votes    map[units.Instance]bool
-	peers    map[units.Instance]*progress
-	round    uint64
-	beatAt   time.Time
-	reported RoleChanged
+	logID         string
+	snapshot      *messages.LogSnapshot
+	encoded       []byte
+	appliedBytes  int
+	snapshotAsked bool
+	incoming      *incoming
+
+	memberships memberships
+	membership  *messages.Membership
+	voters      []units.VoterID
+	greetings   map[units.Instance]greeting
+	greetAt     time.Time
+	spares      map[units.VoterID]*spare
+
+	role      Role
+	leader    units.Instance
+	leadSince time.Time
+	deadline  time.Time
+	heardAt   time.Time
+	votes     map[units.VoterID]bool
+	peers     map[units.VoterID]*progress
+	round     uint64
+	beatAt    time.Time
+	reported  RoleChanged
 
 	actions []Action
 }
 
-// progress is what a leader knows of one follower.
+// progress is what a leader knows of one other member.
 type progress struct {
-	next    units.Index
-	match   units.Index
+	next  units.Index
+	match units.Index
+	// since is when this leader began to count the member.
+	since   time.Time
 	ackedAt time.Time
 	// sentAt holds when each unanswered heartbeat round began, since a lease
 	// counts from the sending of a heartbeat and not from its answer.
-	sentAt map[uint64]time.Time
+	sentAt   map[uint64]time.Time
+	transfer *transfer
 }
 
-// New returns a voter that resumes from what it had stored.
-func New(now time.Time, options Options, state *messages.HardState, records []*messages.LogRecord) *Node {
+// New returns a voter that resumes from what it had stored; the replicated state
+// must stand as in the stored snapshot.
+func New(now time.Time, options Options, stored Stored) *Node {
 	n := &Node{
 		options:  options,
-		term:     units.Term(state.GetTerm()),
-		votedFor: units.Instance(state.GetVotedFor()),
+		term:     units.Term(stored.State.GetTerm()),
+		votedFor: units.VoterID(stored.State.GetVotedFor()),
 		log: recordLog{
-			records: records,
+			base:     units.Index(stored.Base.GetBaseIndex()),
+			baseTerm: units.Term(stored.Base.GetBaseTerm()),
+			records:  stored.Records,
 		},
+		snapshot:  stored.Snapshot,
+		logID:     stored.Snapshot.GetLogId(),
+		commit:    units.Index(stored.Snapshot.GetIndex()),
+		applied:   units.Index(stored.Snapshot.GetIndex()),
+		greetings: make(map[units.Instance]greeting),
+		spares:    make(map[units.VoterID]*spare),
 		// A voter that restarts has forgotten when it last heard its leader. It
 		// would help to elect another while the lease runs, and both would
 		// answer; counting the start as a heartbeat keeps the lease true.
 		heardAt: now,
 	}
+	if n.founded() {
+		n.memberships = memberships{{
+			index:      n.commit,
+			membership: n.snapshot.GetMembership(),
+		}}
+		if n.log.lastIndex() > n.commit {
+			n.memberships = n.memberships.replaceFrom(n.log.between(n.commit+1, n.log.lastIndex()))
+		}
+		n.refreshMembership(now)
+	}
 	n.resetDeadline(now)
 	return n
 }
@@ -105,6 +173,8 @@
 		n.receive(now, e.Message)
 	case Proposed:
 		n.propose(now, e)
+	case SnapshotTaken:
+		n.keepSnapshot(now, e)
 	}
 	n.apply()
 	n.reportRole()
@@ -115,14 +185,28 @@
 //
 // A frozen leader wakes with its old role. Its followers may have elected
 // another by then, so that it would answer from the past; the lease makes it
-// step back before it answers, since no voter votes within that time.
+// step back before it answers, since no voter votes within that time. It also
+// has to have committed a record of its own term: before that it may lack what
+// an earlier leader told an operator.
 func (n *Node) Lead(now time.Time) bool {
-	return n.role == Leader && now.Before(n.leaseEnd())
+	return n.role == Leader && now.Before(n.leaseEnd(now)) && n.log.termAt(n.commit) == n.term
 }
 
 // Term returns the current term.
 func (n *Node) Term() units.Term { return n.term }
 
+// Identity returns this voter's id.
+func (n *Node) Identity() units.VoterID { return n.options.ID }
+
+// LogID names the log that this voter belongs to, "" for none.
+func (n *Node) LogID() string { return n.logID }
+
+// Membership returns the voters and learners that count, nil before the founding.
+func (n *Node) Membership() *messages.Membership { return n.membership }
+
+// SnapshotIndex returns the index of the last record that the snapshot covers.
+func (n *Node) SnapshotIndex() units.Index { return units.Index(n.snapshot.GetIndex()) }
+
 // LeaderID returns the leader this voter knows of, or "" for none.
 func (n *Node) LeaderID() units.Instance { return n.leader }
 
@@ -140,45 +224,44 @@
 		n.lead(now)
 		return
 	}
-	if now.Before(n.deadline) {
-		return
+	n.greet(now)
+	if n.isVoter() && !now.Before(n.deadline) {
+		n.campaign(now, true)
 	}
-	n.campaign(now, true)
 }
 
 func (n *Node) lead(now time.Time) {
 	// Check-quorum: a leader that a silent cut has isolated steps down, so that
 	// operators get no answers from it and find the new leader.
-	if !now.Before(n.leaseEnd()) {
+	grace := n.leadSince.Add(n.options.Election)
+	if !now.Before(n.leaseEnd(now)) && !now.Before(grace) {
 		n.becomeFollower(now, n.term, "")
 		return
 	}
-	if now.Before(n.beatAt) {
-		return
+	if !now.Before(n.beatAt) {
+		n.broadcast(now)
 	}
-	n.broadcast(now)
+	n.repair(now)
 }
 
-// leaseEnd is an election timeout after the latest moment at which a majority,
-// this voter included, is known to have heard this leader.
-func (n *Node) leaseEnd() time.Time {
-	if len(n.options.Voters) == 1 {
-		return n.beatAt.Add(n.options.Election)
-	}
-	acked := make([]time.Time, 0, len(n.peers))
-	for _, p := range n.peers {
-		acked = append(acked, p.ackedAt)
+// leaseEnd is an election timeout, less what clocks may drift apart in it, after
+// the latest moment at which a majority, this voter included, is known to have
+// heard this leader. Votes give no lease: a voter may give its next one at once.
+func (n *Node) leaseEnd(now time.Time) time.Time {
+	acked := make([]time.Time, 0, len(n.voters))
+	for _, voter := range n.voters {
+		if voter == n.options.ID {
+			acked = append(acked, now)
+			continue
+		}
+		acked = append(acked, n.peers[voter].ackedAt)
 	}
 	slices.SortFunc(acked, func(a, b time.Time) int { return b.Compare(a) })
-	return acked[n.quorum()-2].Add(n.options.Election)
+	lease := n.options.Election - n.options.Election/driftShare
+	return acked[n.quorum()-1].Add(lease)
 }
 
-func (n *Node) quorum() int { return len(n.options.Voters)/2 + 1 }
-
 func (n *Node) campaign(now time.Time, pre bool) {
-	if !slices.Contains(n.options.Voters, n.options.ID) {
-		return
-	}
 	n.leader = ""
 	n.role = Candidate
 	term := n.term + 1
@@ -190,27 +273,36 @@
 		n.persistState()
 	}
 	n.resetDeadline(now)
-	n.votes = map[units.Instance]bool{
+	n.votes = map[units.VoterID]bool{
 		n.options.ID: true,
 	}
 	if n.wonVote(now, pre) {
 		return
 	}
-	for _, peer := range n.others() {
-		message := n.message(peer, term)
-		message.Body = &messages.LogMessage_VoteRequest{
-			VoteRequest: &messages.VoteRequest{
-				PreVote:   pre,
-				LastIndex: uint64(n.log.lastIndex()),
-				LastTerm:  uint64(n.log.lastTerm()),
-			},
+	for _, peer := range n.voters {
+		if peer == n.options.ID {
+			continue
 		}
-		n.act(Send{Message: message})
+		n.sendTo(peer, term, &messages.LogMessage{
+			Body: &messages.LogMessage_VoteRequest{
+				VoteRequest: &messages.VoteRequest{
+					PreVote:   pre,
+					LastIndex: uint64(n.log.lastIndex()),
+					LastTerm:  uint64(n.log.lastTerm()),
+				},
+			},
+		})
 	}
 }
 
 func (n *Node) wonVote(now time.Time, pre bool) bool {
-	if len(n.votes) < n.quorum() {
+	granted := 0
+	for _, voter := range n.voters {
+		if n.votes[voter] {
+			granted++
+		}
+	}
+	if granted < n.quorum() {
 		return false
 	}
 	if pre {
@@ -235,15 +327,11 @@
 
 func (n *Node) becomeLeader(now time.Time) {
 	n.role = Leader
-	n.leader = n.options.ID
-	n.peers = make(map[units.Instance]*progress)
-	for _, peer := range n.others() {
-		n.peers[peer] = &progress{
-			next:    n.log.lastIndex() + 1,
-			ackedAt: now,
-			sentAt:  make(map[uint64]time.Time),
-		}
-	}
+	n.leader = n.options.ID.Instance()
+	n.leadSince = now
+	n.spares = make(map[units.VoterID]*spare)
+	n.peers = nil
+	n.refreshPeers(now)
 	// A leader commits only records of its own term: an older one that a
 	// majority holds can still be overwritten, so that a command would be
 	// acknowledged and then lost. The empty record commits all before it.
@@ -251,7 +339,8 @@
 }
 
 func (n *Node) propose(now time.Time, e Proposed) {
-	if n.role != Leader {
+	membership := e.Command.GetMembership()
+	if n.role != Leader || membership != nil && !n.allowed(membership) {
 		n.act(Rejected{
 			Token:  e.Token,
 			Leader: n.leader,
@@ -272,18 +361,20 @@
 		Index:   uint64(n.log.lastIndex() + 1),
 		Command: command,
 	}
-	n.store([]*messages.LogRecord{record})
+	n.store(now, []*messages.LogRecord{record})
 	n.advanceCommit()
 	n.broadcast(now)
 	return units.Index(record.GetIndex())
 }
 
-func (n *Node) store(records []*messages.LogRecord) {
+func (n *Node) store(now time.Time, records []*messages.LogRecord) {
 	n.log.replaceFrom(records)
 	n.act(Persist{
 		State:   n.hardState(),
 		Records: records,
 	})
+	n.memberships = n.memberships.replaceFrom(records)
+	n.refreshMembership(now)
 }
 
 func (n *Node) persistState() {
@@ -294,6 +385,7 @@
 	return &messages.HardState{
 		Term:     uint64(n.term),
 		VotedFor: string(n.votedFor),
+		Founded:  n.founded(),
 	}
 }
 
@@ -304,6 +396,10 @@
 	records := n.log.between(n.applied+1, n.commit)
 	n.applied = n.commit
 	n.act(Apply{Records: records})
+	for _, record := range records {
+		n.appliedBytes += proto.Size(record)
+	}
+	n.askSnapshot()
 }
 
 func (n *Node) reportRole() {
@@ -324,22 +420,13 @@
 	n.deadline = now.Add(n.options.Election + spread)
 }
 
-func (n *Node) others() []units.Instance {
-	others := make([]units.Instance, 0, len(n.options.Voters))
-	for _, voter := range n.options.Voters {
-		if voter != n.options.ID {
-			others = append(others, voter)
-		}
-	}
-	return others
-}
-
-func (n *Node) message(to units.Instance, term units.Term) *messages.LogMessage {
-	return &messages.LogMessage{
-		From: string(n.options.ID),
-		To:   string(to),
-		Term: uint64(term),
-	}
+// sendTo addresses a message and sends it.
+func (n *Node) sendTo(to units.VoterID, term units.Term, message *messages.LogMessage) {
+	message.From = string(n.options.ID)
+	message.To = string(to)
+	message.Term = uint64(term)
+	message.LogId = n.logID
+	n.act(Send{Message: message})
 }
 
 func (n *Node) act(action Action) {
--- a/src/replicator/receive.go
+++ b/src/replicator/receive.go
@@ -9,8 +9,7 @@
 )
 
 func (n *Node) receive(now time.Time, m *messages.LogMessage) {
-	from := units.Instance(m.GetFrom())
-	if !slices.Contains(n.options.Voters, from) {
+	if !n.isFor(m) {
 		return
 	}
 	switch body := m.GetBody().(type) {
@@ -22,12 +21,43 @@
 		n.follow(now, m, body.AppendRequest)
 	case *messages.LogMessage_AppendResponse:
 		n.countAppend(now, m, body.AppendResponse)
+	case *messages.LogMessage_Hello:
+		n.answerHello(now, m, body.Hello)
+	case *messages.LogMessage_HelloResponse:
+		n.countHello(now, m, body.HelloResponse)
+	case *messages.LogMessage_SnapshotPiece:
+		n.receivePiece(now, m, body.SnapshotPiece)
+	case *messages.LogMessage_SnapshotPieceResponse:
+		n.countPiece(now, m, body.SnapshotPieceResponse)
 	}
 }
 
+// isFor refuses messages for an earlier identity of this instance, which made
+// promises that this one does not know of, and messages of another log.
+func (n *Node) isFor(m *messages.LogMessage) bool {
+	to := units.VoterID(m.GetTo())
+	switch m.GetBody().(type) {
+	case *messages.LogMessage_Hello:
+		return to.Instance() == n.options.ID.Instance()
+	case *messages.LogMessage_HelloResponse:
+		return to == n.options.ID
+	}
+	foreign := n.founded() && m.GetLogId() != "" && m.GetLogId() != n.logID
+	return to == n.options.ID && !foreign
+}
+
 func (n *Node) answerVote(now time.Time, m *messages.LogMessage, request *messages.VoteRequest) {
 	term := units.Term(m.GetTerm())
-	candidate := units.Instance(m.GetFrom())
+	candidate := units.VoterID(m.GetFrom())
+	// Without a place in the membership this instance may have lost what an
+	// earlier life of it promised; its vote could help to elect a leader that
+	// lacks a committed change. A learner answers: the candidate counts it only
+	// where its own log makes it a voter, which a leader appends once the learner
+	// holds all that is committed. If it refused until it knew of that record
+	// itself, a leader lost in between would leave no majority to elect the next.
+	if !n.holds(n.options.ID) {
+		return
+	}
 	// A voter that hears a live leader grants nothing: one that was cut off
 	// would come back with a high term and depose a leader that serves well.
 	// The leader's lease depends on this refusal too.
@@ -43,17 +73,24 @@
 		n.persistState()
 		n.resetDeadline(now)
 	}
-	answer := n.message(candidate, max(term, n.term))
-	answer.Body = &messages.LogMessage_VoteResponse{
-		VoteResponse: &messages.VoteResponse{
-			PreVote: request.GetPreVote(),
-			Granted: granted,
-		},
+	// A refusal carries this voter's own term. A candidate that is behind takes
+	// it over; otherwise one with the newest log could ask for ever in a term
+	// that the others have passed, and nobody would lead.
+	answerTerm := n.term
+	if granted {
+		answerTerm = term
 	}
-	n.act(Send{Message: answer})
+	n.sendTo(candidate, answerTerm, &messages.LogMessage{
+		Body: &messages.LogMessage_VoteResponse{
+			VoteResponse: &messages.VoteResponse{
+				PreVote: request.GetPreVote(),
+				Granted: granted,
+			},
+		},
+	})
 }
 
-func (n *Node) mayVote(term units.Term, candidate units.Instance, pre bool) bool {
+func (n *Node) mayVote(term units.Term, candidate units.VoterID, pre bool) bool {
 	if pre {
 		return term > n.term
 	}
@@ -70,7 +107,7 @@
 func (n *Node) countVote(now time.Time, m *messages.LogMessage, response *messages.VoteResponse) {
 	term := units.Term(m.GetTerm())
 	if !response.GetGranted() {
-		if term > n.term && !response.GetPreVote() {
+		if term > n.term {
 			n.becomeFollower(now, term, "")
 		}
 		return
@@ -80,43 +117,55 @@
 	if !asked && !preAsked {
 		return
 	}
-	n.votes[units.Instance(m.GetFrom())] = true
+	n.votes[units.VoterID(m.GetFrom())] = true
 	n.wonVote(now, response.GetPreVote())
 }
 
 func (n *Node) follow(now time.Time, m *messages.LogMessage, request *messages.AppendRequest) {
 	term := units.Term(m.GetTerm())
-	leader := units.Instance(m.GetFrom())
+	leader := units.VoterID(m.GetFrom())
+	response := &messages.AppendResponse{
+		Round: request.GetRound(),
+	}
 	if term < n.term {
-		n.respond(leader, request, false, 0)
+		n.respond(leader, response)
 		return
 	}
-	n.becomeFollower(now, term, leader)
+	n.becomeFollower(now, term, leader.Instance())
 	n.heardAt = now
+	if !n.founded() {
+		response.NeedsSnapshot = true
+		n.respond(leader, response)
+		return
+	}
 	previous := units.Index(request.GetPreviousIndex())
 	if !n.log.matches(previous, units.Term(request.GetPreviousTerm())) {
-		n.respond(leader, request, false, min(n.log.lastIndex()+1, previous))
+		response.Index = uint64(n.log.conflict(previous))
+		n.respond(leader, response)
 		return
 	}
-	fresh := n.log.unknown(request.GetRecords())
-	if len(fresh) > 0 {
-		n.store(fresh)
+	if fresh := n.log.unknown(request.GetRecords()); len(fresh) > 0 {
+		// A leader that contradicts a committed record means that a promise was
+		// broken somewhere; to follow it would lose an acknowledged change.
+		if first := units.Index(fresh[0].GetIndex()); first <= n.commit {
+			n.act(Halt{Err: &ContradictionError{Leader: leader, Index: first}})
+			return
+		}
+		n.store(now, fresh)
 	}
 	last := previous + units.Index(len(request.GetRecords()))
 	n.commit = max(n.commit, min(units.Index(request.GetCommit()), last))
-	n.respond(leader, request, true, last)
+	response.Matched = true
+	response.Index = uint64(last)
+	n.respond(leader, response)
 }
 
-func (n *Node) respond(leader units.Instance, request *messages.AppendRequest, matched bool, index units.Index) {
-	answer := n.message(leader, n.term)
-	answer.Body = &messages.LogMessage_AppendResponse{
-		AppendResponse: &messages.AppendResponse{
-			Matched: matched,
-			Index:   uint64(index),
-			Round:   request.GetRound(),
+func (n *Node) respond(leader units.VoterID, response *messages.AppendResponse) {
+	n.sendTo(leader, n.term, &messages.LogMessage{
+		Body: &messages.LogMessage_AppendResponse{
+			AppendResponse: response,
 		},
-	}
-	n.act(Send{Message: answer})
+	})
 }
 
 func (n *Node) countAppend(now time.Time, m *messages.LogMessage, response *messages.AppendResponse) {
@@ -128,14 +177,34 @@
 	if n.role != Leader || term < n.term {
 		return
 	}
-	p := n.peers[units.Instance(m.GetFrom())]
+	from := units.VoterID(m.GetFrom())
+	p := n.peers[from]
+	if p == nil {
+		return
+	}
 	p.confirm(response.GetRound())
 	index := units.Index(response.GetIndex())
-	if !response.GetMatched() {
-		p.next = max(p.match+1, min(index, p.next-1))
-		n.sendAppend(now, units.Instance(m.GetFrom()))
-		return
+	switch {
+	case p.transfer != nil:
+		// The empty heartbeats beside a transfer tell nothing of the log.
+	case response.GetNeedsSnapshot():
+		n.sendPiece(now, from)
+	case !response.GetMatched():
+		n.stepBack(now, from, index)
+	default:
+		n.countMatch(now, from, index)
 	}
+}
+
+// stepBack sends again from where the follower's log may match.
+func (n *Node) stepBack(now time.Time, from units.VoterID, index units.Index) {
+	p := n.peers[from]
+	p.next = max(p.match+1, min(index, p.next))
+	n.sendAppend(now, from)
+}
+
+func (n *Node) countMatch(now time.Time, from units.VoterID, index units.Index) {
+	p := n.peers[from]
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
 	if n.advanceCommit() {
@@ -143,7 +212,7 @@
 		return
 	}
 	if p.next <= n.log.lastIndex() {
-		n.sendAppend(now, units.Instance(m.GetFrom()))
+		n.sendAppend(now, from)
 	}
 }
 
@@ -162,10 +231,15 @@
 	}
 }
 
+// advanceCommit commits what a majority of the voters holds; learners do not count.
 func (n *Node) advanceCommit() bool {
-	matches := []units.Index{n.log.lastIndex()}
-	for _, p := range n.peers {
-		matches = append(matches, p.match)
+	matches := make([]units.Index, 0, len(n.voters))
+	for _, voter := range n.voters {
+		if voter == n.options.ID {
+			matches = append(matches, n.log.lastIndex())
+			continue
+		}
+		matches = append(matches, n.peers[voter].match)
 	}
 	slices.Sort(matches)
 	candidate := matches[len(matches)-n.quorum()]
@@ -184,25 +258,36 @@
 	}
 }
 
-func (n *Node) sendAppend(now time.Time, peer units.Instance) {
+func (n *Node) sendAppend(now time.Time, peer units.VoterID) {
 	p := n.peers[peer]
 	if _, sent := p.sentAt[n.round]; !sent {
 		p.sentAt[n.round] = now
 		delete(p.sentAt, n.round-maxRounds)
 	}
-	records := n.log.from(p.next, maxRecords)
-	request := n.message(peer, n.term)
-	request.Body = &messages.LogMessage_AppendRequest{
-		AppendRequest: &messages.AppendRequest{
-			PreviousIndex: uint64(p.next - 1),
-			PreviousTerm:  uint64(n.log.termAt(p.next - 1)),
-			Commit:        uint64(n.commit),
-			Records:       records,
-			Round:         n.round,
-		},
+	request := &messages.AppendRequest{
+		Round: n.round,
+	}
+	// The log no longer holds what this follower needs next: the snapshot goes
+	// in pieces, with empty heartbeats beside it.
+	if p.transfer != nil || p.next <= n.log.base {
+		n.sendRequest(peer, request)
+		n.sendPiece(now, peer)
+		return
 	}
+	request.Records = n.log.from(p.next, maxRecords, maxRecordBytes)
+	request.PreviousIndex = uint64(p.next - 1)
+	request.PreviousTerm = uint64(n.log.termAt(p.next - 1))
+	request.Commit = uint64(n.commit)
 	// Sending goes on behind records that are under way; a lost one shows as a
 	// mismatch at the follower and is sent again.
-	p.next += units.Index(len(records))
-	n.act(Send{Message: request})
+	p.next += units.Index(len(request.GetRecords()))
+	n.sendRequest(peer, request)
+}
+
+func (n *Node) sendRequest(peer units.VoterID, request *messages.AppendRequest) {
+	n.sendTo(peer, n.term, &messages.LogMessage{
+		Body: &messages.LogMessage_AppendRequest{
+			AppendRequest: request,
+		},
+	})
 }
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -1,6 +1,9 @@
 package units
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Brand names a brand that operators resell the service under.
 type Brand string
@@ -17,6 +20,20 @@
 // Instance names one machine of the system or of the platform.
 type Instance string
 
+// VoterID names one life of an instance's data folder, such as "c1#3f2a".
+type VoterID string
+
+// NewVoterID returns the id of an instance with the identity that its folder holds.
+func NewVoterID(instance Instance, identity string) VoterID {
+	return VoterID(string(instance) + "#" + identity)
+}
+
+// Instance returns the instance's name.
+func (id VoterID) Instance() Instance {
+	name, _, _ := strings.Cut(string(id), "#")
+	return Instance(name)
+}
+
 // DataCentre names a data centre.
 type DataCentre string
 
