--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	go build -ldflags "$(LDFLAGS)" -o bin/rosecroft .
 	go build -o bin/standin ./src/cmd/standin
 	go build -o bin/demo ./src/cmd/demo
+	go build -o bin/load ./src/cmd/load
 
 test:
 	go test -race ./...
--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -27,6 +27,7 @@
 	Price      float64       `help:"Price per hour to announce." default:"1"`
 	OnDemand   bool          `help:"Announce an on-demand instance, which is not reclaimable."`
 	Notice     time.Duration `help:"Time between SIGTERM and the stop." default:"5s"`
+	Journal    string        `help:"File to which every run of a call is appended."`
 }
 
 type engineCommand struct {
@@ -111,6 +112,13 @@
 }
 
 func (c *common) host(ledger *standin.Ledger) (*standin.Host, error) {
+	if c.Journal != "" {
+		journal, err := standin.OpenJournal(c.Journal, c.Name)
+		if err != nil {
+			return nil, err
+		}
+		ledger.Journal = journal
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free port", c.Listen, err)
--- a/src/standin/ledger.go
+++ b/src/standin/ledger.go
@@ -7,12 +7,16 @@
 
 // Ledger is the ground truth: how often each call ran.
 type Ledger struct {
+	// Journal keeps the runs over the process's end; it may be nil.
+	Journal *Journal
+
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-// Ran counts one run of a call.
-func (l *Ledger) Ran(call string) {
+// Ran counts one run of a call; reference is the caller's own number of it.
+func (l *Ledger) Ran(call, reference string) {
+	l.Journal.Write(Started, call, reference)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs == nil {
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -18,6 +18,8 @@
 	headerExecuted     = "Rosecroft-Executed"
 	headerModelVersion = "Rosecroft-Model-Version"
 	headerLastEvent    = "Last-Event-ID"
+	// headerReference is a caller's own header, which entries pass on.
+	headerReference = "X-Reference"
 )
 
 // ModelServer serves an engine over HTTP.
@@ -95,7 +97,7 @@
 		refuse(response, err.Error())
 		return
 	}
-	m.Ledger.Ran(call)
+	m.Ledger.Ran(call, request.HeaderParameter(headerReference))
 	sequence := m.Engine.Start(prompt)
 	chat := strings.HasSuffix(request.Request.URL.Path, "/chat/completions")
 	if body.Stream {
--- a/src/standin/plain.go
+++ b/src/standin/plain.go
@@ -41,7 +41,7 @@
 			refuse(response, "this service is leaving")
 			return
 		}
-		p.Ledger.Ran(call)
+		p.Ledger.Ran(call, request.HeaderParameter(headerReference))
 		time.Sleep(p.Work)
 		serve(request, response)
 	}
