--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 REVISION := $(shell git rev-parse --short HEAD 2>/dev/null || echo devel)
 LDFLAGS := -X main.version=$(VERSION) -X main.revision=$(REVISION)
 
-.PHONY: build test lint format generate demo
+.PHONY: build test lint format generate demo failures
 
 build:
 	go build -ldflags "$(LDFLAGS)" -o bin/rosecroft .
 	go build -o bin/standin ./src/cmd/standin
 	go build -o bin/demo ./src/cmd/demo
 	go build -o bin/load ./src/cmd/load
+	go build -o bin/failures ./src/cmd/failures
 
 test:
 	go test -race ./...
@@ -27,3 +28,7 @@
 
 demo: build
 	bin/demo
+
+SEED ?= 1
+failures: build
+	bin/failures --seed $(SEED)
--- /dev/null
+++ b/src/deployer/doc.go
@@ -0,0 +1,2 @@
+// Package deployer lays out both deployments' real sizes on a stage.
+package deployer
--- a/src/loader/loader.go
+++ b/src/loader/loader.go
@@ -60,7 +60,7 @@
 		client:   client,
 		balancer: l.Balancer,
 		workload: next.workload,
-		body:     next.body,
+		body:     next.body(),
 		due:      due,
 		resend:   l.Resend,
 		outcome: &Outcome{
@@ -68,6 +68,7 @@
 			Workload:  next.workload.Name,
 			Kind:      next.workload.Kind,
 			Key:       reference,
+			Prompt:    next.prompt,
 			Scheduled: next.at,
 		},
 	}
--- a/src/loader/outcome.go
+++ b/src/loader/outcome.go
@@ -30,7 +30,9 @@
 	Workload  string
 	Kind      Kind
 	Key       string
-	Result    Result
+	// Prompt is a model call's whole prompt.
+	Prompt string
+	Result Result
 	// Scheduled is when the call was due, from the start of the load.
 	Scheduled time.Duration
 	// Took runs from then to the end of the answer, FirstToken to its first token.
--- a/src/loader/workload.go
+++ b/src/loader/workload.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -48,7 +49,7 @@
 	workload *Workload
 	at       time.Duration
 	sequence int
-	body     string
+	prompt   string
 }
 
 // plan draws the arrivals of all workloads within a span, in the order of time.
@@ -61,7 +62,7 @@
 			arrivals = append(arrivals, arrival{
 				workload: workload,
 				at:       at,
-				body:     workload.body(random, len(arrivals)),
+				prompt:   workload.prompt(random),
 			})
 			at += gap(random, workload.Rate)
 		}
@@ -77,18 +78,25 @@
 	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 }
 
-func (w *Workload) body(random *rand.Rand, sequence int) string {
-	switch w.Kind {
+// prompt draws a prompt that shares its beginning with others of the workload.
+func (w *Workload) prompt(random *rand.Rand) string {
+	if w.Kind != Stream && w.Kind != Whole {
+		return ""
+	}
+	prefix := filler(fmt.Sprintf("%s-%d", w.Name, random.IntN(max(1, w.Prefixes))), w.PrefixBytes)
+	return prefix + filler(strconv.FormatUint(random.Uint64(), 36), w.PromptBytes)
+}
+
+func (a *arrival) body() string {
+	switch a.workload.Kind {
 	case Once:
-		return fmt.Sprintf(`{"number":%d}`, sequence)
+		return fmt.Sprintf(`{"number":%d}`, a.sequence)
 	case Read:
 		return ""
 	case Stream, Whole:
 	}
-	prefix := filler(fmt.Sprintf("%s-%d", w.Name, random.IntN(max(1, w.Prefixes))), w.PrefixBytes)
-	prompt := filler(fmt.Sprintf("%d-%d", sequence, random.Uint32()), w.PromptBytes)
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"prompt":"%s%s"}`,
-		w.Model, w.Kind == Stream, w.OutputTokens, prefix, prompt)
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"prompt":%q}`,
+		a.workload.Model, a.workload.Kind == Stream, a.workload.OutputTokens, a.prompt)
 }
 
 // filler returns size bytes of text that depend on word alone.
