Commit the numbered entry view through the log

The record of calls chooses owners over a view of the entries that every process must number alike. The control leader now hears heartbeats into a pure machine, the registrar, and proposes the next view as Command.entry_view; every voter applies it only when its number is the next one, so a proposal made twice counts once. Entries get it with the answer to a heartbeat and publish it (Entry.View, atomic). EntryHeartbeat gains `stopping`.

An entry joins when heard without a gap for 600 ms, and leaves on its announced stop or when silent for the fence and one second more, so that it has fenced itself before its records get new owners. Changes settle for 200 ms and views are at least a second apart. One view removes less than half of the one before for silence, and none while half or more is silent, until 30 s have passed: a leader behind a cut would otherwise change every record's owners at once.

Ruled out: removing entries one by one, since a data centre that is taken back would need several views while its records have dead owners.

--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -35,9 +35,10 @@
 	proposals map[uint64]chan<- submitReply
 	nextToken uint64
 	// pending holds the proposals that stand in the log and are not committed.
-	pending map[units.Index]pendingProposal
-	entries map[units.Instance]*entryState
-	role    replicator.RoleChanged
+	pending  map[units.Index]pendingProposal
+	entries  map[units.Instance]*entryState
+	role     replicator.RoleChanged
+	registry registry
 }
 
 type pendingProposal struct {
@@ -74,6 +75,7 @@
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
+		registry:  newRegistry(settings.Timing),
 	}
 }
 
@@ -87,7 +89,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			err = c.step(replicator.Ticked{})
+			err = c.tick()
 		case e := <-c.box:
 			err = c.take(e)
 		}
@@ -97,6 +99,13 @@
 	}
 }
 
+func (c *coordinator) tick() error {
+	if err := c.step(replicator.Ticked{}); err != nil {
+		return err
+	}
+	return c.tickRegistry(time.Now())
+}
+
 func (c *coordinator) take(e event) error {
 	switch e := e.(type) {
 	case arrived:
@@ -165,6 +174,7 @@
 		Uint64("term", uint64(a.Term)).
 		Str("leader", string(a.Leader)).
 		Msg("role-changed")
+	c.leadRegistry(time.Now(), a.Role == replicator.Leader)
 	if a.Role == replicator.Leader {
 		return
 	}
@@ -192,6 +202,10 @@
 }
 
 func (c *coordinator) applyCommand(command *messages.Command) *messages.SubmissionResult {
+	if view := command.GetEntryView(); view != nil {
+		c.applyView(view)
+		return nil
+	}
 	submission := command.GetSubmission()
 	if submission == nil {
 		return nil
@@ -221,6 +235,10 @@
 	if heartbeat.GetVersionInForce() < response.GetAcceptedVersion() {
 		response.Document = c.state.Document()
 	}
+	c.hearMember(time.Now(), heartbeat)
+	if heartbeat.GetViewNumber() < c.registry.view.GetNumber() {
+		response.View = c.registry.view
+	}
 	return response
 }
 
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -16,6 +16,7 @@
 	LastIndex       units.Index    `yaml:"last-index"`
 	AcceptedVersion units.Version  `yaml:"accepted-version"`
 	Entries         []EntryDump    `yaml:"entries"`
+	View            ViewDump       `yaml:"view"`
 }
 
 // EntryDump is what the leader knows of one entry.
@@ -35,6 +36,7 @@
 		Commit:          c.node.Commit(),
 		LastIndex:       c.node.LastIndex(),
 		AcceptedVersion: c.state.Version(),
+		View:            c.registry.dump(),
 	}
 	for name, entry := range c.entries {
 		dump.Entries = append(dump.Entries, EntryDump{
--- a/src/entry/dump.go
+++ b/src/entry/dump.go
@@ -10,7 +10,9 @@
 type Dump struct {
 	Name           units.Instance `yaml:"name"`
 	VersionInForce units.Version  `yaml:"version-in-force"`
-	Upstreams      []UpstreamDump `yaml:"upstreams"`
+	// View is the number of the entry view, 0 before the first.
+	View      uint64         `yaml:"view"`
+	Upstreams []UpstreamDump `yaml:"upstreams"`
 }
 
 // UpstreamDump is what the entry knows of one upstream.
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
+	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
@@ -39,6 +40,7 @@
 	Peers     net.Listener
 
 	snapshot    atomic.Pointer[indexer.Snapshot]
+	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
 	stopping    atomic.Bool
 }
@@ -81,6 +83,9 @@
 	return nil
 }
 
+// View returns the newest entry view that control has committed, nil before the first.
+func (e *Entry) View() *messages.EntryView { return e.view.Load() }
+
 func (e *Entry) ready() bool {
 	return !e.stopping.Load() && e.snapshot.Load() != nil
 }
@@ -121,6 +126,8 @@
 		client:      e.Client,
 		coordinator: e.coordinator,
 		incarnation: uint64(time.Now().UnixNano()),
+		view:        &e.view,
+		stopping:    &e.stopping,
 	}
 }
 
@@ -145,6 +152,7 @@
 	e.coordinator.box <- dumped{reply: reply}
 	select {
 	case dump := <-reply:
+		dump.View = e.View().GetNumber()
 		return dump, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/connector"
@@ -21,6 +22,8 @@
 	client      *connector.Client
 	coordinator *coordinator
 	incarnation uint64
+	view        *atomic.Pointer[messages.EntryView]
+	stopping    *atomic.Bool
 	// leader is the address to ask, "" while none is known.
 	leader string
 	next   int
@@ -58,6 +61,15 @@
 	if len(response.GetDocument()) > 0 {
 		f.coordinator.box <- configured{document: response.GetDocument()}
 	}
+	f.follow(response.GetView())
+}
+
+// follow publishes a newer view; the number decides, since an answer of an
+// earlier leader can arrive after that of a later one.
+func (f *follower) follow(view *messages.EntryView) {
+	if view.GetNumber() > f.view.Load().GetNumber() {
+		f.view.Store(view)
+	}
 }
 
 func (f *follower) address() string {
@@ -74,5 +86,7 @@
 		PeerAddress:    f.settings.Peers.Listen,
 		Incarnation:    f.incarnation,
 		VersionInForce: f.coordinator.inForce.Load(),
+		ViewNumber:     f.view.Load().GetNumber(),
+		Stopping:       f.stopping.Load(),
 	}
 }
