Merge the numbered entry view as a machine of the log

The view was written before the interfaces for replicated machines and leader duties landed; it now implements them.

--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -40,9 +40,10 @@
 	proposals map[uint64]chan<- submitReply
 	nextToken uint64
 	// pending holds the proposals that stand in the log and are not committed.
-	pending map[units.Index]pendingProposal
-	entries map[units.Instance]*entryState
-	role    replicator.RoleChanged
+	pending  map[units.Index]pendingProposal
+	entries  map[units.Instance]*entryState
+	role     replicator.RoleChanged
+	registry *registry
 }
 
 type pendingProposal struct {
@@ -66,10 +67,13 @@
 	configuration := &configurationMachine{
 		log: log,
 	}
+	views := newRegistry(settings.Timing, log)
 	return &coordinator{
 		settings: settings,
 		state:    configuration,
-		machines: []machine{configuration},
+		machines: []machine{configuration, views},
+		duties:   []duty{views},
+		hearers:  []hearer{views},
 		log:      log,
 		keeper:   kept,
 		node: replicator.New(time.Now(), replicator.Options{
@@ -84,6 +88,7 @@
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
+		registry:  views,
 	}
 }
 
