--- a/src/control/view.go
+++ b/src/control/view.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/registrar"
-	"github.com/rosecroft/rosecroft/src/replicator"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -15,20 +18,24 @@
 	viewTick = 100 * time.Millisecond
 	// afterFence is how much longer than the fence a silent entry stays in the
 	// view: it has fenced itself before its records get new owners.
-	afterFence    = time.Second
-	steadyFor     = 600 * time.Millisecond
-	steadyGap     = 1500 * time.Millisecond
-	viewSettle    = 200 * time.Millisecond
-	betweenViews  = time.Second
-	holdMajority  = 30 * time.Second
-	viewsRetained = 8
+	afterFence      = time.Second
+	steadyFor       = 600 * time.Millisecond
+	steadyGap       = 1500 * time.Millisecond
+	viewSettle      = 200 * time.Millisecond
+	betweenViews    = time.Second
+	holdMajority    = 30 * time.Second
+	changesRetained = 32
 )
 
 // registry is the entry view of the log and, at the leader, its registrar.
 type registry struct {
+	log       zerolog.Logger
 	view      *messages.EntryView
 	registrar *registrar.Registrar
 	tickedAt  time.Time
+	leading   bool
+	// told is the number of the view that the registrar knows.
+	told uint64
 	// changes are the last proposals with their reasons, the newest last.
 	changes []ViewChange
 }
@@ -47,8 +54,9 @@
 	Reason registrar.Reason `yaml:"reason"`
 }
 
-func newRegistry(timing parser.Timing) registry {
-	return registry{
+func newRegistry(timing parser.Timing, log zerolog.Logger) *registry {
+	return &registry{
+		log: log,
 		registrar: &registrar.Registrar{
 			Options: registrar.Options{
 				Suspicion: timing.Fence + afterFence,
@@ -62,30 +70,43 @@
 	}
 }
 
-// applyView takes a committed view; one whose number is not the next changes
+// Name is the view's key in snapshots.
+func (r *registry) Name() string { return "entry-view" }
+
+// Apply takes a committed view; one whose number is not the next changes
 // nothing, so that a proposal made twice counts once.
-func (c *coordinator) applyView(view *messages.EntryView) {
-	if view.GetNumber() != c.registry.view.GetNumber()+1 {
-		return
+func (r *registry) Apply(_ units.Index, command *messages.Command) proto.Message {
+	view := command.GetEntryView()
+	if view == nil || view.GetNumber() != r.view.GetNumber()+1 {
+		return nil
 	}
-	c.registry.view = view
-	c.registry.registrar.Step(time.Now(), registrar.Applied{View: view})
-	c.log.Info().
+	r.view = view
+	r.log.Info().
 		Uint64("number", view.GetNumber()).
 		Int("members", len(view.GetMembers())).
 		Msg("entry-view-applied")
+	return nil
+}
+
+// Snapshot returns the view.
+func (r *registry) Snapshot() ([]byte, error) {
+	return proto.Marshal(r.view)
 }
 
-func (c *coordinator) leadRegistry(now time.Time, leads bool) {
-	if leads {
-		c.registry.registrar.Step(now, registrar.Led{View: c.registry.view})
-		return
+// Restore replaces the view.
+func (r *registry) Restore(content []byte) error {
+	view := &messages.EntryView{}
+	if err := proto.Unmarshal(content, view); err != nil {
+		return fmt.Errorf("read the entry view of a snapshot: %w", err)
 	}
-	c.registry.registrar.Step(now, registrar.Lost{})
+	r.view = view
+	return nil
 }
 
-func (c *coordinator) hearMember(now time.Time, heartbeat *messages.EntryHeartbeat) {
-	c.registry.registrar.Step(now, registrar.Heard{
+// Hear tells the registrar of an entry and gives the entry a newer view.
+func (r *registry) Hear(now time.Time, heartbeat *messages.EntryHeartbeat, response *messages.EntryHeartbeatResponse) {
+	r.lead(now)
+	r.registrar.Step(now, registrar.Heard{
 		Member: &messages.EntryMember{
 			Entry:       heartbeat.GetEntry(),
 			DataCentre:  heartbeat.GetDataCentre(),
@@ -94,58 +115,70 @@
 		},
 		Stopping: heartbeat.GetStopping(),
 	})
+	if heartbeat.GetViewNumber() < r.view.GetNumber() {
+		response.View = r.view
+	}
 }
 
-func (c *coordinator) tickRegistry(now time.Time) error {
-	if now.Sub(c.registry.tickedAt) < viewTick || !c.node.Lead(now) {
+// Lead returns the proposal for the next view when one is due.
+func (r *registry) Lead(now time.Time, _ units.Term) []*messages.Command {
+	if now.Sub(r.tickedAt) < viewTick {
 		return nil
 	}
-	c.registry.tickedAt = now
-	for _, action := range c.registry.registrar.Step(now, registrar.Ticked{}) {
+	r.tickedAt = now
+	r.lead(now)
+	var commands []*messages.Command
+	for _, action := range r.registrar.Step(now, registrar.Ticked{}) {
 		switch a := action.(type) {
 		case registrar.Propose:
-			if err := c.proposeView(a); err != nil {
-				return err
-			}
+			commands = append(commands, r.propose(a))
 		case registrar.Held:
-			c.log.Warn().
+			r.log.Warn().
 				Int("silent", a.Silent).
 				Int("members", a.Members).
 				Msg("entry-view-held")
 		}
 	}
-	return nil
+	return commands
 }
 
-func (c *coordinator) proposeView(proposal registrar.Propose) error {
+// Rest ends the registrar's leadership.
+func (r *registry) Rest() {
+	r.leading = false
+	r.registrar.Step(time.Time{}, registrar.Lost{})
+}
+
+// lead tells the registrar of a new leadership or a newly applied view.
+func (r *registry) lead(now time.Time) {
+	switch {
+	case !r.leading:
+		r.registrar.Step(now, registrar.Led{View: r.view})
+	case r.view.GetNumber() != r.told:
+		r.registrar.Step(now, registrar.Applied{View: r.view})
+	}
+	r.leading = true
+	r.told = r.view.GetNumber()
+}
+
+func (r *registry) propose(proposal registrar.Propose) *messages.Command {
 	for _, change := range proposal.Changes {
-		c.registry.changes = append(c.registry.changes, ViewChange{
+		r.changes = append(r.changes, ViewChange{
 			Number: proposal.View.GetNumber(),
 			Entry:  change.Entry,
 			Reason: change.Reason,
 		})
-		c.log.Info().
+		r.log.Info().
 			Uint64("number", proposal.View.GetNumber()).
 			Str("entry", string(change.Entry)).
 			Str("reason", string(change.Reason)).
 			Msg("entry-view-proposed")
 	}
-	c.registry.changes = c.registry.changes[max(0, len(c.registry.changes)-viewsRetained):]
-	return c.step(replicator.Proposed{
-		Command: &messages.Command{
-			Change: &messages.Command_EntryView{
-				EntryView: proposal.View,
-			},
+	r.changes = r.changes[max(0, len(r.changes)-changesRetained):]
+	return &messages.Command{
+		Change: &messages.Command_EntryView{
+			EntryView: proposal.View,
 		},
-		Token: c.silentToken(),
-	})
-}
-
-// silentToken returns a token for a proposal whose outcome shows in the log alone.
-func (c *coordinator) silentToken() uint64 {
-	c.nextToken++
-	c.proposals[c.nextToken] = make(chan submitReply, 1)
-	return c.nextToken
+	}
 }
 
 func (r *registry) dump() ViewDump {
