Secure every connection and check who is at its other end

Cause: processes spoke plainly and believed any name in a message. Change: certificates named in the settings, reloaded when their files change; mutual TLS between processes, for operators, announcements and exchanges with upstreams; identities as URIs, with roles by method and names checked against messages; a protocol version with each message; make-certificates; a stage that runs a fleet over TLS. Ruled out: an authority for each role, and common names (see docs/SECURITY.md). A server without a verified chain no longer indexes an empty list.

--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -12,7 +12,9 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/standin"
 )
 
@@ -27,6 +29,10 @@
 	Price      float64       `help:"Price per hour to announce." default:"1"`
 	OnDemand   bool          `help:"Announce an on-demand instance, which is not reclaimable."`
 	Notice     time.Duration `help:"Time between SIGTERM and the stop." default:"5s"`
+
+	Certificate string `help:"Certificate to announce with, in PEM." and:"tls"`
+	PrivateKey  string `help:"The certificate's private key, in PEM." and:"tls"`
+	Authorities string `help:"Certificates that verify the entries, in PEM." and:"tls"`
 }
 
 type engineCommand struct {
@@ -115,7 +121,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free port", c.Listen, err)
 	}
+	source, err := c.source()
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http"
+	if source != nil {
+		scheme = "https"
+	}
 	return &standin.Host{
+		Source:   source,
 		Listener: listener,
 		Entries:  c.Entries,
 		Ledger:   ledger,
@@ -123,7 +138,7 @@
 		About: &messages.Announcement{
 			Upstream:     c.Name,
 			Service:      c.Service,
-			Address:      "http://" + listener.Addr().String(),
+			Address:      scheme + "://" + listener.Addr().String(),
 			DataCentre:   c.DataCentre,
 			MachineClass: c.Class,
 			Reclaimable:  !c.OnDemand,
@@ -132,3 +147,21 @@
 		},
 	}, nil
 }
+
+// source loads the certificate, or returns nil where none is named.
+func (c *common) source() (*certifier.Source, error) {
+	if c.Certificate == "" {
+		return nil, nil
+	}
+	source := &certifier.Source{
+		Files: parser.Listener{
+			Certificate: c.Certificate,
+			PrivateKey:  c.PrivateKey,
+			Authorities: c.Authorities,
+		},
+	}
+	if _, err := source.Load(); err != nil {
+		return nil, fmt.Errorf("load the certificate: %w", err)
+	}
+	return source, nil
+}
--- a/src/connector/client.go
+++ b/src/connector/client.go
@@ -26,6 +26,8 @@
 type Client struct {
 	// TLS is nil only where the settings allow plain loopback.
 	TLS *tls.Config
+	// Check refuses a server that is not the one expected at an address; it may be nil.
+	Check func(address string, state *tls.ConnectionState) error
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
@@ -45,7 +47,7 @@
 		return err
 	}
 	var result json.RawMessage
-	err = conn.Call(ctx, string(method), params, &result)
+	err = conn.Call(ctx, string(method), params, &result, versioned)
 	if err != nil {
 		c.dropUnlessAnswered(address, conn, err)
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
@@ -63,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	if err := conn.Notify(ctx, string(method), params); err != nil {
+	if err := conn.Notify(ctx, string(method), params, versioned); err != nil {
 		c.drop(address, conn)
 		return fmt.Errorf("notify %s at %s: %w", method, address, err)
 	}
@@ -106,7 +108,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{}
 	if c.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
@@ -114,7 +118,15 @@
 		NetDialer: dialer,
 		Config:    c.TLS,
 	}
-	return secured.DialContext(ctx, "tcp", address)
+	conn, err := secured.DialContext(ctx, "tcp", address)
+	if err != nil || c.Check == nil {
+		return conn, err
+	}
+	state := conn.(*tls.Conn).ConnectionState()
+	if err := c.Check(address, &state); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return conn, nil
 }
 
 func (c *Client) dropUnlessAnswered(address string, conn *jsonrpc2.Conn, err error) {
--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -8,18 +8,36 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/certifier"
 )
 
+// handshakeTimeout bounds the TLS handshake of one connection, so that ends
+// that connect and say nothing cannot pile up.
+const handshakeTimeout = 2 * time.Second
+
 // Handler answers one request; a nil response answers a notification.
 type Handler func(ctx context.Context, peer Peer, params *json.RawMessage) (proto.Message, error)
 
 // Peer is what a connection proved about its other end.
 type Peer struct {
-	// Name is the certificate's common name, or "" without TLS.
-	Name string
+	// Identity is what the certificate states, or nobody without TLS.
+	Identity certifier.Identity
+	// Secured says that the connection runs over TLS.
+	Secured bool
+}
+
+// Speaks returns an error unless the peer may send a message in the name of an
+// instance; without TLS there is nothing to tell by, and every name passes.
+func (p Peer) Speaks(role certifier.Role, name string) error {
+	if !p.Secured {
+		return nil
+	}
+	return p.Identity.RequireName(role, name)
 }
 
 // Server answers other processes of the system.
@@ -27,6 +45,9 @@
 	Listener net.Listener
 	// TLS is nil only where the settings allow plain loopback.
 	TLS *tls.Config
+	// Allowed narrows the roles that may call a method; any other method is
+	// open to control and entries.
+	Allowed map[Method][]certifier.Role
 
 	mu       sync.Mutex
 	handlers map[Method]Handler
@@ -44,10 +65,7 @@
 	s.handlers[method] = func(ctx context.Context, peer Peer, params *json.RawMessage) (proto.Message, error) {
 		request := RequestPointer(new(Request))
 		if err := decode(params, request); err != nil {
-			return nil, &jsonrpc2.Error{
-				Code:    jsonrpc2.CodeInvalidParams,
-				Message: err.Error(),
-			}
+			return nil, refused(jsonrpc2.CodeInvalidParams, err)
 		}
 		return handle(ctx, peer, request)
 	}
@@ -100,16 +118,39 @@
 	if s.TLS == nil {
 		return Peer{}, conn, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
 	secured := tls.Server(conn, s.TLS)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		return Peer{}, nil, err
 	}
+	state := secured.ConnectionState()
+	identity, err := certifier.PeerOf(&state)
+	if err != nil {
+		return Peer{}, nil, err
+	}
 	peer := Peer{
-		Name: secured.ConnectionState().PeerCertificates[0].Subject.CommonName,
+		Identity: identity,
+		Secured:  true,
 	}
 	return peer, secured, nil
 }
 
+// authorize keeps upstreams and operators, whose certificates the same
+// authorities sign, from speaking as processes of the system.
+func (s *Server) authorize(peer Peer, method Method) error {
+	if !peer.Secured {
+		return nil
+	}
+	roles, narrowed := s.Allowed[method]
+	if !narrowed {
+		roles = defaultRoles
+	}
+	return peer.Identity.Require(roles...)
+}
+
+var defaultRoles = []certifier.Role{certifier.Control, certifier.Entry}
+
 func (s *Server) answer(ctx context.Context, peer Peer, request *jsonrpc2.Request) (any, error) {
 	handle, known := s.handlers[Method(request.Method)]
 	if !known {
@@ -118,6 +159,12 @@
 			Message: fmt.Sprintf("method %q is unknown; run the same version on every instance", request.Method),
 		}
 	}
+	if err := checkProtocol(request); err != nil {
+		return nil, err
+	}
+	if err := s.authorize(peer, Method(request.Method)); err != nil {
+		return nil, refused(codeForbidden, err)
+	}
 	response, err := handle(ctx, peer, request.Params)
 	if err != nil || request.Notif {
 		return nil, err
--- a/src/control/control.go
+++ b/src/control/control.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/keeper"
@@ -27,6 +28,8 @@
 	Peers     net.Listener
 	Operators net.Listener
 	Client    *connector.Client
+	// Certificates is nil only in tests.
+	Certificates *certifier.Certifier
 
 	coordinator *coordinator
 }
@@ -43,6 +46,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	out.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
+	group.Go(func() error { return c.Certificates.Run(ctx) })
 	group.Go(func() error { return c.peerServer().Run(ctx) })
 	group.Go(func() error { return c.operatorServer().Run(ctx) })
 	c.Log.Info().
@@ -56,6 +60,13 @@
 func (c *Control) peerServer() *connector.Server {
 	server := &connector.Server{
 		Listener: c.Peers,
+		TLS:      c.Certificates.Peers(),
+		Allowed: map[connector.Method][]certifier.Role{
+			MethodLog:       {certifier.Control},
+			MethodSubmit:    {certifier.Control},
+			MethodHeartbeat: {certifier.Entry},
+			MethodStatus:    {certifier.Control},
+		},
 	}
 	connector.Handle(server, MethodLog, c.onLog)
 	connector.Handle(server, MethodSubmit, c.onSubmit)
@@ -67,6 +78,7 @@
 func (c *Control) operatorServer() *inspector.Inspector {
 	return &inspector.Inspector{
 		Listener: c.Operators,
+		TLS:      c.Certificates.Operators(),
 		Dump:     c.dump,
 		Ready:    func() bool { return true },
 		Metrics:  c.Meter.Handler,
@@ -74,7 +86,11 @@
 	}
 }
 
-func (c *Control) onLog(ctx context.Context, _ connector.Peer, message *messages.LogMessage) (*messages.LogMessage, error) {
+func (c *Control) onLog(ctx context.Context, peer connector.Peer, message *messages.LogMessage) (*messages.LogMessage, error) {
+	// A vote in another voter's name would let two leaders have a majority.
+	if err := peer.Speaks(certifier.Control, message.GetFrom()); err != nil {
+		return nil, err
+	}
 	return nil, c.post(ctx, arrived{message: message})
 }
 
@@ -82,7 +98,11 @@
 	return c.submitHere(ctx, submission)
 }
 
-func (c *Control) onHeartbeat(ctx context.Context, _ connector.Peer, heartbeat *messages.EntryHeartbeat) (*messages.EntryHeartbeatResponse, error) {
+func (c *Control) onHeartbeat(ctx context.Context, peer connector.Peer, heartbeat *messages.EntryHeartbeat) (*messages.EntryHeartbeatResponse, error) {
+	// A heartbeat in another entry's name would report a version in force that is not.
+	if err := peer.Speaks(certifier.Entry, heartbeat.GetEntry()); err != nil {
+		return nil, err
+	}
 	reply := make(chan *messages.EntryHeartbeatResponse, 1)
 	if err := c.post(ctx, heard{heartbeat: heartbeat, reply: reply}); err != nil {
 		return nil, err
--- a/src/control/routes.go
+++ b/src/control/routes.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/configurator"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -48,7 +49,7 @@
 	}
 	result, err := c.submitAnywhere(ctx, &messages.Submission{
 		Version:     uint64(configuration.Version),
-		Operator:    request.HeaderParameter(operatorHeader),
+		Operator:    operatorOf(request),
 		Document:    document,
 		ContentHash: configurator.Hash(document),
 	})
@@ -59,6 +60,15 @@
 	writeMessage(response, statusOf(result.GetOutcome()), result)
 }
 
+// operatorOf returns who submits: the certificate's name goes before what the request says.
+func operatorOf(request *restful.Request) string {
+	identity, err := certifier.PeerOf(request.Request.TLS)
+	if err != nil {
+		return request.HeaderParameter(operatorHeader)
+	}
+	return identity.Name
+}
+
 func (c *Control) getStatus(request *restful.Request, response *restful.Response) {
 	ctx, cancel := context.WithTimeout(request.Request.Context(), requestTimeout)
 	defer cancel()
--- a/src/entry/announcement.go
+++ b/src/entry/announcement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/emicklei/go-restful/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
 )
 
@@ -22,7 +24,9 @@
 
 // receptionist takes the upstreams' announcements over HTTP.
 type receptionist struct {
-	listener    net.Listener
+	listener net.Listener
+	// tls is nil only where the settings allow plain loopback.
+	tls         *tls.Config
 	coordinator *coordinator
 }
 
@@ -37,10 +41,16 @@
 		Handler:           container,
 		ReadHeaderTimeout: announcementTimeout,
 		ReadTimeout:       announcementTimeout,
+		WriteTimeout:      announcementTimeout,
+		MaxHeaderBytes:    maxAnnouncement,
+	}
+	listener := r.listener
+	if r.tls != nil {
+		listener = tls.NewListener(listener, r.tls)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(r.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve announcements: %w", err)
 	}
 	return nil
@@ -57,6 +67,10 @@
 		_ = response.WriteError(http.StatusBadRequest, err)
 		return
 	}
+	if err := r.authorize(request.Request, announcement); err != nil {
+		_ = response.WriteError(http.StatusForbidden, err)
+		return
+	}
 	reply := make(chan error, 1)
 	r.coordinator.box <- announced{
 		announcement: announcement,
@@ -68,3 +82,13 @@
 	}
 	response.WriteHeader(http.StatusNoContent)
 }
+
+// authorize refuses an announcement in another upstream's name: it would draw
+// that one's calls to itself, or take it out of use by a leaving mark.
+func (r *receptionist) authorize(request *http.Request, announcement *messages.Announcement) error {
+	identity, err := certifier.RequireRequest(request, r.tls != nil, certifier.Upstream)
+	if err != nil || r.tls == nil {
+		return err
+	}
+	return identity.RequireName(certifier.Upstream, announcement.GetUpstream())
+}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/forwarder"
@@ -37,6 +38,8 @@
 	Upstreams net.Listener
 	Operators net.Listener
 	Peers     net.Listener
+	// Certificates is nil only in tests.
+	Certificates *certifier.Certifier
 
 	snapshot    atomic.Pointer[indexer.Snapshot]
 	coordinator *coordinator
@@ -55,6 +58,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
@@ -88,6 +92,7 @@
 func (e *Entry) callerServer() *server.Server {
 	return &server.Server{
 		Listener: e.Callers,
+		TLS:      e.Certificates.Callers(),
 		Log:      e.Log,
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
@@ -100,7 +105,7 @@
 				Snapshot: &e.snapshot,
 			},
 			Exchanger: &forwarder.Forwarder{
-				Client: forwarder.NewClient(),
+				Client: forwarder.NewSecureClient(e.Certificates.ToUpstreams()),
 			},
 		},
 		Ready: e.ready,
@@ -112,6 +117,7 @@
 func (e *Entry) peerServer() *connector.Server {
 	return &connector.Server{
 		Listener: e.Peers,
+		TLS:      e.Certificates.Peers(),
 	}
 }
 
@@ -127,6 +133,7 @@
 func (e *Entry) receptionist() *receptionist {
 	return &receptionist{
 		listener:    e.Upstreams,
+		tls:         e.Certificates.Upstreams(),
 		coordinator: e.coordinator,
 	}
 }
@@ -134,6 +141,7 @@
 func (e *Entry) operatorServer() *inspector.Inspector {
 	return &inspector.Inspector{
 		Listener: e.Operators,
+		TLS:      e.Certificates.Operators(),
 		Dump:     e.dump,
 		Ready:    e.ready,
 		Metrics:  e.Meter.Handler,
--- a/src/inspector/inspector.go
+++ b/src/inspector/inspector.go
@@ -11,11 +11,19 @@
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/goccy/go-yaml"
+
+	"github.com/rosecroft/rosecroft/src/certifier"
 )
 
 const (
 	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	writeTimeout  = time.Minute
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 32 << 10
 	yamlType      = "application/yaml"
+	healthPath    = "/healthz"
+	readinessPath = "/readyz"
 )
 
 // Inspector is a process's HTTP server for operators.
@@ -37,6 +45,10 @@
 	server := &http.Server{
 		Handler:           i.handler(),
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
@@ -52,10 +64,11 @@
 
 func (i *Inspector) handler() http.Handler {
 	container := restful.NewContainer()
+	container.Filter(i.authorize)
 	own := new(restful.WebService)
 	own.Route(own.GET("/dump").To(i.dump))
-	own.Route(own.GET("/healthz").To(i.health))
-	own.Route(own.GET("/readyz").To(i.readiness))
+	own.Route(own.GET(healthPath).To(i.health))
+	own.Route(own.GET(readinessPath).To(i.readiness))
 	own.Route(own.GET("/metrics").To(func(request *restful.Request, response *restful.Response) {
 		i.Metrics.ServeHTTP(response.ResponseWriter, request.Request)
 	}))
@@ -66,6 +79,20 @@
 	return container
 }
 
+// authorize lets operators in, and anyone to the health that a balancer probes.
+func (i *Inspector) authorize(request *restful.Request, response *restful.Response, chain *restful.FilterChain) {
+	path := request.Request.URL.Path
+	if path == healthPath || path == readinessPath {
+		chain.ProcessFilter(request, response)
+		return
+	}
+	if _, err := certifier.RequireRequest(request.Request, i.TLS != nil, certifier.Operator); err != nil {
+		_ = response.WriteError(http.StatusForbidden, err)
+		return
+	}
+	chain.ProcessFilter(request, response)
+}
+
 func (i *Inspector) dump(request *restful.Request, response *restful.Response) {
 	state, err := i.Dump(request.Request.Context())
 	if err != nil {
--- a/src/launcher/operators.go
+++ b/src/launcher/operators.go
@@ -25,6 +25,7 @@
 
 // controlFlags say which control instances to ask.
 type controlFlags struct {
+	certificateFlags
 	Control []string `help:"Operators' addresses of control instances, tried in turn." default:"http://127.0.0.1:8082"`
 }
 
@@ -40,6 +41,7 @@
 }
 
 type dumpCommand struct {
+	certificateFlags
 	Address string `arg:"" help:"Operators' address of the process, such as http://127.0.0.1:8082."`
 }
 
@@ -113,10 +115,17 @@
 func (c *dumpCommand) Run(ctx context.Context, console *console) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	content, _, err := exchange(ctx, http.MethodGet, c.Address+"/dump", nil, "")
+	client, err := c.client()
 	if err != nil {
 		return err
 	}
+	content, status, err := exchange(ctx, client, http.MethodGet, c.Address+"/dump", nil, "")
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("%s answered %d: %s", c.Address, status, content)
+	}
 	_, err = console.out.Write(content)
 	return err
 }
@@ -126,8 +135,12 @@
 func (f *controlFlags) ask(ctx context.Context, method, path string, body []byte, operator string, answer proto.Message) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
 	for {
-		err := f.askEach(ctx, method, path, body, operator, answer)
+		err := f.askEach(ctx, client, method, path, body, operator, answer)
 		if err == nil {
 			return nil
 		}
@@ -139,13 +152,19 @@
 	}
 }
 
-func (f *controlFlags) askEach(ctx context.Context, method, path string, body []byte, operator string, answer proto.Message) error {
+func (f *controlFlags) askEach(ctx context.Context, client *http.Client, method, path string, body []byte, operator string, answer proto.Message) error {
 	var failures error
 	for _, address := range f.Control {
-		content, status, err := exchange(ctx, method, address+path, body, operator)
+		content, status, err := exchange(ctx, client, method, address+path, body, operator)
 		if err == nil && status == http.StatusServiceUnavailable {
 			err = fmt.Errorf("%s: %s", address, content)
 		}
+		if err == nil && status == http.StatusForbidden {
+			return &ExitError{
+				Code: ExitRefused,
+				Err:  fmt.Errorf("%s: %s", address, content),
+			}
+		}
 		if err != nil {
 			failures = errors.Join(failures, err)
 			continue
@@ -158,14 +177,14 @@
 	return failures
 }
 
-func exchange(ctx context.Context, method, address string, body []byte, operator string) ([]byte, int, error) {
+func exchange(ctx context.Context, client *http.Client, method, address string, body []byte, operator string) ([]byte, int, error) {
 	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
 	if err != nil {
 		return nil, 0, fmt.Errorf("form the request to %s: %w", address, err)
 	}
 	request.Header.Set("Content-Type", yamlType)
 	request.Header.Set("Rosecroft-Operator", operator)
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, 0, fmt.Errorf("ask %s: %w", address, err)
 	}
--- a/src/launcher/options.go
+++ b/src/launcher/options.go
@@ -43,6 +43,8 @@
 	Status statusCommand `cmd:"" group:"Operators" help:"Print which version is accepted and where it is in force."`
 	Dump   dumpCommand   `cmd:"" group:"Operators" help:"Print one process's state."`
 
+	MakeCertificates makeCertificatesCommand `cmd:"" group:"Offline" help:"Make an authority and certificates for a first set-up."`
+
 	Check   checkCommand   `cmd:"" group:"Offline" help:"Check a configuration or settings file."`
 	MakeKey makeKeyCommand `cmd:"" group:"Offline" help:"Make an API key and the lines that configure it."`
 	Version versionCommand `cmd:"" group:"Offline" help:"Print the version."`
--- a/src/launcher/processes.go
+++ b/src/launcher/processes.go
@@ -104,7 +104,10 @@
 	if err != nil {
 		return errors.Join(err, peers.Close())
 	}
-	process, cleanUp := buildControl(console, settings)
+	process, cleanUp, err := buildControl(console, settings)
+	if err != nil {
+		return errors.Join(err, peers.Close(), operators.Close())
+	}
 	defer cleanUp()
 	process.Peers = peers
 	process.Operators = operators
@@ -112,7 +115,10 @@
 }
 
 func runEntry(ctx context.Context, console *console, settings *parser.Settings) error {
-	process, cleanUp := buildEntry(console, settings)
+	process, cleanUp, err := buildEntry(console, settings)
+	if err != nil {
+		return err
+	}
 	defer cleanUp()
 	targets := []struct {
 		from parser.Listener
--- a/src/launcher/providers.go
+++ b/src/launcher/providers.go
@@ -1,8 +1,11 @@
 package launcher
 
 import (
+	"fmt"
+
 	"github.com/rs/zerolog"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/logger"
 	"github.com/rosecroft/rosecroft/src/meter"
@@ -14,8 +17,11 @@
 	return m, func() { _ = m.Close() }
 }
 
-func newClient() (*connector.Client, func()) {
-	client := &connector.Client{}
+func newClient(certificates *certifier.Certifier) (*connector.Client, func()) {
+	client := &connector.Client{
+		TLS:   certificates.ToPeers(),
+		Check: certificates.CheckPeer,
+	}
 	return client, client.Close
 }
 
@@ -26,3 +32,19 @@
 func entryLogger(console *console, settings *parser.Settings) zerolog.Logger {
 	return logger.New(console.err, string(parser.Entry), settings.Name)
 }
+
+func controlCertifier(settings *parser.Settings, log zerolog.Logger) (*certifier.Certifier, error) {
+	return newCertifier(settings, parser.Control, log)
+}
+
+func entryCertifier(settings *parser.Settings, log zerolog.Logger) (*certifier.Certifier, error) {
+	return newCertifier(settings, parser.Entry, log)
+}
+
+func newCertifier(settings *parser.Settings, role parser.Role, log zerolog.Logger) (*certifier.Certifier, error) {
+	certificates, err := certifier.New(settings, role, log)
+	if err != nil {
+		return nil, fmt.Errorf("load the certificates: %w", err)
+	}
+	return certificates, nil
+}
--- a/src/launcher/wire.go
+++ b/src/launcher/wire.go
@@ -13,12 +13,12 @@
 // shared provides what every process is built from.
 var shared = wire.NewSet(newMeter, newClient)
 
-func buildControl(console *console, settings *parser.Settings) (*control.Control, func()) {
-	wire.Build(shared, controlLogger, wire.Struct(new(control.Control), "Settings", "Log", "Meter", "Client"))
-	return nil, nil
+func buildControl(console *console, settings *parser.Settings) (*control.Control, func(), error) {
+	wire.Build(shared, controlLogger, controlCertifier, wire.Struct(new(control.Control), "Settings", "Log", "Meter", "Client", "Certificates"))
+	return nil, nil, nil
 }
 
-func buildEntry(console *console, settings *parser.Settings) (*entry.Entry, func()) {
-	wire.Build(shared, entryLogger, wire.Struct(new(entry.Entry), "Settings", "Log", "Meter", "Client"))
-	return nil, nil
+func buildEntry(console *console, settings *parser.Settings) (*entry.Entry, func(), error) {
+	wire.Build(shared, entryLogger, entryCertifier, wire.Struct(new(entry.Entry), "Settings", "Log", "Meter", "Client", "Certificates"))
+	return nil, nil, nil
 }
--- a/src/launcher/wire_gen.go
+++ b/src/launcher/wire_gen.go
@@ -15,36 +15,48 @@
 
 // Injectors from wire.go:
 
-func buildControl(console2 *console, settings *parser.Settings) (*control.Control, func()) {
+func buildControl(console2 *console, settings *parser.Settings) (*control.Control, func(), error) {
 	logger := controlLogger(console2, settings)
 	meter, cleanup := newMeter()
-	client, cleanup2 := newClient()
+	certifier, err := controlCertifier(settings, logger)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	client, cleanup2 := newClient(certifier)
 	controlControl := &control.Control{
-		Settings: settings,
-		Log:      logger,
-		Meter:    meter,
-		Client:   client,
+		Settings:     settings,
+		Log:          logger,
+		Meter:        meter,
+		Client:       client,
+		Certificates: certifier,
 	}
 	return controlControl, func() {
 		cleanup2()
 		cleanup()
-	}
+	}, nil
 }
 
-func buildEntry(console2 *console, settings *parser.Settings) (*entry.Entry, func()) {
+func buildEntry(console2 *console, settings *parser.Settings) (*entry.Entry, func(), error) {
 	logger := entryLogger(console2, settings)
 	meter, cleanup := newMeter()
-	client, cleanup2 := newClient()
+	certifier, err := entryCertifier(settings, logger)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	client, cleanup2 := newClient(certifier)
 	entryEntry := &entry.Entry{
-		Settings: settings,
-		Log:      logger,
-		Meter:    meter,
-		Client:   client,
+		Settings:     settings,
+		Log:          logger,
+		Meter:        meter,
+		Client:       client,
+		Certificates: certifier,
 	}
 	return entryEntry, func() {
 		cleanup2()
 		cleanup()
-	}
+	}, nil
 }
 
 // wire.go:
--- a/src/parser/settings.go
+++ b/src/parser/settings.go
@@ -98,10 +98,13 @@
 	checkName(d, "name", string(s.Name), false)
 	checkName(d, "data-centre", string(s.DataCentre), false)
 	d.checkListener("operators", s.Operators, s.InsecureLoopback)
+	d.checkAuthorities("operators", s.Operators)
 	d.checkListener("peers", s.Peers, s.InsecureLoopback)
+	d.checkAuthorities("peers", s.Peers)
 	if role == Entry {
 		d.checkListener("callers", s.Callers, s.InsecureLoopback)
 		d.checkListener("upstreams", s.Upstreams, s.InsecureLoopback)
+		d.checkAuthorities("upstreams", s.Upstreams)
 	}
 	if role == Control && s.DataFolder == "" {
 		d.report("data-folder", "", "a folder on a disk", "name the folder that control may write to")
@@ -130,6 +133,11 @@
 	if l.Certificate != "" && l.PrivateKey != "" {
 		return
 	}
+	if l.Certificate+l.PrivateKey+l.Authorities != "" {
+		d.report(at+".certificate", l.Certificate, "a certificate and its private key",
+			"name both files, or none on a loopback address with insecure-loopback")
+		return
+	}
 	address, err := netip.ParseAddrPort(l.Listen)
 	loopback := err == nil && address.Addr().IsLoopback()
 	if !insecureLoopback || !loopback {
@@ -137,3 +145,11 @@
 			"name both files, or set insecure-loopback on a loopback address")
 	}
 }
+
+// checkAuthorities wants the other end verified wherever a stranger could change something.
+func (d *document) checkAuthorities(at string, l Listener) {
+	if l.Certificate != "" && l.Authorities == "" {
+		d.report(at+".authorities", "", "the authorities that sign the other end's certificates",
+			"name the file with their certificates")
+	}
+}
--- /dev/null
+++ b/src/prover/certificates_test.go
@@ -0,0 +1,45 @@
+package prover
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosecroft/rosecroft/src/certifier"
+	"github.com/rosecroft/rosecroft/src/stager"
+)
+
+var quietLog = zerolog.Nop()
+
+func poolOf(t *testing.T, file string) *x509.CertPool {
+	t.Helper()
+	content, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(content)
+	return pool
+}
+
+// peerConfig returns the TLS configuration of a process with an identity of the stage's authority.
+func peerConfig(t *testing.T, stage *stager.Stage, role certifier.Role, name string) *tls.Config {
+	t.Helper()
+	files, err := stage.Issue(certifier.Identity{
+		Role: role,
+		Name: name,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	source := &certifier.Source{
+		Files: files,
+	}
+	if _, err := source.Load(); err != nil {
+		t.Fatal(err)
+	}
+	return source.Client(certifier.Control, certifier.Entry)
+}
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/stager"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -68,8 +69,17 @@
 // apply submits a configuration file and waits until it is in force everywhere.
 func apply(t *testing.T, stage *stager.Stage, file string) {
 	t.Helper()
-	command := exec.CommandContext(t.Context(), stage.Program, "apply", file,
-		"--control", stage.ControlURLs(), "--wait", awaitLimit.String())
+	flags, err := stage.Flags(certifier.Identity{
+		Role: certifier.Operator,
+		Name: "alice",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	arguments := append([]string{
+		"apply", file, "--control", stage.ControlURLs(), "--wait", awaitLimit.String(),
+	}, flags...)
+	command := exec.CommandContext(t.Context(), stage.Program, arguments...)
 	output, err := command.CombinedOutput()
 	if err != nil {
 		t.Fatalf("apply %s: %v: %s", file, err, output)
--- /dev/null
+++ b/src/stager/secure.go
@@ -0,0 +1,126 @@
+package stager
+
+import (
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/certifier"
+	"github.com/rosecroft/rosecroft/src/parser"
+)
+
+const (
+	certificateLifetime = 24 * time.Hour
+	loopback            = "127.0.0.1"
+	// operatorName is the operator whose certificate the stage's own requests show.
+	operatorName = "stage"
+)
+
+func baseURL(l parser.Listener) string {
+	if l.Certificate == "" {
+		return "http://" + l.Listen
+	}
+	return "https://" + l.Listen
+}
+
+func (s *Stage) scheme() string {
+	if s.Secured {
+		return "https://"
+	}
+	return "http://"
+}
+
+// secure gives a node its certificate unless it has one or the stage runs plain.
+func (s *Stage) secure(node *Node) error {
+	if !s.Secured || node.Settings.Peers.Certificate != "" {
+		return nil
+	}
+	files, err := s.Issue(certifier.Identity{
+		Role: certifier.Role(node.role),
+		Name: string(node.Settings.Name),
+	})
+	if err != nil {
+		return err
+	}
+	for _, listener := range []*parser.Listener{
+		&node.Settings.Peers, &node.Settings.Operators, &node.Settings.Upstreams, &node.Settings.Callers,
+	} {
+		address := listener.Listen
+		*listener = files
+		listener.Listen = address
+	}
+	// Callers show API keys and no certificates.
+	node.Settings.Callers.Authorities = ""
+	return nil
+}
+
+// Issue makes a certificate of the stage's authority.
+func (s *Stage) Issue(identity certifier.Identity) (parser.Listener, error) {
+	if s.authority == nil {
+		made := &certifier.Authority{
+			Folder:   filepath.Join(s.Folder, "certificates"),
+			Lifetime: certificateLifetime,
+		}
+		if err := made.Make(); err != nil {
+			return parser.Listener{}, fmt.Errorf("make the stage's authority: %w", err)
+		}
+		s.authority = made
+	}
+	return s.authority.Issue(identity, loopback)
+}
+
+// Flags returns the command line's flags that show a certificate, none for a plain stage.
+func (s *Stage) Flags(identity certifier.Identity) ([]string, error) {
+	if !s.Secured {
+		return nil, nil
+	}
+	files, err := s.Issue(identity)
+	if err != nil {
+		return nil, err
+	}
+	return flags(files), nil
+}
+
+func (s *Stage) upstreamFlags(name string) ([]string, error) {
+	return s.Flags(certifier.Identity{
+		Role: certifier.Upstream,
+		Name: name,
+	})
+}
+
+func flags(files parser.Listener) []string {
+	return []string{
+		"--certificate", files.Certificate, "--private-key", files.PrivateKey, "--authorities", files.Authorities,
+	}
+}
+
+// Client returns an HTTP client that an operator of the stage uses.
+func (s *Stage) Client() (*http.Client, error) {
+	return s.ClientOf(certifier.Identity{
+		Role: certifier.Operator,
+		Name: operatorName,
+	})
+}
+
+// ClientOf returns an HTTP client that shows the certificate of an identity.
+func (s *Stage) ClientOf(identity certifier.Identity) (*http.Client, error) {
+	if !s.Secured {
+		return http.DefaultClient, nil
+	}
+	files, err := s.Issue(identity)
+	if err != nil {
+		return nil, err
+	}
+	source := &certifier.Source{
+		Files: files,
+	}
+	if _, err := source.Load(); err != nil {
+		return nil, fmt.Errorf("load the stage's certificate: %w", err)
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: source.Client(certifier.Control, certifier.Entry, certifier.Upstream),
+		},
+	}, nil
+}
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -15,6 +15,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -38,10 +39,13 @@
 	Standin string
 	// Timing goes into every process's settings.
 	Timing parser.Timing
+	// Secured runs every process over TLS, with certificates made in Folder.
+	Secured bool
 
 	Controls []*Node
 	Entries  []*Node
 
+	authority *certifier.Authority
 	processes []*Process
 	portsMu   sync.Mutex
 	ports     map[int]bool
@@ -56,10 +60,10 @@
 }
 
 // OperatorURL returns the node's base URL for operators.
-func (n *Node) OperatorURL() string { return "http://" + n.Settings.Operators.Listen }
+func (n *Node) OperatorURL() string { return baseURL(n.Settings.Operators) }
 
 // CallerURL returns an entry's base URL for callers.
-func (n *Node) CallerURL() string { return "http://" + n.Settings.Callers.Listen }
+func (n *Node) CallerURL() string { return baseURL(n.Settings.Callers) }
 
 // Address returns a free loopback address.
 func (s *Stage) Address() string {
@@ -132,7 +136,10 @@
 	if node.Settings.Operators.Listen == "" {
 		node.Settings.Operators.Listen = s.Address()
 	}
-	node.Settings.InsecureLoopback = true
+	if err := s.secure(node); err != nil {
+		return err
+	}
+	node.Settings.InsecureLoopback = !s.Secured
 	node.Settings.Timing = s.Timing
 	node.path = filepath.Join(s.Folder, string(node.Settings.Name)+".yaml")
 	content, err := yaml.Marshal(node.Settings)
@@ -151,18 +158,23 @@
 	address := s.Address()
 	entries := make([]string, 0, len(s.Entries))
 	for _, entry := range s.Entries {
-		entries = append(entries, "http://"+entry.Settings.Upstreams.Listen)
+		entries = append(entries, baseURL(entry.Settings.Upstreams))
 	}
 	all := append([]string{
 		kind, "--name", name, "--listen", address, "--entries", strings.Join(entries, ","),
 	}, arguments...)
+	certificate, err := s.upstreamFlags(name)
+	if err != nil {
+		return nil, err
+	}
+	all = append(all, certificate...)
 	process, err := s.start(name, s.Standin, all...)
 	if err != nil {
 		return nil, err
 	}
 	return &Upstream{
 		Process: process,
-		URL:     "http://" + address,
+		URL:     s.scheme() + address,
 	}, nil
 }
 
@@ -177,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, entry := range s.Entries {
-		if err := awaitOK(ctx, entry.CallerURL()+"/readyz"); err != nil {
+		if err := s.awaitOK(ctx, entry.CallerURL()+"/readyz"); err != nil {
 			return fmt.Errorf("%s is not ready: %w; see its log in %s", entry.Settings.Name, err, s.Folder)
 		}
 	}
@@ -189,20 +201,24 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, node := range append(append([]*Node{}, s.Controls...), s.Entries...) {
-		if err := awaitOK(ctx, node.OperatorURL()+"/healthz"); err != nil {
+		if err := s.awaitOK(ctx, node.OperatorURL()+"/healthz"); err != nil {
 			return fmt.Errorf("%s does not answer: %w; see its log in %s", node.Settings.Name, err, s.Folder)
 		}
 	}
 	return nil
 }
 
-func awaitOK(ctx context.Context, url string) error {
+func (s *Stage) awaitOK(ctx context.Context, url string) error {
+	client, err := s.Client()
+	if err != nil {
+		return err
+	}
 	for {
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 		if err != nil {
 			return err
 		}
-		response, err := http.DefaultClient.Do(request)
+		response, err := client.Do(request)
 		if err == nil {
 			_ = response.Body.Close()
 		}
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
 )
 
@@ -25,6 +27,8 @@
 // Host runs one upstream: its HTTP server, its announcements and its leaving.
 type Host struct {
 	Listener net.Listener
+	// Source is the certificate to serve and announce with; nil for plain connections.
+	Source *certifier.Source
 	// Entries are the base URLs that take announcements.
 	Entries []string
 	// About is the announcement's constant part.
@@ -39,6 +43,7 @@
 	Notice time.Duration
 
 	sequence uint64
+	client   *http.Client
 }
 
 // Run serves until ctx ends, which is the platform's notice, and then until the notice has passed.
@@ -57,8 +62,18 @@
 		Handler:           container,
 		ReadHeaderTimeout: headerTimeout,
 	}
+	listener := h.Listener
+	h.client = http.DefaultClient
+	if h.Source != nil {
+		listener = tls.NewListener(listener, h.Source.Server(tls.RequireAndVerifyClientCert))
+		h.client = &http.Client{
+			Transport: &http.Transport{
+				TLSClientConfig: h.Source.Client(certifier.Entry),
+			},
+		}
+	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(h.Listener) }()
+	go func() { served <- server.Serve(listener) }()
 	h.announceUntil(ctx)
 	select {
 	case err := <-served:
@@ -102,11 +117,11 @@
 		return
 	}
 	for _, entry := range h.Entries {
-		send(ctx, entry, content)
+		h.send(ctx, entry, content)
 	}
 }
 
-func send(ctx context.Context, entry string, content []byte) {
+func (h *Host) send(ctx context.Context, entry string, content []byte) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/announcements", bytes.NewReader(content))
@@ -114,7 +129,7 @@
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := h.client.Do(request)
 	if err != nil {
 		return
 	}
