--- a/src/parser/settings_test.go
+++ b/src/parser/settings_test.go
@@ -41,7 +41,7 @@
 		},
 		"half a pair on loopback": {
 			document: plain + "peers: {listen: 127.0.0.1:5, certificate: c}\ninsecure-loopback: true\n",
-			want:     []string{"peers.certificate", "peers.authorities"},
+			want:     []string{"peers.authorities", "peers.certificate"},
 		},
 	}
 	for name, c := range cases {
