--- a/src/prover/tls_test.go
+++ b/src/prover/tls_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -93,6 +94,7 @@
 // address as any HTTPS client does. A call must still get its answer.
 func TestFleetServesOverTLS(t *testing.T) {
 	stage := startSecured(t, 3, 2)
+	apply(t, stage, nextVersion(t, "2"))
 	caller := callerOf(t, stage)
 	for _, entry := range stage.Entries {
 		await(t, "an answer over TLS", func() bool {
@@ -338,3 +340,18 @@
 		t.Errorf("error: got %v, want %q in it", err, want)
 	}
 }
+
+// nextVersion writes the example configuration under a higher version, changed by edits.
+func nextVersion(t *testing.T, version string, edits ...string) string {
+	t.Helper()
+	document, err := os.ReadFile(exampleFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	edits = append(edits, "version: 1", "version: "+version)
+	file := filepath.Join(t.TempDir(), "next.yaml")
+	if err := os.WriteFile(file, []byte(strings.NewReplacer(edits...).Replace(string(document))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
