--- a/src/prover/fleet_test.go
+++ b/src/prover/fleet_test.go
@@ -19,7 +19,7 @@
 func TestEntryViewFollowsDeathAndRestart(t *testing.T) {
 	stage := newStage(t)
 	startFleet(t, stage, 3, 3)
-	apply(t, stage)
+	apply(t, stage, "../../examples/hearthline.yaml")
 	await(t, "view with three entries at each", func() bool {
 		return viewInForce(t, stage, stage.Entries) == 3
 	})
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -18,9 +18,6 @@
 // awaitLimit bounds every wait for a state; no test asserts on speed.
 const awaitLimit = 30 * time.Second
 
-// example is the configuration that most tests run.
-const example = "../../examples/hearthline.yaml"
-
 // programs is the folder of the built programs.
 var programs string
 
@@ -69,8 +66,8 @@
 	}
 }
 
-// apply submits the example configuration and waits until it is in force everywhere.
-func apply(t *testing.T, stage *stager.Stage) {
+// apply submits a configuration file and waits until it is in force everywhere.
+func apply(t *testing.T, stage *stager.Stage, file string) {
 	t.Helper()
 	flags, err := stage.Flags(certifier.Identity{
 		Role: certifier.Operator,
@@ -80,12 +77,12 @@
 		t.Fatal(err)
 	}
 	arguments := append([]string{
-		"apply", example, "--control", stage.ControlURLs(), "--wait", awaitLimit.String(),
+		"apply", file, "--control", stage.ControlURLs(), "--wait", awaitLimit.String(),
 	}, flags...)
 	command := exec.CommandContext(t.Context(), stage.Program, arguments...)
 	output, err := command.CombinedOutput()
 	if err != nil {
-		t.Fatalf("apply %s: %v: %s", example, err, output)
+		t.Fatalf("apply %s: %v: %s", file, err, output)
 	}
 }
 
--- a/src/prover/path_test.go
+++ b/src/prover/path_test.go
@@ -17,7 +17,7 @@
 	if got, want := get(t.Context(), ready), http.StatusServiceUnavailable; got != want {
 		t.Errorf("status before a configuration: got %d, want %d", got, want)
 	}
-	apply(t, stage)
+	apply(t, stage, "../../examples/hearthline.yaml")
 	if got, want := get(t.Context(), ready), http.StatusOK; got != want {
 		t.Errorf("status with a configuration: got %d, want %d", got, want)
 	}
@@ -29,7 +29,7 @@
 func TestConfigurationSurvivesRestartOfAllControl(t *testing.T) {
 	stage := newStage(t)
 	startFleet(t, stage, 3, 1)
-	apply(t, stage)
+	apply(t, stage, "../../examples/hearthline.yaml")
 	for _, control := range stage.Controls {
 		control.Kill()
 	}
--- a/src/prover/tls_test.go
+++ b/src/prover/tls_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	exampleFile = example
+	exampleFile = "../../examples/hearthline.yaml"
 	exampleKey  = "Bearer strath-sweeps.example-secret"
 	modelBody   = `{"model":"ember-1","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`
 )
