--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -43,9 +43,10 @@
 	proposals map[uint64]chan<- submitReply
 	nextToken uint64
 	// pending holds the proposals that stand in the log and are not committed.
-	pending map[units.Index]pendingProposal
-	entries map[units.Instance]*entryState
-	role    replicator.RoleChanged
+	pending  map[units.Index]pendingProposal
+	entries  map[units.Instance]*entryState
+	role     replicator.RoleChanged
+	registry *registry
 }
 
 type pendingProposal struct {
@@ -65,17 +66,21 @@
 	configuration := &configurationMachine{
 		log: log,
 	}
+	registry := newRegistry(settings.Timing, log)
 	c := &coordinator{
 		settings:  settings,
 		log:       log,
 		keeper:    folder,
 		state:     configuration,
-		machines:  []machine{configuration},
+		machines:  []machine{configuration, registry},
+		duties:    []duty{registry},
+		hearers:   []hearer{registry},
 		box:       make(chan event, boxSize),
 		outbox:    out,
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
+		registry:  registry,
 	}
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -21,6 +21,7 @@
 	Members         []MemberDump   `yaml:"members"`
 	AcceptedVersion units.Version  `yaml:"accepted-version"`
 	Entries         []EntryDump    `yaml:"entries"`
+	View            ViewDump       `yaml:"view"`
 }
 
 // MemberDump is one voter or learner of the log.
@@ -51,6 +52,7 @@
 		SnapshotIndex:   c.node.SnapshotIndex(),
 		Membership:      c.node.Membership().GetNumber(),
 		AcceptedVersion: c.state.Version(),
+		View:            c.registry.dump(),
 	}
 	for _, member := range c.node.Membership().GetMembers() {
 		dump.Members = append(dump.Members, MemberDump{
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -10,12 +10,14 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/forwarder"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
+	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
@@ -37,8 +39,11 @@
 	Upstreams net.Listener
 	Operators net.Listener
 	Peers     net.Listener
+	// Certificates is nil only in tests.
+	Certificates *certifier.Certifier
 
 	snapshot    atomic.Pointer[indexer.Snapshot]
+	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
 	stopping    atomic.Bool
 }
@@ -55,6 +60,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
@@ -81,6 +87,9 @@
 	return nil
 }
 
+// View returns the newest entry view that control has committed, nil before the first.
+func (e *Entry) View() *messages.EntryView { return e.view.Load() }
+
 func (e *Entry) ready() bool {
 	return !e.stopping.Load() && e.snapshot.Load() != nil
 }
@@ -88,6 +97,7 @@
 func (e *Entry) callerServer() *server.Server {
 	return &server.Server{
 		Listener: e.Callers,
+		TLS:      e.Certificates.Callers(),
 		Log:      e.Log,
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
@@ -100,7 +110,7 @@
 				Snapshot: &e.snapshot,
 			},
 			Exchanger: &forwarder.Forwarder{
-				Client: forwarder.NewClient(),
+				Client: forwarder.NewSecureClient(e.Certificates.ToUpstreams()),
 			},
 		},
 		Ready: e.ready,
@@ -112,6 +122,7 @@
 func (e *Entry) peerServer() *connector.Server {
 	return &connector.Server{
 		Listener: e.Peers,
+		TLS:      e.Certificates.Peers(),
 	}
 }
 
@@ -121,12 +132,15 @@
 		client:      e.Client,
 		coordinator: e.coordinator,
 		incarnation: uint64(time.Now().UnixNano()),
+		view:        &e.view,
+		stopping:    &e.stopping,
 	}
 }
 
 func (e *Entry) receptionist() *receptionist {
 	return &receptionist{
 		listener:    e.Upstreams,
+		tls:         e.Certificates.Upstreams(),
 		coordinator: e.coordinator,
 	}
 }
@@ -134,6 +148,7 @@
 func (e *Entry) operatorServer() *inspector.Inspector {
 	return &inspector.Inspector{
 		Listener: e.Operators,
+		TLS:      e.Certificates.Operators(),
 		Dump:     e.dump,
 		Ready:    e.ready,
 		Metrics:  e.Meter.Handler,
@@ -145,6 +160,7 @@
 	e.coordinator.box <- dumped{reply: reply}
 	select {
 	case dump := <-reply:
+		dump.View = e.View().GetNumber()
 		return dump, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
