--- /dev/null
+++ b/src/prover/controldisk_test.go
@@ -0,0 +1,172 @@
+package prover
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/stager"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// logOf returns what a process has printed in all its lives.
+func logOf(t *testing.T, stage *stager.Stage, node *stager.Node) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join(stage.Folder, string(node.Settings.Name)+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+// awaitVoters waits until the leader counts three voters with these identities' instances and no learner.
+func awaitVoters(t *testing.T, nodes []*stager.Node, instances ...units.Instance) {
+	t.Helper()
+	await(t, "three voters on the instances wanted", func() bool {
+		dump := controlDump(t, leaderOf(t, nodes))
+		var found []units.Instance
+		for _, voter := range votersOf(dump) {
+			found = append(found, units.VoterID(voter).Instance())
+		}
+		slices.Sort(found)
+		return slices.Equal(found, instances) && len(dump.Members) == len(instances)
+	})
+}
+
+// A voter loses its disk and starts again. Its old identity must not count any
+// more, since what it acknowledged is gone; the instance joins as another voter.
+// Then a second instance is lost, and changes must still be accepted.
+func TestSecondLossAfterALostDisk(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 3, 0)
+	accept(t, stage.Controls, 1)
+	leader := leaderOf(t, stage.Controls)
+	rest := without(stage.Controls, leader)
+	before := controlDump(t, rest[0]).Voter
+	rest[0].Kill()
+	if err := os.RemoveAll(rest[0].Settings.DataFolder); err != nil {
+		t.Fatal(err)
+	}
+	accept(t, []*stager.Node{leader, rest[1]}, 2)
+	if err := stage.Start(rest[0]); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "instance votes under another identity", func() bool {
+		dump := controlDump(t, rest[0])
+		voters := votersOf(controlDump(t, leaderOf(t, stage.Controls)))
+		return dump.Voter != before && slices.Contains(voters, string(dump.Voter)) && len(voters) == 3
+	})
+	rest[1].Kill()
+	accept(t, without(stage.Controls, rest[1]), 3)
+}
+
+// A voter is gone for good and a spare instance stands by in another data centre.
+// The spare takes its place without anyone's help; then a second voter is lost,
+// and changes must still be accepted.
+func TestSpareReplacesALostVoter(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 4, 0)
+	accept(t, stage.Controls, 1)
+	awaitVoters(t, stage.Controls, "c1", "c2", "c3")
+	stage.Controls[0].Kill()
+	rest := stage.Controls[1:]
+	awaitVoters(t, rest, "c2", "c3", "c4")
+	accept(t, rest, 2)
+	stage.Controls[1].Kill()
+	accept(t, rest[1:], 3)
+}
+
+// Both other voters lose their disks while one keeps its own. Nothing may be
+// accepted: the two must not begin an empty log beside the survivor.
+func TestLostMajorityBeginsNoSecondLog(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 3, 0)
+	accept(t, stage.Controls, 1)
+	survivor := stage.Controls[2]
+	survivor.Kill()
+	for _, node := range stage.Controls[:2] {
+		node.Kill()
+		if err := os.RemoveAll(node.Settings.DataFolder); err != nil {
+			t.Fatal(err)
+		}
+		if err := stage.Start(node); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := stage.Start(survivor); err != nil {
+		t.Fatal(err)
+	}
+	content := document(t, 1, "of another operator")
+	never(t, "a submission answered", func() bool {
+		return slices.ContainsFunc(stage.Controls, func(node *stager.Node) bool {
+			return submit(t.Context(), node, content, "bob") != nil
+		})
+	})
+	for _, node := range stage.Controls[:2] {
+		if got := controlDump(t, node).Log; got != "" {
+			t.Errorf("log of %s: got %s, want none", node.Settings.Name, got)
+		}
+	}
+}
+
+// A disk is full, or a folder is a copy, another's or in use. The process says
+// so with the remedy and stops, and the other voters go on.
+func TestUnusableFolderStopsTheInstanceAlone(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 3, 0)
+	accept(t, stage.Controls, 1)
+	leader := leaderOf(t, stage.Controls)
+	rest := without(stage.Controls, leader)
+	full := rest[0]
+	if err := os.Symlink("/dev/full", filepath.Join(full.Settings.DataFolder, "state.next")); err != nil {
+		t.Fatal(err)
+	}
+	// The followers elect another leader, which needs a write of each of them.
+	leader.Signal(syscall.SIGSTOP)
+	await(t, "instance with the full disk ended", func() bool { return !full.Running() })
+	leader.Signal(syscall.SIGCONT)
+	if got, want := logOf(t, stage, full), "no space left on device; free or replace the disk"; !strings.Contains(got, want) {
+		t.Errorf("log of %s: got %s, want %q", full.Settings.Name, got, want)
+	}
+	accept(t, without(stage.Controls, full), 2)
+	checkRefused(t, stage, full, func(folder string) {
+		copyFolder(t, leader.Settings.DataFolder, folder)
+	}, "belongs to")
+	own := full.Settings.DataFolder
+	checkRefused(t, stage, full, func(folder string) {
+		copyFolder(t, own, folder)
+	}, "is a copy")
+	checkRefused(t, stage, full, func(folder string) {
+		if err := os.Symlink(leader.Settings.DataFolder, folder); err != nil {
+			t.Fatal(err)
+		}
+	}, "is in use by another process")
+	accept(t, without(stage.Controls, full), 3)
+}
+
+// checkRefused starts the instance on a folder that is prepared, and wants it to end with a reason.
+func checkRefused(t *testing.T, stage *stager.Stage, node *stager.Node, prepare func(folder string), reason string) {
+	t.Helper()
+	own := node.Settings.DataFolder
+	node.Settings.DataFolder = filepath.Join(t.TempDir(), "data")
+	prepare(node.Settings.DataFolder)
+	if err := stage.Start(node); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "refused instance ended", func() bool { return !node.Running() })
+	if got := logOf(t, stage, node); !strings.Contains(got, reason) {
+		t.Errorf("log of %s: got %s, want %q", node.Settings.Name, got, reason)
+	}
+	node.Settings.DataFolder = own
+}
+
+func copyFolder(t *testing.T, from, to string) {
+	t.Helper()
+	if output, err := exec.Command("cp", "-a", from, to).CombinedOutput(); err != nil {
+		t.Fatalf("copy %s: %v: %s", from, err, output)
+	}
+}
--- a/src/replicator/repair.go
+++ b/src/replicator/repair.go
@@ -240,7 +240,9 @@
 	// An instance that comes back under another identity has lost the disk of
 	// the old one, so that nothing is gained by waiting for it.
 	c.live = now.Sub(heard) <= n.options.Repair && !returned[id.Instance()]
-	c.current = p.transfer == nil && p.match >= n.commit
+	// From its promotion to the removal of the voter that it replaces, the loss of
+	// the newcomer would leave no majority; one that was not just heard waits.
+	c.current = p.transfer == nil && p.match >= n.commit && now.Sub(p.ackedAt) < n.options.Election/2
 	return c
 }
 
--- a/src/replicator/safety_test.go
+++ b/src/replicator/safety_test.go
@@ -28,6 +28,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		instances := rapid.SampledFrom([]int{3, 4, 5}).Draw(t, "instances")
 		chaos := &chaos{
+			draws:  t,
 			world:  newWorld(t, instances, 3),
 			voters: 3,
 		}
@@ -46,22 +47,23 @@
 // since nothing can be promised beyond that.
 type chaos struct {
 	*world
+	draws   *rapid.T
 	voters  int
 	version uint64
 }
 
 func (c *chaos) act() {
 	m := c.pick()
-	switch kind := rapid.IntRange(0, 99).Draw(c.t, "kind"); {
+	switch kind := rapid.IntRange(0, 99).Draw(c.draws, "kind"); {
 	case kind < 35:
-		c.tick(time.Duration(rapid.IntRange(1, 150).Draw(c.t, "ms")) * time.Millisecond)
+		c.tick(time.Duration(rapid.IntRange(1, 150).Draw(c.draws, "ms")) * time.Millisecond)
 		c.burst()
 	case kind < 43:
-		c.tick(time.Duration(rapid.IntRange(400, 1200).Draw(c.t, "ms")) * time.Millisecond)
-	case kind < 55:
+		c.tick(time.Duration(rapid.IntRange(400, 1200).Draw(c.draws, "ms")) * time.Millisecond)
+	case kind < 52:
 		c.pass()
 	case kind < 58:
-		c.calm(rapid.IntRange(1, 30).Draw(c.t, "calm"))
+		c.steady(rapid.IntRange(1, 100).Draw(c.draws, "steady"))
 	case kind < 68:
 		c.propose(m)
 	case kind < 75:
@@ -71,22 +73,39 @@
 	case kind < 91:
 		m.frozen = !m.frozen
 	case kind < 94:
-		other := rapid.SampledFrom(c.members).Draw(c.t, "other")
+		other := rapid.SampledFrom(c.members).Draw(c.draws, "other")
 		c.cut[[2]units.Instance{m.name, other.name}] = true
-		if rapid.Bool().Draw(c.t, "both") {
+		if rapid.Bool().Draw(c.draws, "both") {
 			c.cut[[2]units.Instance{other.name, m.name}] = true
 		}
-	case kind < 97:
+	case kind < 96:
 		clear(c.cut)
 	default:
 		c.replaceDisk(m)
 	}
 }
 
+// steady lets time pass without losses but for the cuts, while operators submit
+// to everyone who takes itself for a leader.
+func (c *chaos) steady(rounds int) {
+	for round := range rounds {
+		c.calm(1)
+		if round%8 > 0 {
+			continue
+		}
+		for _, m := range c.members {
+			if m.running() && m.isLeader {
+				c.version++
+				c.submit(m, c.version, "operator-1")
+			}
+		}
+	}
+}
+
 // pick draws a member, a leader as often as not: its faults matter most.
 func (c *chaos) pick() *member {
 	candidates := c.members
-	if rapid.Bool().Draw(c.t, "leading") {
+	if rapid.Bool().Draw(c.draws, "leading") {
 		var leading []*member
 		for _, m := range c.members {
 			if m.node != nil && m.isLeader {
@@ -97,13 +116,13 @@
 			candidates = leading
 		}
 	}
-	return rapid.SampledFrom(candidates).Draw(c.t, "member")
+	return rapid.SampledFrom(candidates).Draw(c.draws, "member")
 }
 
 func (c *chaos) restart() {
 	for _, m := range c.members {
-		if m.node == nil && rapid.IntRange(0, 2).Draw(c.t, "start") > 0 {
-			m.offset += time.Duration(rapid.IntRange(-5000, 5000).Draw(c.t, "jump")) * time.Millisecond
+		if m.node == nil && rapid.IntRange(0, 2).Draw(c.draws, "start") > 0 {
+			m.offset += time.Duration(rapid.IntRange(-5000, 5000).Draw(c.draws, "jump")) * time.Millisecond
 			m.start(c.voters)
 		}
 	}
@@ -111,9 +130,9 @@
 
 // burst delivers some of the messages in any order.
 func (c *chaos) burst() {
-	count := rapid.IntRange(0, len(c.bag)).Draw(c.t, "burst")
-	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(c.t, "order"), 0))
-	lost := rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(c.t, "lost")
+	count := rapid.IntRange(0, len(c.bag)).Draw(c.draws, "burst")
+	random := rand.New(rand.NewPCG(rapid.Uint64().Draw(c.draws, "order"), 0))
+	lost := rapid.SampledFrom([]int{0, 0, 10, 30}).Draw(c.draws, "lost")
 	for range count {
 		if len(c.bag) == 0 {
 			return
@@ -135,8 +154,8 @@
 	if len(c.bag) == 0 {
 		return
 	}
-	at := rapid.IntRange(0, len(c.bag)-1).Draw(c.t, "message")
-	switch kind := rapid.IntRange(0, 19).Draw(c.t, "fate"); {
+	at := rapid.IntRange(0, len(c.bag)-1).Draw(c.draws, "message")
+	switch kind := rapid.IntRange(0, 19).Draw(c.draws, "fate"); {
 	case kind < 14:
 		c.deliver(at)
 	case kind < 16:
@@ -146,7 +165,7 @@
 	default:
 		message := c.bag[at]
 		c.bag = slices.Delete(c.bag, at, at+1)
-		c.hand(message, rapid.IntRange(0, 3).Draw(c.t, "crash"))
+		c.hand(message, rapid.IntRange(0, 3).Draw(c.draws, "crash"))
 	}
 }
 
@@ -155,14 +174,15 @@
 	if !m.running() || !m.node.founded() {
 		return
 	}
-	if rapid.Bool().Draw(c.t, "new") {
+	if rapid.Bool().Draw(c.draws, "new") {
 		c.version++
 	}
-	operator := fmt.Sprintf("operator-%d", rapid.IntRange(1, 3).Draw(c.t, "operator"))
+	operator := fmt.Sprintf("operator-%d", rapid.IntRange(1, 3).Draw(c.draws, "operator"))
 	c.submit(m, max(1, c.version), operator)
 }
 
-// replaceDisk takes a disk where a majority of every membership that may count keeps its own.
+// replaceDisk takes a disk where a majority of every membership that may count
+// keeps its own; a learner may become a voter at any moment.
 func (c *chaos) replaceDisk(m *member) {
 	holders := make(map[units.VoterID]bool)
 	for _, other := range c.members {
@@ -176,13 +196,13 @@
 		}
 		for _, placed := range other.placed() {
 			kept := 0
-			voters := votersOf(placed.membership)
-			for _, voter := range voters {
-				if holders[voter] {
+			members := placed.membership.GetMembers()
+			for _, member := range members {
+				if holders[units.VoterID(member.GetId())] {
 					kept++
 				}
 			}
-			if kept <= len(voters)/2 {
+			if kept <= len(members)/2 {
 				return
 			}
 		}
--- a/src/replicator/world_test.go
+++ b/src/replicator/world_test.go
@@ -34,7 +34,7 @@
 
 // world holds several nodes, the messages between them and what was promised.
 type world struct {
-	t       *rapid.T
+	t       rapid.TB
 	now     time.Time
 	members []*member
 	bag     []*messages.LogMessage
@@ -74,7 +74,7 @@
 	submission *messages.Submission
 }
 
-func newWorld(t *rapid.T, instances, voters int) *world {
+func newWorld(t rapid.TB, instances, voters int) *world {
 	w := &world{
 		t:         t,
 		now:       time.Unix(1000, 0),
@@ -124,7 +124,7 @@
 		Repair:          testRepair,
 		SnapshotRecords: 8,
 		SnapshotBytes:   1 << 20,
-		Random:          rand.New(rand.NewPCG(uint64(len(m.name)), uint64(m.lives)+uint64(m.name[1]))),
+		Random:          rand.New(rand.NewPCG(uint64(m.name[1]), uint64(m.lives))),
 	}
 	for _, other := range m.world.members {
 		options.Instances = append(options.Instances, Place{
