Add experiments and count the traffic between processes

Change: measurer, cmd/measure, counters peer_bytes and peer_messages; the connector forgets a connection when its other end closes it, since the first message to a restarted process was lost on it. Found on the way: engines called straight took all calls for one, for want of the call header, and looked faster than they are; the load program sends one now.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 REVISION := $(shell git rev-parse --short HEAD 2>/dev/null || echo devel)
 LDFLAGS := -X main.version=$(VERSION) -X main.revision=$(REVISION)
 
-.PHONY: build test lint format generate demo failures
+.PHONY: build test lint format generate demo failures measure
 
 build:
 	go build -ldflags "$(LDFLAGS)" -o bin/rosecroft .
@@ -12,6 +12,7 @@
 	go build -o bin/demo ./src/cmd/demo
 	go build -o bin/load ./src/cmd/load
 	go build -o bin/failures ./src/cmd/failures
+	go build -o bin/measure ./src/cmd/measure
 
 test:
 	go test -race ./...
@@ -32,3 +33,6 @@
 SEED ?= 1
 failures: build
 	bin/failures --seed $(SEED)
+
+measure: build
+	bin/measure
--- a/src/connector/client.go
+++ b/src/connector/client.go
@@ -28,6 +28,8 @@
 	TLS *tls.Config
 	// Check refuses a server that is not the one expected at an address; it may be nil.
 	Check func(address string, state *tls.ConnectionState) error
+	// Traffic counts what goes over the client's connections; it may be nil.
+	Traffic *Traffic
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
@@ -104,29 +106,55 @@
 		c.conns = make(map[string]*jsonrpc2.Conn)
 	}
 	c.conns[address] = conn
+	go c.dropAtEnd(address, conn)
 	return conn, nil
 }
 
+// dropAtEnd forgets a connection that the other end has closed, so that the
+// next message to a restarted process is not lost on it.
+func (c *Client) dropAtEnd(address string, conn *jsonrpc2.Conn) {
+	<-conn.DisconnectNotify()
+	c.drop(address, conn)
+}
+
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dialer := &net.Dialer{}
-	if c.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", address)
-	}
-	secured := &tls.Dialer{
-		NetDialer: dialer,
-		Config:    c.TLS,
+	plain, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
 	}
-	conn, err := secured.DialContext(ctx, "tcp", address)
-	if err != nil || c.Check == nil {
-		return conn, err
+	plain = c.Traffic.count(plain)
+	if c.TLS == nil {
+		return plain, nil
 	}
-	state := conn.(*tls.Conn).ConnectionState()
-	if err := c.Check(address, &state); err != nil {
-		return nil, errors.Join(err, conn.Close())
+	secured, err := c.secure(ctx, address, plain)
+	if err != nil {
+		return nil, errors.Join(err, plain.Close())
 	}
-	return conn, nil
+	return secured, nil
+}
+
+// secure proves who is at the other end.
+func (c *Client) secure(ctx context.Context, address string, plain net.Conn) (net.Conn, error) {
+	config := c.TLS.Clone()
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		config.ServerName = host
+	}
+	secured := tls.Client(plain, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	if c.Check == nil {
+		return secured, nil
+	}
+	state := secured.ConnectionState()
+	return secured, c.Check(address, &state)
 }
 
 func (c *Client) dropUnlessAnswered(address string, conn *jsonrpc2.Conn, err error) {
--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -45,6 +45,8 @@
 	Listener net.Listener
 	// TLS is nil only where the settings allow plain loopback.
 	TLS *tls.Config
+	// Traffic counts what goes over the server's connections; it may be nil.
+	Traffic *Traffic
 	// Allowed narrows the roles that may call a method; any other method is
 	// open to control and entries.
 	Allowed map[Method][]certifier.Role
@@ -100,7 +102,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	peer, secured, err := s.secure(ctx, conn)
+	peer, secured, err := s.secure(ctx, s.Traffic.count(conn))
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/src/control/control.go
+++ b/src/control/control.go
@@ -61,6 +61,7 @@
 	server := &connector.Server{
 		Listener: c.Peers,
 		TLS:      c.Certificates.Peers(),
+		Traffic:  c.Client.Traffic,
 		Allowed: map[connector.Method][]certifier.Role{
 			MethodLog:       {certifier.Control},
 			MethodSubmit:    {certifier.Control},
--- a/src/deployer/deployment.go
+++ b/src/deployer/deployment.go
@@ -26,6 +26,7 @@
 	DataCentres   []units.DataCentre
 	Configuration string
 	Entries       int
+	Controls      int
 	Pools         []Pool
 	// Host and Keys are what callers send; a key for each client account.
 	Host string
@@ -73,6 +74,7 @@
 		DataCentres:   []units.DataCentre{"scot-central-a", "scot-central-b", "scot-central-c", "scot-central-d"},
 		Configuration: filepath.Join(root, "examples", "hearthline.yaml"),
 		Entries:       9,
+		Controls:      controls,
 		Pools: []Pool{
 			{
 				Service:   "ember-llm",
@@ -109,6 +111,7 @@
 		DataCentres:   []units.DataCentre{"talca-a", "talca-b", "curico", "linares"},
 		Configuration: filepath.Join(root, "examples", "cooperativa.yaml"),
 		Entries:       8,
+		Controls:      controls,
 		Pools: []Pool{
 			{
 				Service:   "redactor",
@@ -165,7 +168,7 @@
 		Stage:      stage,
 		Journals:   stage.Folder,
 	}
-	if err := stage.StartFleet(controls, d.Entries, d.DataCentres); err != nil {
+	if err := stage.StartFleet(d.Controls, d.Entries, d.DataCentres); err != nil {
 		return nil, err
 	}
 	for i := range d.Pools {
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -123,6 +123,7 @@
 	return &connector.Server{
 		Listener: e.Peers,
 		TLS:      e.Certificates.Peers(),
+		Traffic:  e.Client.Traffic,
 	}
 }
 
--- a/src/launcher/providers.go
+++ b/src/launcher/providers.go
@@ -17,10 +17,11 @@
 	return m, func() { _ = m.Close() }
 }
 
-func newClient(certificates *certifier.Certifier) (*connector.Client, func()) {
+func newClient(certificates *certifier.Certifier, metrics *meter.Meter) (*connector.Client, func()) {
 	client := &connector.Client{
-		TLS:   certificates.ToPeers(),
-		Check: certificates.CheckPeer,
+		TLS:     certificates.ToPeers(),
+		Check:   certificates.CheckPeer,
+		Traffic: connector.NewTraffic(metrics.Scope),
 	}
 	return client, client.Close
 }
--- a/src/launcher/wire_gen.go
+++ b/src/launcher/wire_gen.go
@@ -23,7 +23,7 @@
 		cleanup()
 		return nil, nil, err
 	}
-	client, cleanup2 := newClient(certifier)
+	client, cleanup2 := newClient(certifier, meter)
 	controlControl := &control.Control{
 		Settings:     settings,
 		Log:          logger,
@@ -45,7 +45,7 @@
 		cleanup()
 		return nil, nil, err
 	}
-	client, cleanup2 := newClient(certifier)
+	client, cleanup2 := newClient(certifier, meter)
 	entryEntry := &entry.Entry{
 		Settings:     settings,
 		Log:          logger,
--- a/src/loader/caller.go
+++ b/src/loader/caller.go
@@ -17,6 +17,8 @@
 // HeaderReference carries the load's own number of a call to the upstream's journal.
 const HeaderReference = "X-Reference"
 
+const headerCall = "Rosecroft-Call"
+
 const (
 	resendPause  = 50 * time.Millisecond
 	maxPause     = 2 * time.Second
@@ -105,6 +107,9 @@
 	request.Header.Set("Authorization", "Bearer "+c.workload.Key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderReference, c.outcome.Reference)
+	// An upstream that is called straight tells calls apart by this header; an
+	// entry replaces it.
+	request.Header.Set(headerCall, c.outcome.Reference)
 	if c.workload.Kind == Once {
 		request.Header["Idempotency-Key"] = []string{c.outcome.Key}
 		request.GetBody = nil
--- /dev/null
+++ b/src/measurer/control.go
@@ -0,0 +1,401 @@
+package measurer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosecroft/rosecroft/src/deployer"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/stager"
+)
+
+const (
+	changes          = 200
+	changesPause     = 25 * time.Millisecond
+	changeEntries    = 8
+	leaderLosses     = 5
+	histogramMost    = int64(time.Minute)
+	histogramDigits  = 3
+	inForceTimeout   = 30 * time.Second
+	inForcePoll      = 2 * time.Millisecond
+	submitTimeout    = 2 * time.Second
+	fewVoters        = 3
+	manyVoters       = 5
+	operatorType     = "application/yaml"
+	leaderLostPauses = 2 * time.Second
+)
+
+// operator submits changes over HTTP, as the command line does.
+type operator struct {
+	stage    *stager.Stage
+	document string
+	version  uint64
+}
+
+func newOperator(d *deployer.Deployment, stage *stager.Stage) (*operator, error) {
+	content, err := os.ReadFile(d.Configuration)
+	if err != nil {
+		return nil, fmt.Errorf("read the configuration: %w", err)
+	}
+	return &operator{
+		stage:    stage,
+		document: string(content),
+		version:  1,
+	}, nil
+}
+
+// change submits the next version until it is accepted, and returns how long that took.
+func (o *operator) change(ctx context.Context) (time.Duration, error) {
+	o.version++
+	document := strings.Replace(o.document, "version: 1", fmt.Sprintf("version: %d", o.version), 1)
+	began := time.Now()
+	for {
+		for _, control := range o.stage.Controls {
+			if control.Running() && put(ctx, control.OperatorURL(), document) {
+				return time.Since(began), nil
+			}
+		}
+		if time.Since(began) > inForceTimeout {
+			return 0, fmt.Errorf("version %d was not accepted within %s", o.version, inForceTimeout)
+		}
+		if err := ctx.Err(); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// awaitInForce returns once the status says that the version is in force everywhere.
+func (o *operator) awaitInForce(ctx context.Context) error {
+	began := time.Now()
+	for {
+		for _, control := range o.stage.Controls {
+			if control.Running() && o.everywhere(ctx, control.OperatorURL()) {
+				return nil
+			}
+		}
+		if time.Since(began) > inForceTimeout {
+			return fmt.Errorf("version %d was not in force within %s", o.version, inForceTimeout)
+		}
+		time.Sleep(inForcePoll)
+	}
+}
+
+func (o *operator) everywhere(ctx context.Context, url string) bool {
+	status := &messages.Status{}
+	content, ok := ask(ctx, http.MethodGet, url+"/v1/status", "")
+	if !ok || protojson.Unmarshal(content, status) != nil {
+		return false
+	}
+	return status.GetAcceptedVersion() >= o.version && status.GetEntries() > 0 && status.GetInForce() == status.GetEntries()
+}
+
+func put(ctx context.Context, url, document string) bool {
+	_, ok := ask(ctx, http.MethodPut, url+"/v1/configuration", document)
+	return ok
+}
+
+func ask(ctx context.Context, method, url, body string) ([]byte, bool) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, false
+	}
+	request.Header.Set("Content-Type", operatorType)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return content, err == nil && response.StatusCode == http.StatusOK
+}
+
+// Changes measures how soon a change is accepted and in force, and how soon
+// the next is after the leader is killed.
+func (b *Bench) Changes(ctx context.Context) (*Result, error) {
+	result := b.result("changes", fmt.Sprintf("Changes of configuration with %d entries on loopback: submit to accepted, and to in force everywhere as the status tells; a killed leader to the next accepted change.", changeEntries))
+	for _, voters := range []int{fewVoters, manyVoters} {
+		if err := b.changes(ctx, result, voters); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func (b *Bench) changes(ctx context.Context, result *Result, voters int) error {
+	stage, remove, err := b.stage()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	d := b.deployment("hearthline")
+	d.Entries = changeEntries
+	d.Controls = voters
+	d.Pools[0].Count = 1
+	d.Pools[1].Count = 1
+	if _, err := d.Start(ctx, stage); err != nil {
+		return err
+	}
+	o, err := newOperator(d, stage)
+	if err != nil {
+		return err
+	}
+	accepted := hdrhistogram.New(1, histogramMost, histogramDigits)
+	inForce := hdrhistogram.New(1, histogramMost, histogramDigits)
+	count := changes
+	if b.Quick {
+		count /= 4
+	}
+	for range count {
+		began := time.Now()
+		took, err := o.change(ctx)
+		if err != nil {
+			return err
+		}
+		_ = accepted.RecordValue(int64(took))
+		if err := o.awaitInForce(ctx); err != nil {
+			return err
+		}
+		_ = inForce.RecordValue(int64(time.Since(began)))
+		time.Sleep(changesPause)
+	}
+	name := fmt.Sprintf("%d voters: ", voters)
+	result.Add(name+"submit to accepted", quantiles(accepted), fmt.Sprintf("%d changes", count), "")
+	result.Add(name+"submit to in force", quantiles(inForce), fmt.Sprintf("%d changes", count), "p99 at most 1s")
+	return b.leaderLosses(ctx, result, name, o)
+}
+
+// leaderLosses kills the leader again and again and measures the time to the next accepted change.
+func (b *Bench) leaderLosses(ctx context.Context, result *Result, name string, o *operator) error {
+	gaps := hdrhistogram.New(1, histogramMost, histogramDigits)
+	for range leaderLosses {
+		leader, err := o.leader(ctx)
+		if err != nil {
+			return err
+		}
+		leader.Kill()
+		took, err := o.change(ctx)
+		if err != nil {
+			return err
+		}
+		_ = gaps.RecordValue(int64(took))
+		if err := o.stage.Start(leader); err != nil {
+			return err
+		}
+		if err := o.stage.AwaitHealthy(ctx); err != nil {
+			return err
+		}
+		time.Sleep(leaderLostPauses)
+	}
+	result.Add(name+"leader killed to next accepted change", fmt.Sprintf("p50 %s, max %s", short(at(gaps, 50)), short(time.Duration(gaps.Max()))),
+		fmt.Sprintf("%d kills", leaderLosses), "at most 2s")
+	return nil
+}
+
+// leader returns the control node that leads.
+func (o *operator) leader(ctx context.Context) (*stager.Node, error) {
+	began := time.Now()
+	for time.Since(began) < inForceTimeout {
+		for _, control := range o.stage.Controls {
+			content, ok := ask(ctx, http.MethodGet, control.OperatorURL()+"/v1/status", "")
+			status := &messages.Status{}
+			if !ok || protojson.Unmarshal(content, status) != nil {
+				continue
+			}
+			for _, node := range o.stage.Controls {
+				if string(node.Settings.Name) == status.GetLeader() && node.Running() {
+					return node, nil
+				}
+			}
+		}
+	}
+	return nil, fmt.Errorf("no leader within %s", inForceTimeout)
+}
+
+const (
+	slopeSpan   = 20 * time.Second
+	slopeSettle = 6 * time.Second
+	// busyChange is the pace that 9,200 changes a day amount to.
+	busyChange = 9 * time.Second
+	kilobyte   = 1000
+	megabyte   = 1000 * kilobyte
+)
+
+var slopeNodes = []int{8, 16, 32, 64}
+
+// slope is what control costs at one size of fleet.
+type slope struct {
+	nodes int
+	// The shares are of one core, entry for the mean of all entries.
+	entry, leader, follower       float64
+	entryMemory, leaderMemory     int64
+	entryBytes, leaderBytes       float64
+	entryMessages, leaderMessages float64
+}
+
+// Slopes measures what control costs a node and the leader as the fleet grows,
+// calm and at one change each nine seconds, without any calls.
+func (b *Bench) Slopes(ctx context.Context) (*Result, error) {
+	result := b.result("slopes", "What control costs while no calls are made: share of a core, resident memory and bytes a second, for the mean entry and for the control leader, at growing sizes of fleet. A change every 9 s is the pace of 9,200 a day.")
+	nodes := slopeNodes
+	if b.Quick {
+		nodes = nodes[:2]
+	}
+	var calm, busy []slope
+	for _, count := range nodes {
+		quiet, changing, err := b.slope(ctx, count)
+		if err != nil {
+			return nil, err
+		}
+		calm = append(calm, quiet)
+		busy = append(busy, changing)
+		addSlope(result, "calm", quiet)
+		addSlope(result, "a change every 9 s", changing)
+	}
+	result.Plots = []string{"slopes-processor.svg", "slopes-bytes.svg"}
+	return result, b.plotSlopes(calm, busy)
+}
+
+func addSlope(result *Result, name string, s slope) {
+	prefix := fmt.Sprintf("%d nodes, %s: ", s.nodes, name)
+	result.Add(prefix+"entry", fmt.Sprintf("%.2f%% of a core, %.1f MB resident, %.2f KB/s, %.1f messages/s",
+		100*s.entry, float64(s.entryMemory)/megabyte, s.entryBytes/kilobyte, s.entryMessages), "mean of the entries", "4.2%, 32 MB, 12 KB/s")
+	result.Add(prefix+"leader", fmt.Sprintf("%.2f%% of a core, %.1f MB resident, %.2f KB/s, %.1f messages/s",
+		100*s.leader, float64(s.leaderMemory)/megabyte, s.leaderBytes/kilobyte, s.leaderMessages), fmt.Sprintf("followers %.2f%% of a core", 100*s.follower), "")
+}
+
+func (b *Bench) slope(ctx context.Context, nodes int) (calm, busy slope, err error) {
+	stage, remove, err := b.stage()
+	if err != nil {
+		return calm, busy, err
+	}
+	defer remove()
+	d := b.deployment("hearthline")
+	d.Entries = nodes
+	d.Pools[0].Count = 1
+	d.Pools[1].Count = 1
+	if _, err := d.Start(ctx, stage); err != nil {
+		return calm, busy, err
+	}
+	o, err := newOperator(d, stage)
+	if err != nil {
+		return calm, busy, err
+	}
+	time.Sleep(slopeSettle)
+	calm, err = b.observe(ctx, o, func() error { return nil })
+	if err != nil {
+		return calm, busy, err
+	}
+	busy, err = b.observe(ctx, o, func() error {
+		_, err := o.change(ctx)
+		return err
+	})
+	calm.nodes = nodes
+	busy.nodes = nodes
+	return calm, busy, err
+}
+
+// observe samples every process over a span, with act called each nine seconds.
+func (b *Bench) observe(ctx context.Context, o *operator, act func() error) (slope, error) {
+	leader, err := o.leader(ctx)
+	if err != nil {
+		return slope{}, err
+	}
+	before, err := sample(ctx, o.stage)
+	if err != nil {
+		return slope{}, err
+	}
+	began := time.Now()
+	span := b.span(slopeSpan)
+	for time.Since(began) < span {
+		if err := act(); err != nil {
+			return slope{}, err
+		}
+		time.Sleep(min(busyChange, span-time.Since(began)))
+	}
+	after, err := sample(ctx, o.stage)
+	if err != nil {
+		return slope{}, err
+	}
+	return compare(o.stage, leader, before, after, time.Since(began)), nil
+}
+
+// sampled is one process's usage and traffic with the system's own processes.
+type sampled struct {
+	usage
+	bytes    float64
+	messages float64
+}
+
+func sample(ctx context.Context, stage *stager.Stage) (map[*stager.Node]sampled, error) {
+	samples := make(map[*stager.Node]sampled)
+	for _, node := range append(append([]*stager.Node{}, stage.Controls...), stage.Entries...) {
+		used, err := read(node.PID())
+		if err != nil {
+			return nil, err
+		}
+		content, _ := ask(ctx, http.MethodGet, node.OperatorURL()+"/metrics", "")
+		samples[node] = sampled{
+			usage:    used,
+			bytes:    counter(content, "rosecroft_peer_bytes"),
+			messages: counter(content, "rosecroft_peer_messages"),
+		}
+	}
+	return samples, nil
+}
+
+func compare(stage *stager.Stage, leader *stager.Node, before, after map[*stager.Node]sampled, span time.Duration) slope {
+	s := slope{}
+	for _, entry := range stage.Entries {
+		s.entry += share(before[entry], after[entry], span) / float64(len(stage.Entries))
+		s.entryMemory += after[entry].resident / int64(len(stage.Entries))
+		s.entryBytes += (after[entry].bytes - before[entry].bytes) / span.Seconds() / float64(len(stage.Entries))
+		s.entryMessages += (after[entry].messages - before[entry].messages) / span.Seconds() / float64(len(stage.Entries))
+	}
+	for _, control := range stage.Controls {
+		if control != leader {
+			s.follower = max(s.follower, share(before[control], after[control], span))
+		}
+	}
+	s.leader = share(before[leader], after[leader], span)
+	s.leaderMemory = after[leader].resident
+	s.leaderBytes = (after[leader].bytes - before[leader].bytes) / span.Seconds()
+	s.leaderMessages = (after[leader].messages - before[leader].messages) / span.Seconds()
+	return s
+}
+
+func share(before, after sampled, span time.Duration) float64 {
+	return (after.processor - before.processor).Seconds() / span.Seconds()
+}
+
+// plotSlopes draws processor share and bytes against the fleet's size.
+func (b *Bench) plotSlopes(calm, busy []slope) error {
+	folder := filepath.Join(b.Root, resultsFolder)
+	processor := []series{
+		curve("entry, calm", calm, func(s slope) float64 { return percent * s.entry }),
+		curve("entry, changing", busy, func(s slope) float64 { return percent * s.entry }),
+		curve("leader, calm", calm, func(s slope) float64 { return percent * s.leader }),
+		curve("leader, changing", busy, func(s slope) float64 { return percent * s.leader }),
+	}
+	if err := draw(filepath.Join(folder, "slopes-processor.svg"), "Control's share of a core", "entries", "% of a core", processor); err != nil {
+		return err
+	}
+	traffic := []series{
+		curve("entry, calm", calm, func(s slope) float64 { return s.entryBytes / kilobyte }),
+		curve("entry, changing", busy, func(s slope) float64 { return s.entryBytes / kilobyte }),
+		curve("leader, calm", calm, func(s slope) float64 { return s.leaderBytes / kilobyte }),
+		curve("leader, changing", busy, func(s slope) float64 { return s.leaderBytes / kilobyte }),
+	}
+	return draw(filepath.Join(folder, "slopes-bytes.svg"), "Control's traffic", "entries", "KB/s", traffic)
+}
--- /dev/null
+++ b/src/measurer/doc.go
@@ -0,0 +1,2 @@
+// Package measurer runs experiments on real processes and keeps their figures for docs/MEASUREMENTS.md.
+package measurer
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -80,7 +80,7 @@
 		return err
 	default:
 	}
-	h.Ledger.Journal.Write(LeavingBegan, "", "")
+	h.Ledger.Journal.Write(Line{Happening: LeavingBegan})
 	h.Leave()
 	h.announce(context.WithoutCancel(ctx), true)
 	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.Notice)
--- a/src/standin/journal.go
+++ b/src/standin/journal.go
@@ -20,6 +20,8 @@
 const (
 	// Started means that the upstream began to run a call.
 	Started Happening = "started"
+	// Recomputed means that tokens were computed again for a stream that went on.
+	Recomputed Happening = "recomputed"
 	// LeavingBegan means that the upstream got its notice.
 	LeavingBegan Happening = "leaving"
 )
@@ -32,6 +34,7 @@
 	Call      string    `json:"call,omitempty"`
 	// Reference is the caller's own number of the call.
 	Reference string `json:"reference,omitempty"`
+	Tokens    int    `json:"tokens,omitempty"`
 }
 
 // Journal appends what happens at an upstream to a file, which outlives the
@@ -55,18 +58,14 @@
 	}, nil
 }
 
-// Write appends a line; a nil journal takes none.
-func (j *Journal) Write(happening Happening, call, reference string) {
+// Write appends a line with its time and the upstream's name; a nil journal takes none.
+func (j *Journal) Write(line Line) {
 	if j == nil {
 		return
 	}
-	content, err := json.Marshal(&Line{
-		At:        time.Now(),
-		Upstream:  j.Upstream,
-		Happening: happening,
-		Call:      call,
-		Reference: reference,
-	})
+	line.At = time.Now()
+	line.Upstream = j.Upstream
+	content, err := json.Marshal(&line)
 	if err != nil {
 		return
 	}
--- a/src/standin/ledger.go
+++ b/src/standin/ledger.go
@@ -16,7 +16,11 @@
 
 // Ran counts one run of a call; reference is the caller's own number of it.
 func (l *Ledger) Ran(call, reference string) {
-	l.Journal.Write(Started, call, reference)
+	l.Journal.Write(Line{
+		Happening: Started,
+		Call:      call,
+		Reference: reference,
+	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.runs == nil {
--- a/src/wrecker/checker.go
+++ b/src/wrecker/checker.go
@@ -22,8 +22,13 @@
 	// runs holds when each caller's call began to run, and where.
 	runs    map[string][]standin.Line
 	leaving map[string]time.Time
+	// recomputed counts tokens that engines computed again.
+	recomputed int
 }
 
+// Recomputed returns how many tokens engines computed again for streams that went on.
+func (t *Truth) Recomputed() int { return t.recomputed }
+
 // ReadTruth reads every journal in a folder.
 func ReadTruth(folder string) (*Truth, error) {
 	truth := &Truth{
@@ -52,6 +57,8 @@
 		switch line.Happening {
 		case standin.Started:
 			t.runs[line.Reference] = append(t.runs[line.Reference], line)
+		case standin.Recomputed:
+			t.recomputed += line.Tokens
 		case standin.LeavingBegan:
 			t.leaving[line.Upstream] = line.At
 		}
