Resume streams on a new connection or engine and move them on notice

Cause: a connection that is cut or goes silent ended the attempt, so that an engine that still ran the call was left for another one, and a reclaimed engine cut its streams at the stop.

Change: watchdogs on header, first token and between tokens, set from the engine's announced step and prefill; when one fires, a new connection to the same engine under the same attempt, and a new pool, so that no other silent connection is used. Unstreamed model calls run upstream as streams where their fields allow it. The mover decides at a notice which streams finish, move with their KV cache or are recomputed. Callers who hang up cancel the upstream's work; calls that may not be repeated run on without their caller.

Ruled out: freezing a stream while its KV cache is exported; a copy of the prefix while it runs on costs only the tokens that came meanwhile.

--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -37,6 +37,10 @@
 	Step         time.Duration `help:"Time of one step." default:"2ms"`
 	Prefill      int           `help:"Prompt tokens computed in a step." default:"128"`
 	CacheBlocks  int           `help:"Blocks that the prefix cache holds." default:"512"`
+	KVBytes      int           `help:"Bytes of KV cache for each token." default:"4096"`
+	KVRate       int           `help:"Bytes of KV cache exported in a second; 0 exports none." default:"100000000"`
+	LoadLag      time.Duration `help:"Age of the load that is announced." default:"100ms"`
+	EventGaps    float64       `help:"Share of cache events that is never sent." default:"0.1"`
 }
 
 type plainCommand struct {
@@ -61,19 +65,22 @@
 func (c *engineCommand) Run(ctx context.Context) error {
 	engine := &standin.Engine{
 		Options: standin.EngineOptions{
-			Model:          c.Model,
-			ModelVersion:   c.ModelVersion,
-			Slots:          c.Slots,
-			Step:           c.Step,
-			PrefillPerStep: c.Prefill,
-			CacheBlocks:    c.CacheBlocks,
+			Model:            c.Model,
+			ModelVersion:     c.ModelVersion,
+			Slots:            c.Slots,
+			Step:             c.Step,
+			PrefillPerStep:   c.Prefill,
+			CacheBlocks:      c.CacheBlocks,
+			KVBytesPerToken:  c.KVBytes,
+			KVBytesPerSecond: c.KVRate,
 		},
 	}
 	server := &standin.ModelServer{
 		Engine: engine,
 		Ledger: &standin.Ledger{},
+		Faults: &standin.Faults{},
 	}
-	host, err := c.host(server.Ledger)
+	host, err := c.host(server.Ledger, server.Faults)
 	if err != nil {
 		return err
 	}
@@ -83,14 +90,16 @@
 	host.About.StepMs = float64(c.Step) / float64(time.Millisecond)
 	host.Services = server.Services()
 	host.Leave = func() { server.Leaving.Store(true) }
-	host.Load = func() *messages.Load {
-		running, queued, tokens := engine.Load()
-		return &messages.Load{
-			Running:      uint32(running),
-			Queued:       uint32(queued),
-			QueuedTokens: uint64(tokens),
-		}
+	host.About.PrefillPerStep = uint32(c.Prefill)
+	host.About.KvBytesPerToken = uint32(c.KVBytes)
+	host.About.KvBytesPerSecond = uint64(c.KVRate)
+	reporter := &standin.Reporter{
+		Engine: engine,
+		Lag:    c.LoadLag,
+		Gaps:   c.EventGaps,
 	}
+	host.Load = reporter.Load
+	host.CacheEvents = reporter.CacheEvents
 	go engine.Run(context.WithoutCancel(ctx))
 	return host.Run(ctx)
 }
@@ -99,9 +108,10 @@
 func (c *plainCommand) Run(ctx context.Context) error {
 	plain := &standin.Plain{
 		Ledger: &standin.Ledger{},
+		Faults: &standin.Faults{},
 		Work:   c.Work,
 	}
-	host, err := c.host(plain.Ledger)
+	host, err := c.host(plain.Ledger, plain.Faults)
 	if err != nil {
 		return err
 	}
@@ -110,7 +120,7 @@
 	return host.Run(ctx)
 }
 
-func (c *common) host(ledger *standin.Ledger) (*standin.Host, error) {
+func (c *common) host(ledger *standin.Ledger, faults *standin.Faults) (*standin.Host, error) {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free port", c.Listen, err)
@@ -119,6 +129,7 @@
 		Listener: listener,
 		Entries:  c.Entries,
 		Ledger:   ledger,
+		Faults:   faults,
 		Notice:   c.Notice,
 		About: &messages.Announcement{
 			Upstream:     c.Name,
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	maxAttempts = 4
-	retryAfter  = time.Second
+	// maxFruitless bounds the attempts that bring the caller nothing.
+	maxFruitless = 8
+	retryAfter   = time.Second
+	// resumeWait is how long a stream under way waits for an upstream to go on at.
+	resumeWait = 100 * time.Millisecond
 )
 
 // ResultKind is how one exchange with an upstream ended.
@@ -28,6 +31,10 @@
 	Lost
 	// CallerGone means that the caller takes no answer any more.
 	CallerGone
+	// Moved means that the stream goes on elsewhere, by plan.
+	Moved
+	// Broken means that the stream is lost and can go on nowhere.
+	Broken
 )
 
 // Result is the end of one exchange.
@@ -37,7 +44,9 @@
 	Answer *Answer
 	// RetryAfter is what a refusing upstream asked for.
 	RetryAfter time.Duration
-	Err        error
+	// Next is the upstream that a moved stream goes on at, nil for any.
+	Next *tracker.Upstream
+	Err  error
 }
 
 // Limiter admits calls.
@@ -70,12 +79,19 @@
 	Exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result
 }
 
+// Observer learns how each exchange ended.
+type Observer interface {
+	Observe(upstream *tracker.Upstream, result Result)
+}
+
 // Dispatcher runs calls; its fields are set before use.
 type Dispatcher struct {
 	Limiter   Limiter
 	Recorder  Recorder
 	Router    Router
 	Exchanger Exchanger
+	// Observer may be nil.
+	Observer Observer
 }
 
 // Do runs a call to its end. A *Refusal as its error is the call's final answer;
@@ -95,7 +111,15 @@
 	if earlier != nil {
 		return sink.Answer(earlier)
 	}
-	answer, err := d.attempts(ctx, call, &Stream{Sink: sink})
+	running := ctx
+	if !call.Repeatable {
+		// A charge that runs is not undone by a caller who hangs up; the answer
+		// is kept for the resend instead.
+		lasting, stop := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
+		defer stop()
+		running = lasting
+	}
+	answer, err := d.attempts(running, call, &Stream{Sink: sink})
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -105,45 +129,116 @@
 	return sink.Answer(answer)
 }
 
+// attempts holds what the attempts of one call have come to.
+type attempts struct {
+	tried []units.Upstream
+	// ran is whether an attempt may have run.
+	ran Executed
+	// wait is what the caller is told to wait for.
+	wait time.Duration
+	// next is the upstream that a planned move leads to.
+	next      *tracker.Upstream
+	fruitless int
+}
+
 func (d *Dispatcher) attempts(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
-	var tried []units.Upstream
-	// ran is whether an earlier attempt may have run.
-	ran := ExecutedNo
-	wait := retryAfter
-	for attempt := units.Attempt(1); attempt <= maxAttempts; attempt++ {
-		if ctx.Err() != nil {
-			return nil, deadlineRefusal(ran)
+	so := &attempts{
+		ran:  ExecutedNo,
+		wait: retryAfter,
+	}
+	for attempt := units.Attempt(1); so.fruitless < maxFruitless; attempt++ {
+		upstream, err := d.choose(ctx, call, stream, so)
+		if err != nil {
+			return nil, err
 		}
-		upstream := d.Router.Pick(call, tried)
 		if upstream == nil {
 			break
 		}
 		if err := d.Recorder.Dispatching(ctx, call, attempt, upstream.Name); err != nil {
 			return nil, err
 		}
+		before := stream.Offset()
 		result := d.exchange(ctx, call, attempt, upstream, stream)
-		switch result.Kind {
-		case Answered:
+		if result.Kind == Answered {
 			return result.Answer, nil
-		case CallerGone:
-			return nil, result.Err
-		case Lost:
-			ran = ExecutedUnknown
-			if !call.Repeatable {
-				return nil, lostRefusal()
-			}
-		case NotRun:
-			wait = max(wait, result.RetryAfter)
 		}
-		tried = append(tried, upstream.Name)
+		if err := so.take(ctx, call, upstream, result); err != nil {
+			return nil, err
+		}
+		so.fruitless++
+		if stream.Offset() > before || result.Kind == Moved {
+			so.fruitless = 0
+		}
+	}
+	return nil, noUpstreamRefusal(so.ran, so.wait)
+}
+
+// take notes how an attempt failed; an error ends the call.
+func (so *attempts) take(ctx context.Context, call *Call, upstream *tracker.Upstream, result Result) error {
+	so.next = nil
+	so.tried = append(so.tried, upstream.Name)
+	switch result.Kind {
+	case CallerGone:
+		return result.Err
+	case Broken:
+		return lostRefusal()
+	case Moved:
+		so.ran = ExecutedUnknown
+		so.next = result.Next
+	case NotRun:
+		so.wait = max(so.wait, result.RetryAfter)
+	case Lost:
+		so.ran = ExecutedUnknown
+		if !call.Repeatable {
+			return lostRefusal()
+		}
+	case Answered:
+	}
+	return so.ended(ctx)
+}
+
+func (so *attempts) ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ctx.Err()
+	}
+	if ctx.Err() != nil {
+		return deadlineRefusal(so.ran)
+	}
+	return nil
+}
+
+// choose returns the upstream for the next attempt, or nil for none. A stream
+// under way waits for one until the deadline, since its caller has half an answer.
+func (d *Dispatcher) choose(ctx context.Context, call *Call, stream *Stream, so *attempts) (*tracker.Upstream, error) {
+	if so.next != nil {
+		return so.next, nil
+	}
+	for {
+		if err := so.ended(ctx); err != nil {
+			return nil, err
+		}
+		upstream := d.Router.Pick(call, so.tried)
+		if upstream != nil || stream.Offset() == 0 {
+			return upstream, nil
+		}
+		so.tried = nil
+		timer := time.NewTimer(resumeWait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
 	}
-	return nil, noUpstreamRefusal(ran, wait)
 }
 
 func (d *Dispatcher) exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	upstream.Live.InFlight.Add(1)
 	defer upstream.Live.InFlight.Add(-1)
-	return d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
+	result := d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
+	if d.Observer != nil && ctx.Err() == nil {
+		d.Observer.Observe(upstream, result)
+	}
+	return result
 }
 
 func deadlineRefusal(ran Executed) *Refusal {
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -53,6 +53,8 @@
 	configuration *parser.Configuration
 	snapshot      *atomic.Pointer[indexer.Snapshot]
 	inForce       *atomic.Uint64
+	// departed is told of each upstream that leaves or is gone; it may be nil.
+	departed func(upstream *tracker.Upstream)
 }
 
 func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot]) *coordinator {
@@ -107,6 +109,9 @@
 				Str("upstream", string(a.Upstream.Name)).
 				Str("reason", a.Reason).
 				Msg("upstream-left")
+			if c.departed != nil {
+				c.departed(a.Upstream)
+			}
 		case tracker.Refused:
 			refused = a.Err
 		}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -12,14 +12,12 @@
 
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
-	"github.com/rosecroft/rosecroft/src/forwarder"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
-	"github.com/rosecroft/rosecroft/src/router"
 	"github.com/rosecroft/rosecroft/src/server"
 )
 
@@ -40,12 +38,15 @@
 
 	snapshot    atomic.Pointer[indexer.Snapshot]
 	coordinator *coordinator
+	traffic     *traffic
 	stopping    atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.traffic = newTraffic(e)
+	e.coordinator.departed = e.traffic.departed
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -56,6 +57,7 @@
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
+	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
 		return e.serveCallers(ctx, lasting)
@@ -96,12 +98,8 @@
 			Recorder: &recorder.Recorder{
 				KeepFor: keepFor,
 			},
-			Router: &router.Router{
-				Snapshot: &e.snapshot,
-			},
-			Exchanger: &forwarder.Forwarder{
-				Client: forwarder.NewClient(),
-			},
+			Router:    e.traffic.router,
+			Exchanger: e.traffic.forwarder,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -15,55 +13,56 @@
 )
 
 const (
-	doneMarker    = "[DONE]"
-	maxEventLine  = 1 << 20
-	readerBufSize = 4 << 10
+	doneMarker   = "[DONE]"
+	maxEventLine = 1 << 20
+	lineBuffer   = 2 << 10
 )
 
-var errCut = errors.New("the stream ended before its final marker")
-
-// chunk is the part of a stream's event that the entry checks.
-type chunk struct {
-	ID      string `json:"id"`
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-	} `json:"choices"`
-}
+var (
+	errCut     = errors.New("the stream ended before its final marker")
+	idField    = []byte("id: ")
+	dataField  = []byte("data: ")
+	eventField = []byte("event: ")
+)
 
 // passStream hands a stream's events on, each after a check, until its final marker.
-func (f *Forwarder) passStream(call *dispatcher.Call, response *http.Response, stream *dispatcher.Stream) dispatcher.Result {
+func (e *exchange) passStream(response *http.Response) dispatcher.Result {
 	version := units.ModelVersion(response.Header.Get(HeaderModelVersion))
-	same, err := stream.Begin(passHeaders(response.Header), version)
+	if e.plan.collected {
+		e.stream.Sink = discard{}
+	}
+	same, err := e.stream.Begin(passHeaders(response.Header), e.upstream, version)
 	if err != nil {
 		return callerGone(err)
 	}
 	if !same {
-		return lost(fmt.Errorf("the upstream serves version %q, the stream began with %q", version, stream.Version()))
+		return lost(fmt.Errorf("the upstream serves version %q, the stream began with %q", version, e.stream.Version()))
 	}
 	lines := bufio.NewScanner(response.Body)
-	lines.Buffer(make([]byte, 0, readerBufSize), maxEventLine)
+	lines.Buffer(make([]byte, 0, lineBuffer), maxEventLine)
+	reader := newEventReader(e.call.ID)
 	var offset units.Tokens
 	for lines.Scan() {
 		line := lines.Bytes()
-		if id, found := bytes.CutPrefix(line, []byte("id: ")); found {
-			number, err := strconv.ParseInt(string(id), 10, 64)
+		if id, found := bytes.CutPrefix(line, idField); found {
+			offset, err = parseOffset(id)
 			if err != nil {
-				return lost(fmt.Errorf("an event's id is no token offset: %w", err))
+				return lost(err)
 			}
-			offset = units.Tokens(number)
 			continue
 		}
-		data, found := bytes.CutPrefix(line, []byte("data: "))
+		// The upstream ends a stream that it cannot finish with an event of its own kind.
+		if bytes.HasPrefix(line, eventField) {
+			return lost(fmt.Errorf("the upstream ended the stream with %q", line))
+		}
+		data, found := bytes.CutPrefix(line, dataField)
 		if !found {
 			continue
 		}
 		if string(data) == doneMarker {
-			return endStream(stream)
+			return e.endStream()
 		}
-		if result, ok := passEvent(call, stream, offset, data); !ok {
+		if result, ok := e.passEvent(reader, offset, data); !ok {
 			return result
 		}
 	}
@@ -73,37 +72,43 @@
 	return lost(errCut)
 }
 
-func passEvent(call *dispatcher.Call, stream *dispatcher.Stream, offset units.Tokens, data []byte) (dispatcher.Result, bool) {
-	var event chunk
-	if err := json.Unmarshal(data, &event); err != nil {
-		return lost(fmt.Errorf("an event is not whole JSON: %w", err)), false
+func parseOffset(id []byte) (units.Tokens, error) {
+	number, err := strconv.ParseInt(string(id), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("an event's id is no token offset: %w", err)
 	}
-	if event.ID != string(call.ID) {
-		return lost(fmt.Errorf("an event belongs to call %q", event.ID)), false
+	return units.Tokens(number), nil
+}
+
+func (e *exchange) passEvent(reader *eventReader, offset units.Tokens, data []byte) (dispatcher.Result, bool) {
+	text, err := reader.read(data)
+	if err != nil {
+		return lost(err), false
 	}
-	var text []byte
-	for _, choice := range event.Choices {
-		text = append(text, choice.Text...)
-		text = append(text, choice.Delta.Content...)
+	// A token that is missing would leave a hole in the caller's answer, which
+	// no later event closes.
+	if offset > e.stream.Offset()+1 && !reader.several {
+		return lost(fmt.Errorf("token %d came after token %d", offset, e.stream.Offset())), false
 	}
-	if err := stream.Event(offset, data, text); err != nil {
+	reader.note(e.stream)
+	if err := e.stream.Event(offset, data, text); err != nil {
 		return callerGone(err), false
 	}
+	e.wait(false)
+	e.progress.Store(int64(e.stream.Offset()))
+	e.fed(e.limits.BetweenTokens)
 	return dispatcher.Result{}, true
 }
 
-func endStream(stream *dispatcher.Stream) dispatcher.Result {
-	if err := stream.Sink.End(); err != nil {
+// endStream ends the caller's stream, or puts the whole answer together.
+func (e *exchange) endStream() dispatcher.Result {
+	if e.plan.collected {
+		return e.collect()
+	}
+	if err := e.stream.Sink.End(); err != nil {
 		return callerGone(err)
 	}
 	return dispatcher.Result{
 		Kind: dispatcher.Answered,
 	}
 }
-
-func callerGone(err error) dispatcher.Result {
-	return dispatcher.Result{
-		Kind: dispatcher.CallerGone,
-		Err:  errors.Join(io.ErrClosedPipe, err),
-	}
-}
--- a/src/standin/cache.go
+++ b/src/standin/cache.go
@@ -1,8 +1,8 @@
 package standin
 
 import (
+	"container/list"
 	"encoding/binary"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -10,18 +10,24 @@
 const (
 	bytesPerToken = 4
 	blockBytes    = 256
+	// maxEvents bounds a message; what does not fit is a gap.
+	maxEvents = 512
 )
 
-// prefixCache holds the most recently used prompt blocks.
+// prefixCache holds the most recently used prompt blocks and what changed
+// since it was last asked.
 type prefixCache struct {
-	most   int
-	blocks []uint64
+	most    int
+	blocks  map[uint64]*list.Element
+	recent  list.List
+	added   []uint64
+	removed []uint64
 }
 
 // hit returns how many leading blocks are cached, and marks them as used.
 func (c *prefixCache) hit(blocks []uint64) int {
 	for i, block := range blocks {
-		if !slices.Contains(c.blocks, block) {
+		if c.blocks[block] == nil {
 			return i
 		}
 		c.touch(block)
@@ -36,13 +42,31 @@
 }
 
 func (c *prefixCache) touch(block uint64) {
-	if i := slices.Index(c.blocks, block); i >= 0 {
-		c.blocks = slices.Delete(c.blocks, i, i+1)
+	if c.blocks == nil {
+		c.blocks = make(map[uint64]*list.Element)
 	}
-	c.blocks = append(c.blocks, block)
-	if len(c.blocks) > c.most {
-		c.blocks = c.blocks[len(c.blocks)-c.most:]
+	if element := c.blocks[block]; element != nil {
+		c.recent.MoveToFront(element)
+		return
 	}
+	c.blocks[block] = c.recent.PushFront(block)
+	c.added = append(c.added, block)
+	if c.recent.Len() <= c.most {
+		return
+	}
+	oldest := c.recent.Back()
+	gone, _ := c.recent.Remove(oldest).(uint64)
+	delete(c.blocks, gone)
+	c.removed = append(c.removed, gone)
+}
+
+// changes returns what came and went since the last call, the latest at most.
+func (c *prefixCache) changes() (added, removed []uint64) {
+	added = c.added[max(0, len(c.added)-maxEvents):]
+	removed = c.removed[max(0, len(c.removed)-maxEvents):]
+	c.added = nil
+	c.removed = nil
+	return added, removed
 }
 
 // promptBlocks returns the chained hash of each whole block of a prompt.
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -1,15 +1,20 @@
 package standin
 
 import (
+	"cmp"
 	"context"
-	"fmt"
+	"errors"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
+// lingerFor is how long a sequence waits for a reader to come back, so that a
+// stream can go on over another connection.
+const lingerFor = time.Second
+
+var errEnded = errors.New("the sequence was cancelled")
+
 // EngineOptions describes one model engine.
 type EngineOptions struct {
 	Model        string
@@ -21,6 +26,9 @@
 	PrefillPerStep int
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int
+	// KVBytesPerToken and KVBytesPerSecond say what an export costs.
+	KVBytesPerToken  int
+	KVBytesPerSecond int
 }
 
 // Engine batches sequences continuously; one step gives each running one a token.
@@ -32,29 +40,31 @@
 	running   []*sequence
 	sequences map[string]*sequence
 	cache     prefixCache
-	// recomputed counts prompt tokens computed for a stream that went on here.
-	recomputed int
-	generated  int
+	imports   map[string]imported
+	// linkFree is when the link that exports KV cache is free again.
+	linkFree time.Time
+	work     Work
 }
 
-// sequence is one call's generation.
-type sequence struct {
-	call      string
-	seed      uint64
-	prefill   int
-	blocks    []uint64
-	offset    int
-	generated int
-	most      int
-	cancelled bool
-	// changed is closed and replaced whenever generated grows.
-	changed chan struct{}
+// Work counts what an engine computed, in tokens.
+type Work struct {
+	// Prefilled counts all prompt tokens computed, Recomputed those that had
+	// been computed before for the same call.
+	Prefilled  int `json:"prefilled"`
+	Recomputed int `json:"recomputed"`
+	Generated  int `json:"generated"`
+	Exported   int `json:"exported"`
+	Imported   int `json:"imported"`
+	Cancelled  int `json:"cancelled"`
 }
 
 // Prompt is what a sequence starts from.
 type Prompt struct {
-	Call string
-	Text string
+	Call     string
+	Attempt  int
+	Priority int
+	Seed     string
+	Text     string
 	// Continued is text generated elsewhere, of Offset tokens.
 	Continued string
 	Offset    int
@@ -64,8 +74,7 @@
 // Run steps until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	e.mu.Lock()
-	e.sequences = make(map[string]*sequence)
-	e.cache.most = e.Options.CacheBlocks
+	e.init()
 	e.mu.Unlock()
 	ticker := time.NewTicker(e.Options.Step)
 	defer ticker.Stop()
@@ -74,60 +83,109 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.step()
+			e.step(time.Now())
 		}
 	}
 }
 
-// Start queues a sequence, or returns the one that the call already has here.
-func (e *Engine) Start(prompt Prompt) *sequence {
+func (e *Engine) init() {
+	if e.sequences != nil {
+		return
+	}
+	e.sequences = make(map[string]*sequence)
+	e.imports = make(map[string]imported)
+	e.cache.most = e.Options.CacheBlocks
+}
+
+// Start queues a sequence, or returns the one that the call already has here;
+// begun says which.
+func (e *Engine) Start(prompt Prompt) (s *sequence, begun bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known := e.sequences[prompt.Call]; known != nil && !known.cancelled {
-		return known
-	}
-	blocks := promptBlocks(prompt.Text)
-	cached := e.cache.hit(blocks) * blockBytes
-	computed := max(0, len(prompt.Text)-cached) + len(prompt.Continued)
-	s := &sequence{
-		call:      prompt.Call,
-		seed:      xxhash.Sum64String(e.Options.ModelVersion + prompt.Text),
-		prefill:   computed / bytesPerToken,
-		blocks:    blocks,
-		offset:    prompt.Offset,
-		generated: prompt.Offset,
-		most:      prompt.Most,
-		changed:   make(chan struct{}),
+	e.init()
+	if known := e.sequences[prompt.Call]; known != nil && known.generated >= prompt.Offset {
+		known.readers++
+		return known, false
 	}
-	if prompt.Offset > 0 {
-		e.recomputed += s.prefill
+	s = newSequence(e.Options.ModelVersion, prompt)
+	cached := e.cache.hit(s.blocks) * blockBytes / bytesPerToken
+	held := max(cached, e.takeImport(prompt.Call))
+	s.prefill = max(0, s.context()-held)
+	e.work.Prefilled += s.prefill
+	if prompt.Offset > 0 || prompt.Attempt > 1 {
+		e.work.Recomputed += s.prefill
 	}
 	e.sequences[prompt.Call] = s
 	e.queue = append(e.queue, s)
-	return s
+	// Priority 0 goes first; equal priorities keep their order.
+	slices.SortStableFunc(e.queue, func(a, b *sequence) int { return cmp.Compare(a.priority, b.priority) })
+	return s, true
+}
+
+// Runs reports whether the call has a sequence here.
+func (e *Engine) Runs(call string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sequences[call] != nil
+}
+
+// Detach takes a reader away; a sequence without one is kept for a while.
+func (e *Engine) Detach(s *sequence, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.readers--
+	if s.readers == 0 {
+		s.orphanedAt = now
+	}
 }
 
-// Cancel ends a sequence whose reader is gone.
-func (e *Engine) Cancel(s *sequence) {
+// Cancel ends the call's sequence at once.
+func (e *Engine) Cancel(call string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if s := e.sequences[call]; s != nil {
+		e.end(s)
+	}
+}
+
+// end takes a sequence away; the lock is held.
+func (e *Engine) end(s *sequence) {
+	if !s.finished() {
+		e.work.Cancelled++
+	}
 	s.cancelled = true
+	s.wake()
 	delete(e.sequences, s.call)
 }
 
-// Load returns the counts of running and queued sequences and of queued prompt tokens.
+// Work returns what the engine computed so far.
+func (e *Engine) Work() Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.work
+}
+
+// Load returns the counts of running and queued sequences and of prompt tokens to compute.
 func (e *Engine) Load() (running, queued, tokens int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range e.queue {
 		tokens += s.prefill
 	}
+	for _, s := range e.running {
+		tokens += s.prefill
+	}
 	return len(e.running), len(e.queue), tokens
 }
 
-func (e *Engine) step() {
+func (e *Engine) step(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for _, s := range e.sequences {
+		if s.readers == 0 && now.Sub(s.orphanedAt) > lingerFor {
+			e.end(s)
+		}
+	}
 	e.queue = slices.DeleteFunc(e.queue, func(s *sequence) bool { return s.cancelled })
 	for len(e.running) < e.Options.Slots && len(e.queue) > 0 {
 		e.running = append(e.running, e.queue[0])
@@ -144,18 +202,20 @@
 		e.generate(s)
 	}
 	e.running = slices.DeleteFunc(e.running, func(s *sequence) bool {
-		return s.cancelled || s.generated >= s.most
+		return s.cancelled || s.finished()
 	})
 }
 
 func (e *Engine) generate(s *sequence) {
+	if s.cancelled || s.finished() {
+		return
+	}
 	if s.generated == s.offset {
 		e.cache.add(s.blocks)
 	}
 	s.generated++
-	e.generated++
-	close(s.changed)
-	s.changed = make(chan struct{})
+	e.work.Generated++
+	s.wake()
 }
 
 // wait blocks until the sequence has more than have tokens or is at its end.
@@ -163,10 +223,14 @@
 	for {
 		e.mu.Lock()
 		generated, changed := s.generated, s.changed
-		ended := s.generated >= s.most || s.cancelled
+		ended := s.finished()
+		cancelled := s.cancelled
 		e.mu.Unlock()
-		if generated > have || ended {
+		switch {
+		case generated > have || ended:
 			return generated, nil
+		case cancelled:
+			return generated, errEnded
 		}
 		select {
 		case <-changed:
@@ -175,9 +239,3 @@
 		}
 	}
 }
-
-// token returns the text of a sequence's token at an index from 0; equal
-// prompts and versions give equal tokens on every engine.
-func (s *sequence) token(index int) string {
-	return fmt.Sprintf("%03x ", xxhash.Sum64String(fmt.Sprintf("%x/%d", s.seed, index))&0xfff)
-}
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -3,10 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -20,6 +19,9 @@
 	announceEvery   = 200 * time.Millisecond
 	announceTimeout = 500 * time.Millisecond
 	headerTimeout   = 5 * time.Second
+	// idleTicks is how many announcements long a leaving upstream must have
+	// been idle to stop before its time.
+	idleTicks = 3
 )
 
 // Host runs one upstream: its HTTP server, its announcements and its leaving.
@@ -31,6 +33,9 @@
 	About    *messages.Announcement
 	Services []*restful.WebService
 	Ledger   *Ledger
+	Faults   *Faults
+	// CacheEvents returns what to tell entries of the prefix cache; it may be nil.
+	CacheEvents func() *messages.CacheEvents
 	// Load returns the load to announce; it may be nil.
 	Load func() *messages.Load
 	// Leave makes the upstream refuse new calls.
@@ -39,6 +44,8 @@
 	Notice time.Duration
 
 	sequence uint64
+	active   atomic.Int64
+	leavesAt time.Time
 }
 
 // Run serves until ctx ends, which is the platform's notice, and then until the notice has passed.
@@ -50,12 +57,19 @@
 		writeJSON(response, h.Ledger.Runs())
 	}))
 	container.Add(own)
+	control := new(restful.WebService)
+	control.Path("/faults")
+	control.Route(control.PUT("").To(h.Faults.set))
+	container.Add(control)
+	container.DoNotRecover(true)
+	container.Filter(h.count)
 	for _, service := range h.Services {
 		container.Add(service)
 	}
 	server := &http.Server{
 		Handler:           container,
 		ReadHeaderTimeout: headerTimeout,
+		ConnContext:       h.Faults.Number,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(h.Listener) }()
@@ -66,13 +80,35 @@
 	default:
 	}
 	h.Leave()
-	h.announce(context.WithoutCancel(ctx), true)
-	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.Notice)
+	h.leave(context.WithoutCancel(ctx))
+	return server.Close()
+}
+
+// leave serves on until the notice has passed or nothing runs here any more:
+// what runs is read, and its KV cache fetched, over new connections too.
+func (h *Host) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.Notice)
 	defer cancel()
-	if err := server.Shutdown(ending); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("stop serving: %w", err)
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for idle := 0; idle < idleTicks; idle++ {
+		h.announce(ctx, true)
+		if h.active.Load() > 0 {
+			idle = 0
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
 	}
-	return nil
+}
+
+// count counts the requests under way.
+func (h *Host) count(request *restful.Request, response *restful.Response, chain *restful.FilterChain) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	chain.ProcessFilter(request, response)
 }
 
 func (h *Host) announceUntil(ctx context.Context) {
@@ -93,7 +129,12 @@
 	next := proto.CloneOf(h.About)
 	next.Sequence = h.sequence
 	next.Leaving = leaving
-	next.LeavingWithinMs = h.Notice.Milliseconds()
+	if leaving && h.leavesAt.IsZero() {
+		h.leavesAt = time.Now().Add(h.Notice)
+	}
+	if leaving {
+		next.LeavingWithinMs = time.Until(h.leavesAt).Milliseconds()
+	}
 	if h.Load != nil {
 		next.Load = h.Load()
 	}
@@ -102,14 +143,34 @@
 		return
 	}
 	for _, entry := range h.Entries {
-		send(ctx, entry, content)
+		send(ctx, entry+"/v1/announcements", content)
+	}
+	h.tellCache(ctx)
+}
+
+func (h *Host) tellCache(ctx context.Context) {
+	if h.CacheEvents == nil {
+		return
+	}
+	events := h.CacheEvents()
+	if events == nil {
+		return
+	}
+	events.Upstream = h.About.GetUpstream()
+	events.Incarnation = h.About.GetIncarnation()
+	content, err := protojson.Marshal(events)
+	if err != nil {
+		return
+	}
+	for _, entry := range h.Entries {
+		send(ctx, entry+"/v1/cache-events", content)
 	}
 }
 
-func send(ctx context.Context, entry string, content []byte) {
+func send(ctx context.Context, url string, content []byte) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/announcements", bytes.NewReader(content))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(content))
 	if err != nil {
 		return
 	}
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -1,20 +1,26 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/emicklei/go-restful/v3"
+	"github.com/google/uuid"
 )
 
 // Headers of the upstream protocol, as docs/UPSTREAMS.md describes them.
 const (
 	headerCall         = "Rosecroft-Call"
+	headerAttempt      = "Rosecroft-Attempt"
+	headerPriority     = "Rosecroft-Priority"
 	headerExecuted     = "Rosecroft-Executed"
 	headerModelVersion = "Rosecroft-Model-Version"
 	headerLastEvent    = "Last-Event-ID"
@@ -24,22 +30,29 @@
 type ModelServer struct {
 	Engine *Engine
 	Ledger *Ledger
+	Faults *Faults
 	// Leaving makes the server refuse new calls.
 	Leaving atomic.Bool
 }
 
 type completionRequest struct {
-	Model        string `json:"model"`
-	Stream       bool   `json:"stream"`
-	MaxTokens    int    `json:"max_tokens"`
-	Prompt       string `json:"prompt"`
-	ContinueText string `json:"continue_text"`
-	Messages     []struct {
+	Model         string           `json:"model"`
+	Stream        bool             `json:"stream"`
+	StreamOptions streamOptions    `json:"stream_options"`
+	MaxTokens     int              `json:"max_tokens"`
+	Seed          *json.RawMessage `json:"seed"`
+	Prompt        string           `json:"prompt"`
+	ContinueText  string           `json:"continue_text"`
+	Messages      []struct {
 		Role    string `json:"role"`
 		Content string `json:"content"`
 	} `json:"messages"`
 }
 
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
 type completion struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
@@ -62,7 +75,9 @@
 }
 
 type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
 	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
 }
 
 const defaultMaxTokens = 256
@@ -73,21 +88,41 @@
 	service.Path("/v1")
 	service.Route(service.POST("/chat/completions").To(m.complete))
 	service.Route(service.POST("/completions").To(m.complete))
-	return []*restful.WebService{service}
+	service.Route(service.DELETE("/calls/{call}").To(m.cancel))
+	service.Route(service.GET("/kv/{call}").To(m.exportKV))
+	service.Route(service.POST("/kv").To(m.importKV))
+	work := new(restful.WebService)
+	work.Path("/work")
+	work.Route(work.GET("").To(func(_ *restful.Request, response *restful.Response) {
+		writeJSON(response, m.Engine.Work())
+	}))
+	return []*restful.WebService{service, work}
+}
+
+func (m *ModelServer) cancel(request *restful.Request, response *restful.Response) {
+	m.Engine.Cancel(request.PathParameter("call"))
+	response.WriteHeader(http.StatusNoContent)
 }
 
 func (m *ModelServer) complete(request *restful.Request, response *restful.Response) {
 	call := request.HeaderParameter(headerCall)
-	response.AddHeader(headerCall, call)
+	if call == "" {
+		call = uuid.NewString()
+	}
+	ctx := request.Request.Context()
+	body := &completionRequest{}
+	decoded := json.NewDecoder(request.Request.Body).Decode(body)
+	m.Faults.hush(ctx)
+	m.Faults.delay(ctx)
+	response.AddHeader(headerCall, m.Faults.answerID(call))
 	response.AddHeader(headerModelVersion, m.Engine.Options.ModelVersion)
-	if m.Leaving.Load() {
-		refuse(response, "this engine is leaving")
+	if m.Faults.Current().Refuse {
+		refuse(response, "this engine was told to refuse")
 		return
 	}
-	body := &completionRequest{}
-	if err := json.NewDecoder(request.Request.Body).Decode(body); err != nil {
+	if decoded != nil {
 		response.AddHeader(headerExecuted, "no")
-		http.Error(response, err.Error(), http.StatusBadRequest)
+		http.Error(response, decoded.Error(), http.StatusBadRequest)
 		return
 	}
 	prompt, err := m.prompt(request, call, body)
@@ -95,14 +130,22 @@
 		refuse(response, err.Error())
 		return
 	}
-	m.Ledger.Ran(call)
-	sequence := m.Engine.Start(prompt)
+	// A call that runs here already may be read again while the engine leaves.
+	if m.Leaving.Load() && !m.Engine.Runs(call) {
+		refuse(response, "this engine is leaving")
+		return
+	}
+	sequence, begun := m.Engine.Start(prompt)
+	defer func() { m.Engine.Detach(sequence, time.Now()) }()
+	if begun {
+		m.Ledger.Ran(call)
+	}
 	chat := strings.HasSuffix(request.Request.URL.Path, "/chat/completions")
 	if body.Stream {
-		m.stream(request, response, sequence, prompt.Offset, chat)
+		m.stream(ctx, response, sequence, prompt.Offset, chat, body.StreamOptions.IncludeUsage)
 		return
 	}
-	m.whole(request, response, sequence, chat)
+	m.whole(ctx, response, sequence, chat)
 }
 
 func (m *ModelServer) prompt(request *restful.Request, call string, body *completionRequest) (Prompt, error) {
@@ -112,10 +155,16 @@
 	}
 	prompt := Prompt{
 		Call:      call,
+		Seed:      strconv.FormatUint(rand.Uint64(), 16),
 		Text:      text,
 		Continued: body.ContinueText,
 		Most:      body.MaxTokens,
 	}
+	if body.Seed != nil {
+		prompt.Seed = string(*body.Seed)
+	}
+	prompt.Attempt, _ = strconv.Atoi(request.HeaderParameter(headerAttempt))
+	prompt.Priority, _ = strconv.Atoi(request.HeaderParameter(headerPriority))
 	if prompt.Most <= 0 {
 		prompt.Most = defaultMaxTokens
 	}
@@ -134,26 +183,49 @@
 	return prompt, nil
 }
 
-func (m *ModelServer) stream(request *restful.Request, response *restful.Response, s *sequence, have int, chat bool) {
+func (m *ModelServer) stream(ctx context.Context, response *restful.Response, s *sequence, have int, chat, withUsage bool) {
 	response.AddHeader("Content-Type", "text/event-stream")
 	response.WriteHeader(http.StatusOK)
-	ctx := request.Request.Context()
+	response.Flush()
+	began := have
 	for have < s.most {
 		generated, err := m.Engine.wait(ctx, s, have)
-		if err != nil || generated == have {
-			m.Engine.Cancel(s)
+		if err != nil {
 			return
 		}
 		for ; have < generated; have++ {
+			cut := m.Faults.Current().CutAfter
+			if cut > 0 && have-began >= cut {
+				return
+			}
 			content, _ := json.Marshal(m.chunk(s, have, chat))
+			m.Faults.hush(ctx)
 			_, _ = fmt.Fprintf(response, "id: %d\ndata: %s\n\n", have+1, content)
 		}
 		response.Flush()
 	}
+	if withUsage {
+		content, _ := json.Marshal(&completion{
+			ID:      m.Faults.answerID(s.call),
+			Object:  "chat.completion.chunk",
+			Model:   m.Engine.Options.Model,
+			Choices: []choice{},
+			Usage:   s.usage(),
+		})
+		_, _ = fmt.Fprintf(response, "id: %d\ndata: %s\n\n", have, content)
+	}
 	_, _ = fmt.Fprint(response, "data: [DONE]\n\n")
 	response.Flush()
 }
 
+func (s *sequence) usage() *usage {
+	return &usage{
+		PromptTokens:     s.prompt,
+		CompletionTokens: s.most,
+		TotalTokens:      s.prompt + s.most,
+	}
+}
+
 func (m *ModelServer) chunk(s *sequence, index int, chat bool) *completion {
 	part := choice{}
 	if chat {
@@ -167,18 +239,17 @@
 		part.FinishReason = finished()
 	}
 	return &completion{
-		ID:      s.call,
+		ID:      m.Faults.answerID(s.call),
 		Object:  "chat.completion.chunk",
 		Model:   m.Engine.Options.Model,
 		Choices: []choice{part},
 	}
 }
 
-func (m *ModelServer) whole(request *restful.Request, response *restful.Response, s *sequence, chat bool) {
+func (m *ModelServer) whole(ctx context.Context, response *restful.Response, s *sequence, chat bool) {
 	for have := 0; have < s.most; {
-		generated, err := m.Engine.wait(request.Request.Context(), s, have)
-		if err != nil || generated == have {
-			m.Engine.Cancel(s)
+		generated, err := m.Engine.wait(ctx, s, have)
+		if err != nil {
 			return
 		}
 		have = generated
@@ -198,14 +269,13 @@
 	} else {
 		part.Text = text.String()
 	}
+	m.Faults.hush(ctx)
 	writeJSON(response, &completion{
-		ID:      s.call,
+		ID:      m.Faults.answerID(s.call),
 		Object:  "chat.completion",
 		Model:   m.Engine.Options.Model,
 		Choices: []choice{part},
-		Usage: &usage{
-			CompletionTokens: s.most,
-		},
+		Usage:   s.usage(),
 	})
 }
 
--- a/src/standin/plain.go
+++ b/src/standin/plain.go
@@ -14,6 +14,7 @@
 // Plain is a plain service: an appointment diary that numbers what it books.
 type Plain struct {
 	Ledger *Ledger
+	Faults *Faults
 	// Work is how long a call takes.
 	Work time.Duration
 	// Leaving makes the service refuse new calls.
@@ -27,23 +28,33 @@
 func (p *Plain) Services() []*restful.WebService {
 	service := new(restful.WebService)
 	service.Path("/")
-	service.Route(service.GET("/bookings").To(p.guard(p.list)))
-	service.Route(service.POST("/bookings").To(p.guard(p.book)))
+	service.Filter(p.take)
+	service.Route(service.GET("/bookings").To(p.list))
+	service.Route(service.POST("/bookings").To(p.book))
 	return []*restful.WebService{service}
 }
 
-// guard refuses calls while the service leaves, and counts the others.
-func (p *Plain) guard(serve restful.RouteFunction) restful.RouteFunction {
-	return func(request *restful.Request, response *restful.Response) {
-		call := request.HeaderParameter(headerCall)
-		response.AddHeader(headerCall, call)
-		if p.Leaving.Load() {
-			refuse(response, "this service is leaving")
-			return
-		}
-		p.Ledger.Ran(call)
-		time.Sleep(p.Work)
-		serve(request, response)
+// take refuses calls while the service leaves, counts the others and carries out the faults.
+func (p *Plain) take(request *restful.Request, response *restful.Response, chain *restful.FilterChain) {
+	call := request.HeaderParameter(headerCall)
+	fault := p.Faults.Current()
+	response.AddHeader(headerCall, p.Faults.answerID(call))
+	if p.Leaving.Load() || fault.Refuse {
+		refuse(response, "this service takes no calls now")
+		return
+	}
+	p.Ledger.Ran(call)
+	time.Sleep(p.Work)
+	ctx := request.Request.Context()
+	p.Faults.hush(ctx)
+	p.Faults.delay(ctx)
+	switch {
+	case fault.Fail:
+		http.Error(response, "this service was told to fail", http.StatusInternalServerError)
+	case fault.Truncate:
+		truncate(response)
+	default:
+		chain.ProcessFilter(request, response)
 	}
 }
 
@@ -71,3 +82,11 @@
 		Content: content,
 	})
 }
+
+// truncate announces more than it sends and drops the connection.
+func truncate(response *restful.Response) {
+	response.AddHeader("Content-Length", "64")
+	_, _ = response.Write([]byte(`{"booking":`))
+	response.Flush()
+	panic(http.ErrAbortHandler)
+}
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -67,6 +67,7 @@
 
 	upstreams map[units.Upstream]*Upstream
 	gone      map[units.Upstream]tombstone
+	numbered  uint32
 }
 
 // tombstone keeps a late announcement from bringing an ended incarnation back.
@@ -130,6 +131,9 @@
 	}
 	if known != nil && known.Incarnation == next.Incarnation {
 		next.Live = known.Live
+	} else {
+		t.numbered++
+		next.Live.Number = t.numbered
 	}
 	t.upstreams[name] = next
 	actions := []Action{Changed{}}
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -27,7 +27,10 @@
 	Adapters     []string
 	Slots        int
 	Step         time.Duration
-	Load         Load
+	// PrefillPerStep is how many prompt tokens a step computes, 0 where unknown.
+	PrefillPerStep units.Tokens
+	KV             KV
+	Load           Load
 	// HeardAt is when the announcement arrived here.
 	HeardAt time.Time
 	// Live is shared by all announcements of one incarnation.
@@ -42,11 +45,23 @@
 	MeasuredAt   time.Time
 }
 
+// KV is what the export of an engine's KV cache costs; zeros mean that it exports none.
+type KV struct {
+	BytesPerToken  int64
+	BytesPerSecond int64
+}
+
 // Live counts what this entry has under way at an upstream; traffic changes it.
 type Live struct {
 	InFlight atomic.Int64
 	// Prefill counts prompt tokens sent and not yet answered by a first token.
 	Prefill atomic.Int64
+	// Number identifies the incarnation within this process, from 1.
+	Number uint32
+	// Since is when the incarnation was first heard of.
+	Since time.Time
+	// EjectedUntil is in nanoseconds of Unix time, 0 where it is not ejected.
+	EjectedUntil atomic.Int64
 }
 
 func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
@@ -73,7 +88,14 @@
 			QueuedTokens: units.Tokens(a.GetLoad().GetQueuedTokens()),
 			MeasuredAt:   now.Add(-time.Duration(a.GetLoad().GetAgeMs()) * time.Millisecond),
 		},
+		PrefillPerStep: units.Tokens(a.GetPrefillPerStep()),
+		KV: KV{
+			BytesPerToken:  int64(a.GetKvBytesPerToken()),
+			BytesPerSecond: int64(a.GetKvBytesPerSecond()),
+		},
 		HeardAt: now,
-		Live:    &Live{},
+		Live: &Live{
+			Since: now,
+		},
 	}
 }
--- /dev/null
+++ b/src/watcher/doc.go
@@ -0,0 +1,2 @@
+// Package watcher decides how long an upstream may be silent and notices when it is silent for longer.
+package watcher
