--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,7 +13,9 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/standin"
 )
 
@@ -27,6 +30,11 @@
 	Price      float64       `help:"Price per hour to announce." default:"1"`
 	OnDemand   bool          `help:"Announce an on-demand instance, which is not reclaimable."`
 	Notice     time.Duration `help:"Time between SIGTERM and the stop." default:"5s"`
+	Journal    string        `help:"File to which every run of a call is appended."`
+
+	Certificate string `help:"Certificate to announce with, in PEM." and:"tls"`
+	PrivateKey  string `help:"The certificate's private key, in PEM." and:"tls"`
+	Authorities string `help:"Certificates that verify the entries, in PEM." and:"tls"`
 }
 
 type engineCommand struct {
@@ -89,6 +97,13 @@
 	host.About.Slots = uint32(c.Slots)
 	host.About.StepMs = float64(c.Step) / float64(time.Millisecond)
 	host.Services = server.Services()
+	if host.Source != nil {
+		server.Client = &http.Client{
+			Transport: &http.Transport{
+				TLSClientConfig: host.Source.Client(certifier.Upstream),
+			},
+		}
+	}
 	host.Leave = func() { server.Leaving.Store(true) }
 	host.About.PrefillPerStep = uint32(c.Prefill)
 	host.About.KvBytesPerToken = uint32(c.KVBytes)
@@ -121,11 +136,27 @@
 }
 
 func (c *common) host(ledger *standin.Ledger, faults *standin.Faults) (*standin.Host, error) {
+	if c.Journal != "" {
+		journal, err := standin.OpenJournal(c.Journal, c.Name)
+		if err != nil {
+			return nil, err
+		}
+		ledger.Journal = journal
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free port", c.Listen, err)
 	}
+	source, err := c.source()
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http"
+	if source != nil {
+		scheme = "https"
+	}
 	return &standin.Host{
+		Source:   source,
 		Listener: listener,
 		Entries:  c.Entries,
 		Ledger:   ledger,
@@ -134,7 +165,7 @@
 		About: &messages.Announcement{
 			Upstream:     c.Name,
 			Service:      c.Service,
-			Address:      "http://" + listener.Addr().String(),
+			Address:      scheme + "://" + listener.Addr().String(),
 			DataCentre:   c.DataCentre,
 			MachineClass: c.Class,
 			Reclaimable:  !c.OnDemand,
@@ -143,3 +174,21 @@
 		},
 	}, nil
 }
+
+// source loads the certificate, or returns nil where none is named.
+func (c *common) source() (*certifier.Source, error) {
+	if c.Certificate == "" {
+		return nil, nil
+	}
+	source := &certifier.Source{
+		Files: parser.Listener{
+			Certificate: c.Certificate,
+			PrivateKey:  c.PrivateKey,
+			Authorities: c.Authorities,
+		},
+	}
+	if _, err := source.Load(); err != nil {
+		return nil, fmt.Errorf("load the certificate: %w", err)
+	}
+	return source, nil
+}
--- a/src/entry/traffic.go
+++ b/src/entry/traffic.go
@@ -14,7 +14,9 @@
 }
 
 func newTraffic(e *Entry) *traffic {
-	pools := &forwarder.Pools{}
+	pools := &forwarder.Pools{
+		TLS: e.Certificates.ToUpstreams(),
+	}
 	chooser := &router.Router{
 		Snapshot: &e.snapshot,
 	}
--- a/src/forwarder/pool.go
+++ b/src/forwarder/pool.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,9 @@
 
 // Pools holds the connections to upstreams, apart for each address.
 type Pools struct {
+	// TLS is for upstreams that serve over TLS, nil where none does.
+	TLS *tls.Config
+
 	mu    sync.Mutex
 	pools map[string]*http.Client
 }
@@ -36,7 +40,7 @@
 	if len(p.pools) >= maxPools {
 		p.evict()
 	}
-	client := newClient()
+	client := p.newClient()
 	p.pools[address] = client
 	return client
 }
@@ -65,7 +69,7 @@
 	}
 }
 
-func newClient() *http.Client {
+func (p *Pools) newClient() *http.Client {
 	dialer := &net.Dialer{
 		Timeout: watcher.Connect,
 	}
@@ -75,6 +79,8 @@
 			MaxIdleConnsPerHost: idlePerUpstream,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			TLSClientConfig:     p.TLS,
+			TLSHandshakeTimeout: watcher.Connect,
 			ReadBufferSize:      readerBuffer,
 			WriteBufferSize:     readerBuffer,
 		},
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
 )
 
@@ -27,6 +29,8 @@
 // Host runs one upstream: its HTTP server, its announcements and its leaving.
 type Host struct {
 	Listener net.Listener
+	// Source is the certificate to serve and announce with; nil for plain connections.
+	Source *certifier.Source
 	// Entries are the base URLs that take announcements.
 	Entries []string
 	// About is the announcement's constant part.
@@ -46,6 +50,7 @@
 	sequence uint64
 	active   atomic.Int64
 	leavesAt time.Time
+	client   *http.Client
 }
 
 // Run serves until ctx ends, which is the platform's notice, and then until the notice has passed.
@@ -71,14 +76,25 @@
 		ReadHeaderTimeout: headerTimeout,
 		ConnContext:       h.Faults.Number,
 	}
+	listener := h.Listener
+	h.client = http.DefaultClient
+	if h.Source != nil {
+		listener = tls.NewListener(listener, h.Source.Server(tls.RequireAndVerifyClientCert))
+		h.client = &http.Client{
+			Transport: &http.Transport{
+				TLSClientConfig: h.Source.Client(certifier.Entry),
+			},
+		}
+	}
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(h.Listener) }()
+	go func() { served <- server.Serve(listener) }()
 	h.announceUntil(ctx)
 	select {
 	case err := <-served:
 		return err
 	default:
 	}
+	h.Ledger.Journal.Write(LeavingBegan, "", "")
 	h.Leave()
 	h.leave(context.WithoutCancel(ctx))
 	return server.Close()
@@ -143,7 +159,7 @@
 		return
 	}
 	for _, entry := range h.Entries {
-		send(ctx, entry+"/v1/announcements", content)
+		h.send(ctx, entry+"/v1/announcements", content)
 	}
 	h.tellCache(ctx)
 }
@@ -163,11 +179,11 @@
 		return
 	}
 	for _, entry := range h.Entries {
-		send(ctx, entry+"/v1/cache-events", content)
+		h.send(ctx, entry+"/v1/cache-events", content)
 	}
 }
 
-func send(ctx context.Context, url string, content []byte) {
+func (h *Host) send(ctx context.Context, url string, content []byte) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(content))
@@ -175,7 +191,7 @@
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := h.client.Do(request)
 	if err != nil {
 		return
 	}
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -24,6 +24,8 @@
 	headerExecuted     = "Rosecroft-Executed"
 	headerModelVersion = "Rosecroft-Model-Version"
 	headerLastEvent    = "Last-Event-ID"
+	// headerReference is a caller's own header, which entries pass on.
+	headerReference = "X-Reference"
 )
 
 // ModelServer serves an engine over HTTP.
@@ -31,6 +33,8 @@
 	Engine *Engine
 	Ledger *Ledger
 	Faults *Faults
+	// Client reaches other engines; nil stands for the default one.
+	Client *http.Client
 	// Leaving makes the server refuse new calls.
 	Leaving atomic.Bool
 }
@@ -41,6 +45,7 @@
 	StreamOptions streamOptions    `json:"stream_options"`
 	MaxTokens     int              `json:"max_tokens"`
 	Seed          *json.RawMessage `json:"seed"`
+	Temperature   *float64         `json:"temperature"`
 	Prompt        string           `json:"prompt"`
 	ContinueText  string           `json:"continue_text"`
 	Messages      []struct {
@@ -138,7 +143,7 @@
 	sequence, begun := m.Engine.Start(prompt)
 	defer func() { m.Engine.Detach(sequence, time.Now()) }()
 	if begun {
-		m.Ledger.Ran(call)
+		m.Ledger.Ran(call, request.HeaderParameter(headerReference))
 	}
 	chat := strings.HasSuffix(request.Request.URL.Path, "/chat/completions")
 	if body.Stream {
@@ -163,6 +168,10 @@
 	if body.Seed != nil {
 		prompt.Seed = string(*body.Seed)
 	}
+	// At temperature 0 nothing is drawn, so that no seed counts.
+	if body.Temperature != nil && *body.Temperature == 0 {
+		prompt.Seed = ""
+	}
 	prompt.Attempt, _ = strconv.Atoi(request.HeaderParameter(headerAttempt))
 	prompt.Priority, _ = strconv.Atoi(request.HeaderParameter(headerPriority))
 	if prompt.Most <= 0 {
--- a/src/standin/plain.go
+++ b/src/standin/plain.go
@@ -43,7 +43,7 @@
 		refuse(response, "this service takes no calls now")
 		return
 	}
-	p.Ledger.Ran(call)
+	p.Ledger.Ran(call, request.HeaderParameter(headerReference))
 	time.Sleep(p.Work)
 	ctx := request.Request.Context()
 	p.Faults.hush(ctx)
--- a/src/standin/sequence.go
+++ b/src/standin/sequence.go
@@ -30,7 +30,7 @@
 func newSequence(version string, prompt Prompt) *sequence {
 	return &sequence{
 		call:      prompt.Call,
-		seed:      xxhash.Sum64String(version + "\n" + prompt.Seed + "\n" + prompt.Text),
+		seed:      xxhash.Sum64String(version + prompt.Text + prompt.Seed),
 		priority:  prompt.Priority,
 		blocks:    promptBlocks(prompt.Text),
 		prompt:    len(prompt.Text) / bytesPerToken,
--- a/src/standin/transfer.go
+++ b/src/standin/transfer.go
@@ -119,7 +119,7 @@
 		http.Error(response, err.Error(), http.StatusBadRequest)
 		return
 	}
-	tokens, err := fetchKV(request.Request.Context(), order)
+	tokens, err := m.fetchKV(request.Request.Context(), order)
 	if err != nil {
 		http.Error(response, err.Error(), http.StatusBadGateway)
 		return
@@ -132,14 +132,18 @@
 	})
 }
 
-func fetchKV(ctx context.Context, order *importRequest) (int, error) {
+func (m *ModelServer) fetchKV(ctx context.Context, order *importRequest) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, importTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, order.Source+"/v1/kv/"+order.Call, bytes.NewReader(nil))
 	if err != nil {
 		return 0, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := m.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, fmt.Errorf("reach the exporting engine: %w", err)
 	}
