--- a/src/wrecker/checker.go
+++ b/src/wrecker/checker.go
@@ -131,7 +131,7 @@
 		if outcome.Kind != loader.Stream || outcome.Result != loader.Answered {
 			continue
 		}
-		if want := standin.Text(modelVersion, outcome.Prompt, outcome.Tokens); string(outcome.Answer) != want {
+		if want := standin.Text(modelVersion, outcome.Prompt, outcome.Seed, outcome.Tokens); string(outcome.Answer) != want {
 			v.fault(outcome, "the stream's text is not the one that its prompt gives")
 		}
 	}
