Distribute the configuration by relays and fence entries that cannot learn of it

Cause: each entry polled the leader, an entry that was cut off served an old version for ever, and a status counted entries by their silence. Change: package distributor: updates as differences, a tree of relays from the entry view (16 entries to a relay), pushes with the heartbeats as the safety net, a lease to serve that control or a majority of the view renews and nobody who knows something newer, and a proof that says when an entry without the version must have stopped, from what a majority of every view it may hold has. Entries ask peers only once control has been away for a third of the fence. The status counts entries with the version or proved to have stopped and names the others with a reason. Ruled out: counting an entry as fenced after a silence: three of five entries that see each other would serve on while the operator is told that it is over; the property test also found an entry that counted its own earlier life. A relay now speaks for its children's heartbeats; it is an entry by its certificate, and the children's leases count from its own contact.

--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/keeper"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -34,19 +35,21 @@
 	node     *replicator.Node
 	state    *configurationMachine
 	// machines hold the replicated state; each command goes to all of them.
-	machines  []machine
-	duties    []duty
-	hearers   []hearer
-	led       bool
+	machines []machine
+	duties   []duty
+	hearers  []hearer
+	led      bool
+	// ctx ends what the coordinator sends on its own account.
+	ctx       context.Context
 	box       chan event
 	outbox    *outbox
 	proposals map[uint64]chan<- submitReply
 	nextToken uint64
 	// pending holds the proposals that stand in the log and are not committed.
-	pending  map[units.Index]pendingProposal
-	entries  map[units.Instance]*entryState
-	role     replicator.RoleChanged
-	registry *registry
+	pending      map[units.Index]pendingProposal
+	distribution *distribution
+	role         replicator.RoleChanged
+	registry     *registry
 }
 
 type pendingProposal struct {
@@ -54,12 +57,6 @@
 	reply chan<- submitReply
 }
 
-// entryState is what the leader last heard of an entry.
-type entryState struct {
-	heartbeat *messages.EntryHeartbeat
-	at        time.Time
-}
-
 func newCoordinator(settings *parser.Settings, log zerolog.Logger, folder *keeper.Keeper,
 	kept *keeper.Kept, out *outbox,
 ) (*coordinator, error) {
@@ -67,20 +64,30 @@
 		log: log,
 	}
 	registry := newRegistry(settings.Timing, log)
+	places := &distribution{
+		state: configuration,
+		pusher: &distributor.Pusher{
+			Client: out.client,
+		},
+		proof: distributor.Proof{
+			Fence: settings.Timing.Fence,
+		},
+		entries: make(map[units.Instance]*entryState),
+	}
 	c := &coordinator{
-		settings:  settings,
-		log:       log,
-		keeper:    folder,
-		state:     configuration,
-		machines:  []machine{configuration, registry},
-		duties:    []duty{registry},
-		hearers:   []hearer{registry},
-		box:       make(chan event, boxSize),
-		outbox:    out,
-		proposals: make(map[uint64]chan<- submitReply),
-		pending:   make(map[units.Index]pendingProposal),
-		entries:   make(map[units.Instance]*entryState),
-		registry:  registry,
+		settings:     settings,
+		log:          log,
+		keeper:       folder,
+		state:        configuration,
+		machines:     []machine{configuration, registry, places},
+		duties:       []duty{registry, places},
+		hearers:      []hearer{registry},
+		box:          make(chan event, boxSize),
+		outbox:       out,
+		proposals:    make(map[uint64]chan<- submitReply),
+		pending:      make(map[units.Index]pendingProposal),
+		distribution: places,
+		registry:     registry,
 	}
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
@@ -118,6 +125,7 @@
 
 // run takes events until ctx ends or the disk fails.
 func (c *coordinator) run(ctx context.Context) error {
+	c.ctx = ctx
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -286,6 +294,11 @@
 		}
 		proposal.reply <- submitReply{result: result}
 	}
+	before := c.distribution.source.Version()
+	c.distribution.refresh()
+	if c.led && c.distribution.source.Version() > before {
+		c.distribution.push(c.ctx, time.Now())
+	}
 }
 
 func (c *coordinator) applyCommand(index units.Index, command *messages.Command) proto.Message {
@@ -299,29 +312,38 @@
 }
 
 func (c *coordinator) hear(heartbeat *messages.EntryHeartbeat) *messages.EntryHeartbeatResponse {
+	now := time.Now()
 	response := &messages.EntryHeartbeatResponse{
 		LeaderAddress: addressOf(c.settings, c.node.LeaderID()),
 	}
-	if !c.node.Lead(time.Now()) {
+	if !c.node.Lead(now) {
 		return response
 	}
-	c.entries[units.Instance(heartbeat.GetEntry())] = &entryState{
-		heartbeat: heartbeat,
-		at:        time.Now(),
-	}
 	response.IsLeader = true
 	response.AcceptedVersion = uint64(c.state.Version())
-	if heartbeat.GetVersionInForce() < response.GetAcceptedVersion() {
-		response.Document = c.state.Document()
+	response.Update = c.distribution.source.Update(units.Version(heartbeat.GetVersionInForce()))
+	c.note(now, heartbeat, response)
+	for _, relayed := range heartbeat.GetRelayed() {
+		c.note(now, relayed, nil)
+	}
+	return response
+}
+
+// note takes one entry's heartbeat; a relay gives the entry the rest itself, so
+// that response is nil for one that it brought.
+func (c *coordinator) note(now time.Time, heartbeat *messages.EntryHeartbeat, response *messages.EntryHeartbeatResponse) {
+	c.distribution.note(now, heartbeat, response != nil)
+	if response == nil {
+		response = &messages.EntryHeartbeatResponse{}
 	}
 	for _, h := range c.hearers {
-		h.Hear(time.Now(), heartbeat, response)
+		h.Hear(now, heartbeat, response)
 	}
-	return response
 }
 
 func (c *coordinator) status() statusReply {
-	if !c.node.Lead(time.Now()) {
+	now := time.Now()
+	if !c.node.Lead(now) {
 		return statusReply{err: &NotLeaderError{Leader: c.node.LeaderID()}}
 	}
 	status := &messages.Status{
@@ -329,27 +351,6 @@
 		Term:            uint64(c.node.Term()),
 		AcceptedVersion: uint64(c.state.Version()),
 	}
-	for name, entry := range c.entries {
-		silence := time.Since(entry.at)
-		if silence > goneAfter*c.settings.Timing.Fence {
-			delete(c.entries, name)
-			continue
-		}
-		status.Entries++
-		if entry.heartbeat.GetVersionInForce() == status.GetAcceptedVersion() && silence < c.settings.Timing.Fence {
-			status.InForce++
-			continue
-		}
-		status.Missing = append(status.Missing, missing(entry, silence))
-	}
+	c.distribution.report(now, status)
 	return statusReply{status: status}
 }
-
-func missing(entry *entryState, silence time.Duration) *messages.EntryStatus {
-	return &messages.EntryStatus{
-		Entry:          entry.heartbeat.GetEntry(),
-		VersionInForce: entry.heartbeat.GetVersionInForce(),
-		Fenced:         entry.heartbeat.GetFenced(),
-		Reason:         fmt.Sprintf("last heard %s ago", silence.Round(time.Millisecond)),
-	}
-}
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -61,7 +61,7 @@
 			Learner:    member.GetLearner(),
 		})
 	}
-	for name, entry := range c.entries {
+	for name, entry := range c.distribution.entries {
 		dump.Entries = append(dump.Entries, EntryDump{
 			Name:           name,
 			VersionInForce: units.Version(entry.heartbeat.GetVersionInForce()),
--- a/src/control/snapshot.go
+++ b/src/control/snapshot.go
@@ -55,6 +55,7 @@
 			return fmt.Errorf("restore %s: %w; run the same version on every control instance", m.Name(), err)
 		}
 	}
+	c.distribution.refresh()
 	c.log.Info().
 		Uint64("index", snapshot.GetIndex()).
 		Msg("snapshot-restored")
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -32,7 +33,7 @@
 
 // configured is a configuration that control has accepted.
 type configured struct {
-	document []byte
+	update *messages.ConfigurationUpdate
 }
 
 // dumped wants the process's state.
@@ -51,8 +52,14 @@
 	box           chan event
 	tracker       *tracker.Tracker
 	configuration *parser.Configuration
-	snapshot      *atomic.Pointer[indexer.Snapshot]
-	inForce       *atomic.Uint64
+	// document is the configuration as it was written.
+	document []byte
+	// source serves the document to other entries.
+	source *atomic.Pointer[distributor.Source]
+	// changed is told of a new version in force; it may be nil.
+	changed  func()
+	snapshot *atomic.Pointer[indexer.Snapshot]
+	inForce  *atomic.Uint64
 	// departed is told of each upstream that leaves or is gone; it may be nil.
 	departed func(upstream *tracker.Upstream)
 }
@@ -65,6 +72,7 @@
 		tracker: &tracker.Tracker{
 			Expiry: upstreamExpiry,
 		},
+		source:   new(atomic.Pointer[distributor.Source]),
 		snapshot: snapshot,
 		inForce:  new(atomic.Uint64),
 	}
@@ -91,7 +99,7 @@
 	case announced:
 		e.reply <- c.track(tracker.Announced{Announcement: e.announcement})
 	case configured:
-		c.configure(e.document)
+		c.configure(e.update)
 	case dumped:
 		e.reply <- c.dump()
 	}
@@ -122,20 +130,30 @@
 	return refused
 }
 
-func (c *coordinator) configure(document []byte) {
-	configuration, err := parser.ParseConfiguration("accepted", document)
+func (c *coordinator) configure(update *messages.ConfigurationUpdate) {
+	// Answers of control can overtake each other; without this check an older
+	// one would undo a change that the operator was told is in force.
+	if update.GetVersion() <= c.inForce.Load() {
+		return
+	}
+	document, err := distributor.Apply(units.Version(c.inForce.Load()), c.document, update)
 	if err != nil {
-		c.log.Error().Err(err).Msg("configuration-unreadable")
+		c.log.Warn().Err(err).Msg("update-refused")
 		return
 	}
-	// Answers of control can overtake each other; without this check an older
-	// one would undo a change that the operator was told is in force.
-	if configuration.Version <= units.Version(c.inForce.Load()) {
+	configuration, err := parser.ParseConfiguration("accepted", document)
+	if err != nil {
+		c.log.Error().Err(err).Msg("configuration-unreadable")
 		return
 	}
 	c.configuration = configuration
+	c.document = document
 	c.publish()
 	c.inForce.Store(uint64(configuration.Version))
+	c.source.Store(c.source.Load().With(configuration.Version, document))
+	if c.changed != nil {
+		c.changed()
+	}
 	c.log.Info().
 		Uint64("version", uint64(configuration.Version)).
 		Msg("configuration-in-force")
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -45,6 +46,9 @@
 	coordinator *coordinator
 	traffic     *traffic
 	stopping    atomic.Bool
+	// until is when the lease to serve ends.
+	until    atomic.Pointer[time.Time]
+	follower *follower
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -57,8 +61,10 @@
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLasting()
 	group, lasting := errgroup.WithContext(lasting)
+	e.follower = e.newFollower()
+	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
-	group.Go(func() error { return e.follower().run(lasting) })
+	group.Go(func() error { return e.follower.run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
@@ -93,7 +99,7 @@
 func (e *Entry) View() *messages.EntryView { return e.view.Load() }
 
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil
+	return !e.stopping.Load() && e.snapshot.Load() != nil && !fenced(&e.until)
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -118,14 +124,16 @@
 
 // peerServer answers the other processes of the system.
 func (e *Entry) peerServer() *connector.Server {
-	return &connector.Server{
+	server := &connector.Server{
 		Listener: e.Peers,
 		TLS:      e.Certificates.Peers(),
 		Traffic:  e.Client.Traffic,
 	}
+	e.follower.serve(server)
+	return server
 }
 
-func (e *Entry) follower() *follower {
+func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
@@ -133,6 +141,13 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		view:        &e.view,
 		stopping:    &e.stopping,
+		pusher: &distributor.Pusher{
+			Client: e.Client,
+		},
+		until: &e.until,
+		lease: distributor.Lease{
+			Fence: e.Settings.Timing.Fence,
+		},
 	}
 }
 
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -2,21 +2,31 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/control"
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 const (
 	heartbeatInterval = 200 * time.Millisecond
 	heartbeatTimeout  = 500 * time.Millisecond
+	// alarmShare is the share of the fence without control after which peers are asked.
+	alarmShare = 3
+	// mostRefusals is how many beats in a row a relay may be of no use.
+	mostRefusals = 2
+	// orphanBeats is how many beats an entry reports to control before it tries its relays again.
+	orphanBeats = 25
 )
 
-// follower tells control what this entry has in force and brings back what is newer.
+// follower tells control what this entry has in force and brings back what is
+// newer, directly or by a relay, and keeps the lease to serve it.
 type follower struct {
 	settings    *parser.Settings
 	client      *connector.Client
@@ -24,9 +34,21 @@
 	incarnation uint64
 	view        *atomic.Pointer[messages.EntryView]
 	stopping    *atomic.Bool
+	pusher      *distributor.Pusher
+	// until is when the lease to serve ends.
+	until *atomic.Pointer[time.Time]
+
 	// leader is the address to ask, "" while none is known.
 	leader string
 	next   int
+	// refusals and orphan count the beats that no relay carried.
+	refusals int
+	orphan   int
+
+	mu    sync.Mutex
+	lease distributor.Lease
+	// children are the entries that report through this one.
+	children map[string]*child
 }
 
 // run sends heartbeats until ctx ends.
@@ -35,6 +57,7 @@
 	defer ticker.Stop()
 	for {
 		f.beat(ctx)
+		f.askPeers(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -44,11 +67,33 @@
 }
 
 func (f *follower) beat(ctx context.Context) {
+	relays := distributor.Relays(f.view.Load(), f.settings.Name)
+	if len(relays) == 0 || f.orphan > 0 {
+		f.orphan = max(0, f.orphan-1)
+		f.beatControl(ctx)
+		return
+	}
+	if f.beatRelay(ctx, relays[f.next%len(relays)].GetPeerAddress()) {
+		f.refusals = 0
+		return
+	}
+	f.next++
+	f.refusals++
+	// Relays that are gone or cut off must not take this entry with them.
+	if f.refusals >= mostRefusals {
+		f.refusals = 0
+		f.orphan = orphanBeats
+	}
+}
+
+func (f *follower) beatControl(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	heartbeat := f.heartbeat()
+	heartbeat.Relayed = f.relayed()
 	response := &messages.EntryHeartbeatResponse{}
-	err := f.client.Call(ctx, f.address(), control.MethodHeartbeat, f.heartbeat(), response)
-	if err != nil {
+	asked := time.Now()
+	if err := f.client.Call(ctx, f.address(), control.MethodHeartbeat, heartbeat, response); err != nil {
 		f.leader = ""
 		f.next++
 		return
@@ -58,20 +103,75 @@
 		f.next++
 		return
 	}
-	if len(response.GetDocument()) > 0 {
-		f.coordinator.box <- configured{document: response.GetDocument()}
+	f.reported(heartbeat.GetRelayed())
+	f.take(response.GetUpdate(), response.GetView())
+	f.renew(distributor.ControlHeard{
+		Asked:    asked,
+		Accepted: units.Version(response.GetAcceptedVersion()),
+	})
+}
+
+// beatRelay reports to a relay and returns whether it is in contact with control.
+func (f *follower) beatRelay(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	response := &messages.EntryHeartbeatResponse{}
+	asked := time.Now()
+	if err := f.client.Call(ctx, address, distributor.MethodHeartbeat, f.heartbeat(), response); err != nil {
+		return false
 	}
-	f.follow(response.GetView())
+	// A first configuration from a relay that is cut off could be older than one
+	// that this entry had in force before it started again.
+	if response.GetInContact() || f.coordinator.inForce.Load() > 0 {
+		f.take(response.GetUpdate(), response.GetView())
+	}
+	if !response.GetInContact() {
+		return false
+	}
+	f.renew(distributor.ControlHeard{
+		Asked:    asked.Add(-time.Duration(response.GetContactAgeMs()) * time.Millisecond),
+		Accepted: units.Version(response.GetAcceptedVersion()),
+	})
+	return true
+}
+
+func (f *follower) take(update *messages.ConfigurationUpdate, view *messages.EntryView) {
+	if update != nil {
+		f.coordinator.box <- configured{update: update}
+	}
+	f.follow(view)
 }
 
 // follow publishes a newer view; the number decides, since an answer of an
 // earlier leader can arrive after that of a later one.
 func (f *follower) follow(view *messages.EntryView) {
-	if view.GetNumber() > f.view.Load().GetNumber() {
-		f.view.Store(view)
+	for {
+		held := f.view.Load()
+		if view.GetNumber() <= held.GetNumber() || f.view.CompareAndSwap(held, view) {
+			return
+		}
 	}
 }
 
+// renew takes a contact into the lease and publishes its end.
+func (f *follower) renew(event distributor.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	until := f.lease.Step(distributor.Holding{
+		Entry:       f.settings.Name,
+		Incarnation: f.incarnation,
+		Version:     units.Version(f.coordinator.inForce.Load()),
+		View:        f.view.Load(),
+	}, event)
+	f.until.Store(&until)
+}
+
+func (f *follower) controlAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lease.ControlAge(time.Now())
+}
+
 func (f *follower) address() string {
 	if f.leader != "" {
 		return f.leader
@@ -86,7 +186,15 @@
 		PeerAddress:    f.settings.Peers.Listen,
 		Incarnation:    f.incarnation,
 		VersionInForce: f.coordinator.inForce.Load(),
+		Fenced:         fenced(f.until),
 		ViewNumber:     f.view.Load().GetNumber(),
 		Stopping:       f.stopping.Load(),
 	}
 }
+
+// fenced reports whether the lease to serve has ended. A process that wakes from
+// a freeze finds it so before it takes its first call.
+func fenced(until *atomic.Pointer[time.Time]) bool {
+	end := until.Load()
+	return end == nil || !time.Now().Before(*end)
+}
--- a/src/replicator/repair.go
+++ b/src/replicator/repair.go
@@ -84,7 +84,8 @@
 	return change{}
 }
 
-// dismiss removes a voter that is gone, else one that shares its data centre.
+// dismiss removes a voter that is gone, else one that shares its data centre. The
+// leader holds a majority, so that the rest keeps one.
 func (r *repairPlan) dismiss(voters []candidate) change {
 	worst := candidate{}
 	rank := -1
@@ -103,7 +104,7 @@
 			worst, rank = v, own
 		}
 	}
-	if worst.id == "" || !r.survives(worst) {
+	if worst.id == "" {
 		return change{}
 	}
 	return change{
@@ -112,21 +113,6 @@
 	}
 }
 
-// survives reports whether the voters without one still have a live majority.
-func (r *repairPlan) survives(without candidate) bool {
-	voters, live := 0, 0
-	for _, v := range r.voters() {
-		if v.id == without.id {
-			continue
-		}
-		voters++
-		if v.live {
-			live++
-		}
-	}
-	return live > voters/2
-}
-
 // helps reports whether a voter in this data centre would replace one that is
 // gone, or spread the voters further.
 func (r *repairPlan) helps(centre units.DataCentre) bool {
