--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -9,11 +9,16 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+// MadeKeyPrefix begins every key that the system makes for a call without one.
+const MadeKeyPrefix = "rosecroft-"
+
 // Call is one accepted request; it is not changed once dispatched.
 type Call struct {
 	ID units.CallID
-	// Key is the caller's Idempotency-Key, or the call's id where there was none.
-	Key      string
+	// Key is the caller's Idempotency-Key, or one made of the call's id.
+	Key string
+	// KeyGiven says that the caller sent the key.
+	KeyGiven bool
 	Brand    units.Brand
 	Account  *parser.ClientAccount
 	Service  units.Service
@@ -82,6 +87,7 @@
 	ProblemBadKey      ProblemKind = "bad-key"
 	ProblemNotFound    ProblemKind = "not-found"
 	ProblemTooLarge    ProblemKind = "too-large"
+	ProblemRecord      ProblemKind = "record-unavailable"
 )
 
 // Refusal is the final answer to a call that gets no other.
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -55,8 +55,9 @@
 	// Dispatching must return before the first byte goes to the upstream. A
 	// *Refusal as its error stops the attempt.
 	Dispatching(ctx context.Context, call *Call, attempt units.Attempt, upstream units.Upstream) error
-	// Finish keeps the end of the call: an answer, or the refusal it got.
-	Finish(ctx context.Context, call *Call, answer *Answer, refusal *Refusal)
+	// Finish keeps the end of the call, an answer or the refusal it got, and
+	// returns the refusal to give, which may say less than the one it got.
+	Finish(ctx context.Context, call *Call, answer *Answer, refusal *Refusal) *Refusal
 }
 
 // Router chooses upstreams.
@@ -81,6 +82,11 @@
 // Do runs a call to its end. A *Refusal as its error is the call's final answer;
 // any other error means that the caller is gone.
 func (d *Dispatcher) Do(ctx context.Context, call *Call, sink Sink) error {
+	if !call.Repeatable {
+		// A caller that hangs up and sends the call again under its key wants the
+		// answer of the first run; cancelling that run would lose it.
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	release, err := d.Limiter.Admit(ctx, call)
@@ -98,7 +104,10 @@
 	answer, err := d.attempts(ctx, call, &Stream{Sink: sink})
 	var refusal *Refusal
 	errors.As(err, &refusal)
-	d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
+	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
+	if refusal != nil {
+		return refusal
+	}
 	if err != nil || answer == nil {
 		return err
 	}
--- a/src/entry/dump.go
+++ b/src/entry/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/recorder"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -13,6 +14,7 @@
 	// View is the number of the entry view, 0 before the first.
 	View      uint64         `yaml:"view"`
 	Upstreams []UpstreamDump `yaml:"upstreams"`
+	Record    recorder.Dump  `yaml:"record"`
 }
 
 // UpstreamDump is what the entry knows of one upstream.
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -22,11 +22,9 @@
 	"github.com/rosecroft/rosecroft/src/recorder"
 	"github.com/rosecroft/rosecroft/src/router"
 	"github.com/rosecroft/rosecroft/src/server"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// keepFor is how long an answer is kept for resends.
-const keepFor = 10 * time.Minute
-
 // Entry is one entry process; its fields are set before Run.
 type Entry struct {
 	Settings *parser.Settings
@@ -43,11 +41,15 @@
 	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
 	stopping    atomic.Bool
+	incarnation units.Incarnation
+	recorder    *recorder.Recorder
 }
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
+	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.recorder = e.newRecorder()
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -57,6 +59,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
@@ -79,6 +82,7 @@
 	if err := e.callerServer().Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
+	e.drainRecord(ctx)
 	e.Log.Info().Msg("drained")
 	return nil
 }
@@ -97,10 +101,8 @@
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter: &limiter.Limiter{},
-			Recorder: &recorder.Recorder{
-				KeepFor: keepFor,
-			},
+			Limiter:  &limiter.Limiter{},
+			Recorder: e.recorder,
 			Router: &router.Router{
 				Snapshot: &e.snapshot,
 			},
@@ -115,9 +117,11 @@
 
 // peerServer answers the other processes of the system.
 func (e *Entry) peerServer() *connector.Server {
-	return &connector.Server{
+	server := &connector.Server{
 		Listener: e.Peers,
 	}
+	e.recorder.Handle(server)
+	return server
 }
 
 func (e *Entry) follower() *follower {
@@ -125,7 +129,7 @@
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(e.incarnation),
 		view:        &e.view,
 		stopping:    &e.stopping,
 	}
@@ -153,7 +157,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
-		return dump, nil
+		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/src/recorder/ballot.go
@@ -0,0 +1,44 @@
+package recorder
+
+import (
+	"cmp"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+// compareBallots orders proposals by round, then by call.
+func compareBallots(a, b *messages.Ballot) int {
+	return cmp.Or(
+		cmp.Compare(a.GetRound(), b.GetRound()),
+		cmp.Compare(a.GetCall(), b.GetCall()),
+	)
+}
+
+// rank orders the states that one proposer sets one after the other.
+func rank(state messages.CallState) int {
+	switch state {
+	case messages.CallState_CALL_STATE_ADMITTED:
+		return 1
+	case messages.CallState_CALL_STATE_DISPATCHING:
+		return 2
+	case messages.CallState_CALL_STATE_NOT_RUN:
+		return 3
+	case messages.CallState_CALL_STATE_UNKNOWN:
+		return 4
+	case messages.CallState_CALL_STATE_ANSWERED:
+		return 5
+	default:
+		return 0
+	}
+}
+
+// mayHaveRun reports whether a record's call may have reached an upstream.
+func mayHaveRun(record *messages.CallRecord) bool {
+	state := record.GetState()
+	return state == messages.CallState_CALL_STATE_DISPATCHING || state == messages.CallState_CALL_STATE_UNKNOWN
+}
+
+// isEnded reports whether no entry works on the call any more.
+func isEnded(state messages.CallState) bool {
+	return rank(state) >= rank(messages.CallState_CALL_STATE_NOT_RUN)
+}
--- a/src/registrar/registrar.go
+++ b/src/registrar/registrar.go
@@ -151,8 +151,9 @@
 	r.proposedAt = now
 	return []Action{Propose{
 		View: &messages.EntryView{
-			Number:  r.proposed,
-			Members: members,
+			Number:          r.proposed,
+			Members:         members,
+			PreviousMembers: r.view.GetMembers(),
 		},
 		Changes: changes,
 	}}
--- a/src/server/problem.go
+++ b/src/server/problem.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -27,6 +28,13 @@
 
 // writeProblem writes a refusal as the final answer to a call.
 func writeProblem(writer http.ResponseWriter, id units.CallID, refusal *dispatcher.Refusal) {
+	// A key that the system made stands for a call that has a record. One that
+	// did not run may have none, and a resend under the key would be taken for
+	// a call whose record is lost.
+	key := writer.Header().Get(headerKey)
+	if refusal.Executed == dispatcher.ExecutedNo && strings.HasPrefix(key, dispatcher.MadeKeyPrefix) {
+		writer.Header().Del(headerKey)
+	}
 	if refusal.RetryAfter > 0 {
 		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
 		writer.Header().Set("Retry-After", strconv.Itoa(seconds))
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -238,24 +238,26 @@
 	}
 	id := units.CallID(uuid.NewString())
 	key := request.Header.Get(headerKey)
+	given := key != ""
 	if len(key) > maxKey {
 		return nil, nil, badRequest("the Idempotency-Key is longer than 255 characters")
 	}
-	if key == "" {
-		key = string(id)
+	if !given {
+		key = dispatcher.MadeKeyPrefix + string(id)
 	}
 	writer.Header().Set(headerCallID, string(id))
 	writer.Header().Set(headerKey, key)
 	return snapshot, &dispatcher.Call{
-		ID:      id,
-		Key:     key,
-		Brand:   brand,
-		Account: account,
-		Method:  request.Method,
-		Path:    request.URL.Path,
-		Query:   request.URL.RawQuery,
-		Header:  request.Header,
-		Body:    body,
+		ID:       id,
+		Key:      key,
+		KeyGiven: given,
+		Brand:    brand,
+		Account:  account,
+		Method:   request.Method,
+		Path:     request.URL.Path,
+		Query:    request.URL.RawQuery,
+		Header:   request.Header,
+		Body:     body,
 	}, nil
 }
 
