--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/stager"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -17,6 +18,9 @@
 // awaitLimit bounds every wait for a state; no test asserts on speed.
 const awaitLimit = 30 * time.Second
 
+// example is the configuration that most tests run.
+const example = "../../examples/hearthline.yaml"
+
 // programs is the folder of the built programs.
 var programs string
 
@@ -65,14 +69,23 @@
 	}
 }
 
-// apply submits a configuration file and waits until it is in force everywhere.
-func apply(t *testing.T, stage *stager.Stage, file string) {
+// apply submits the example configuration and waits until it is in force everywhere.
+func apply(t *testing.T, stage *stager.Stage) {
 	t.Helper()
-	command := exec.CommandContext(t.Context(), stage.Program, "apply", file,
-		"--control", stage.ControlURLs(), "--wait", awaitLimit.String())
+	flags, err := stage.Flags(certifier.Identity{
+		Role: certifier.Operator,
+		Name: "alice",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	arguments := append([]string{
+		"apply", example, "--control", stage.ControlURLs(), "--wait", awaitLimit.String(),
+	}, flags...)
+	command := exec.CommandContext(t.Context(), stage.Program, arguments...)
 	output, err := command.CombinedOutput()
 	if err != nil {
-		t.Fatalf("apply %s: %v: %s", file, err, output)
+		t.Fatalf("apply %s: %v: %s", example, err, output)
 	}
 }
 
--- a/src/recorder/proposer.go
+++ b/src/recorder/proposer.go
@@ -63,12 +63,12 @@
 	proposed  *messages.CallRecord
 	operation messages.RecordOperation
 	// highest is the highest round seen.
-	highest   uint64
-	giveUpAt  time.Time
-	resendAt  time.Time
-	resumeAt  time.Time
-	leaseEnd  time.Time
-	intended  bool
+	highest  uint64
+	giveUpAt time.Time
+	resendAt time.Time
+	resumeAt time.Time
+	leaseEnd time.Time
+	intended bool
 }
 
 // Step takes one event and returns the actions to carry out.
