Merge the replicated record of calls

An entry is ready once it knows the owners of records, since it refuses calls that may not be repeated before.

--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -21,11 +21,9 @@
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
 	"github.com/rosecroft/rosecroft/src/server"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// keepFor is how long an answer is kept for resends.
-const keepFor = 10 * time.Minute
-
 // Entry is one entry process; its fields are set before Run.
 type Entry struct {
 	Settings *parser.Settings
@@ -45,13 +43,17 @@
 	coordinator *coordinator
 	traffic     *traffic
 	stopping    atomic.Bool
+	incarnation units.Incarnation
+	recorder    *recorder.Recorder
 }
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
+	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
+	e.recorder = e.newRecorder()
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -61,6 +63,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
@@ -85,6 +88,8 @@
 	if err := e.callerServer().Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
+	e.drainRecord(ctx)
+	e.leaveView(ctx)
 	e.Log.Info().Msg("drained")
 	return nil
 }
@@ -92,8 +97,11 @@
 // View returns the newest entry view that control has committed, nil before the first.
 func (e *Entry) View() *messages.EntryView { return e.view.Load() }
 
+// ready says whether the balancer should send calls here. Without the record the
+// entry would refuse every call that may not be repeated, so that callers saw
+// refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready()
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -104,10 +112,8 @@
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter: &limiter.Limiter{},
-			Recorder: &recorder.Recorder{
-				KeepFor: keepFor,
-			},
+			Limiter:   &limiter.Limiter{},
+			Recorder:  e.recorder,
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
 		},
@@ -118,11 +124,13 @@
 
 // peerServer answers the other processes of the system.
 func (e *Entry) peerServer() *connector.Server {
-	return &connector.Server{
+	server := &connector.Server{
 		Listener: e.Peers,
 		TLS:      e.Certificates.Peers(),
 		Traffic:  e.Client.Traffic,
 	}
+	e.recorder.Handle(server)
+	return server
 }
 
 func (e *Entry) follower() *follower {
@@ -130,7 +138,7 @@
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(e.incarnation),
 		view:        &e.view,
 		stopping:    &e.stopping,
 	}
@@ -160,7 +168,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
-		return dump, nil
+		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
