--- a/src/mover/mover_test.go
+++ b/src/mover/mover_test.go
@@ -1,7 +1,9 @@
 package mover
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -15,6 +17,14 @@
 	testStep = 2 * time.Millisecond
 )
 
+// TestMain fixes the seed of the property tests unless the command line names one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 func testNotice(now time.Time, left time.Duration) Notice {
 	return Notice{
 		Upstream:       Upstream{Name: "ember-1", Incarnation: 1},
--- a/src/standin/faults.go
+++ b/src/standin/faults.go
@@ -78,6 +78,14 @@
 	return call
 }
 
+// Service returns the route that puts faults in force.
+func (f *Faults) Service() *restful.WebService {
+	service := new(restful.WebService)
+	service.Path("/faults")
+	service.Route(service.PUT("").To(f.set))
+	return service
+}
+
 // set puts faults in force; the connection that asks keeps working once.
 func (f *Faults) set(request *restful.Request, response *restful.Response) {
 	next := Fault{}
