--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -60,7 +61,9 @@
 			continue
 		}
 		if string(data) == doneMarker {
-			return e.endStream()
+			result := e.endStream()
+			e.drain(response)
+			return result
 		}
 		if result, ok := e.passEvent(reader, offset, data); !ok {
 			return result
@@ -100,6 +103,13 @@
 	return dispatcher.Result{}, true
 }
 
+// drain reads the end of the exchange behind the final marker, without which
+// the connection could not be used again.
+func (e *exchange) drain(response *http.Response) {
+	e.fed(e.limits.BetweenTokens)
+	_, _ = io.CopyN(io.Discard, response.Body, lineBuffer)
+}
+
 // endStream ends the caller's stream, or puts the whole answer together.
 func (e *exchange) endStream() dispatcher.Result {
 	if e.plan.collected {
