--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -115,6 +115,7 @@
 	}
 	host.Load = reporter.Load
 	host.CacheEvents = reporter.CacheEvents
+	engine.Journal = server.Ledger.Journal
 	go engine.Run(context.WithoutCancel(ctx))
 	return host.Run(ctx)
 }
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -34,6 +34,8 @@
 // Engine batches sequences continuously; one step gives each running one a token.
 type Engine struct {
 	Options EngineOptions
+	// Journal keeps what was computed again; it may be nil.
+	Journal *Journal
 
 	mu        sync.Mutex
 	queue     []*sequence
@@ -114,6 +116,11 @@
 	e.work.Prefilled += s.prefill
 	if prompt.Offset > 0 || prompt.Attempt > 1 {
 		e.work.Recomputed += s.prefill
+		e.Journal.Write(Line{
+			Happening: Recomputed,
+			Call:      prompt.Call,
+			Tokens:    s.prefill,
+		})
 	}
 	e.sequences[prompt.Call] = s
 	e.queue = append(e.queue, s)
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -91,7 +91,7 @@
 		return err
 	default:
 	}
-	h.Ledger.Journal.Write(LeavingBegan, "", "")
+	h.Ledger.Journal.Write(Line{Happening: LeavingBegan})
 	h.Leave()
 	h.leave(context.WithoutCancel(ctx))
 	return server.Close()
