Choose upstreams by prefix, load, price and reclaim risk

Cause: prefix-cost knew neither what engines have cached, nor the age of their load reports, nor price or reclaim, and each decision looked at all engines.

Change: the score in seconds of predicted first token, prefill of what is not cached, price and expected loss by reclaim, over a subset by rendezvous hash of at most 48 upstreams; one of two random among the nearly best; a cache index of fixed size, read without locks, from cache events and own routing, whose entries fade; load reports corrected by own calls of their moment; ejection with a cap of a third; a growing part for new engines; notices of a data centre keep calls away from its others.

Ruled out: all engines as candidates, since decisions would grow with them.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -42,6 +42,8 @@
 	Kind ResultKind
 	// Answer is set where the exchange was answered and not streamed.
 	Answer *Answer
+	// Unreached says that no connection could be made.
+	Unreached bool
 	// RetryAfter is what a refusing upstream asked for.
 	RetryAfter time.Duration
 	// Next is the upstream that a moved stream goes on at, nil for any.
--- /dev/null
+++ b/src/ejector/doc.go
@@ -0,0 +1,2 @@
+// Package ejector decides which upstreams are left out for a while because calls fail there.
+package ejector
--- a/src/entry/announcement.go
+++ b/src/entry/announcement.go
@@ -36,6 +36,7 @@
 	service := new(restful.WebService)
 	service.Path("/v1")
 	service.Route(service.POST("/announcements").Consumes("application/json").To(r.announce))
+	service.Route(service.POST("/cache-events").Consumes("application/json").To(r.tellCache))
 	container.Add(service)
 	server := &http.Server{
 		Handler:           container,
@@ -85,7 +86,7 @@
 
 // authorize refuses an announcement in another upstream's name: it would draw
 // that one's calls to itself, or take it out of use by a leaving mark.
-func (r *receptionist) authorize(request *http.Request, announcement *messages.Announcement) error {
+func (r *receptionist) authorize(request *http.Request, announcement interface{ GetUpstream() string }) error {
 	identity, err := certifier.RequireRequest(request, r.tls != nil, certifier.Upstream)
 	if err != nil || r.tls == nil {
 		return err
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -55,6 +55,11 @@
 	inForce       *atomic.Uint64
 	// departed is told of each upstream that leaves or is gone; it may be nil.
 	departed func(upstream *tracker.Upstream)
+	// cacheChanged is told of cache events; it may be nil.
+	cacheChanged func(upstream *tracker.Upstream, events *messages.CacheEvents)
+	// published is when the snapshot was last built, stale whether it has to be again.
+	published time.Time
+	stale     bool
 }
 
 func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot]) *coordinator {
@@ -90,6 +95,8 @@
 	switch e := e.(type) {
 	case announced:
 		e.reply <- c.track(tracker.Announced{Announcement: e.announcement})
+	case cached:
+		c.cache(e.events)
 	case configured:
 		c.configure(e.document)
 	case dumped:
@@ -98,13 +105,14 @@
 }
 
 func (c *coordinator) track(e tracker.Event) error {
-	changed := false
+	left := false
 	var refused error
 	for _, action := range c.tracker.Step(time.Now(), e) {
 		switch a := action.(type) {
 		case tracker.Changed:
-			changed = true
+			c.stale = true
 		case tracker.Left:
+			left = true
 			c.log.Info().
 				Str("upstream", string(a.Upstream.Name)).
 				Str("reason", a.Reason).
@@ -116,7 +124,10 @@
 			refused = a.Err
 		}
 	}
-	if changed {
+	// Announcements only refresh what is known, many times a second each; a
+	// snapshot for each of them would cost more the more engines there are. What
+	// left must get no new call, and does not wait.
+	if left || c.stale && time.Since(c.published) >= tickInterval {
 		c.publish()
 	}
 	return refused
@@ -145,5 +156,7 @@
 	if c.configuration == nil {
 		return
 	}
+	c.published = time.Now()
+	c.stale = false
 	c.snapshot.Store(indexer.Build(c.configuration, c.tracker.Usable()))
 }
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -52,6 +52,7 @@
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -110,6 +111,7 @@
 			},
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
+			Observer:  e.traffic.router,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
--- a/src/entry/traffic.go
+++ b/src/entry/traffic.go
@@ -1,11 +1,17 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/rosecroft/rosecroft/src/forwarder"
+	"github.com/rosecroft/rosecroft/src/locator"
 	"github.com/rosecroft/rosecroft/src/router"
 	"github.com/rosecroft/rosecroft/src/tracker"
 )
 
+// indexBits sizes the cache index: 16,384 buckets of 64 bytes, 1 MiB.
+const indexBits = 14
+
 // traffic is the part of an entry that brings calls to upstreams.
 type traffic struct {
 	router    *router.Router
@@ -19,6 +25,8 @@
 	}
 	chooser := &router.Router{
 		Snapshot: &e.snapshot,
+		Entry:    e.Settings.Name,
+		Index:    locator.New(indexBits),
 	}
 	reclaimer := &forwarder.Reclaimer{
 		Router: chooser,
@@ -35,8 +43,13 @@
 	}
 }
 
-// departed takes up that an upstream leaves or is gone.
+// departed takes up that an upstream leaves or is gone. One whose time has
+// passed was told of before.
 func (t *traffic) departed(upstream *tracker.Upstream) {
+	if upstream.Leaving && !time.Now().Before(upstream.LeavesAt) {
+		return
+	}
+	t.router.Departed(upstream)
 	if upstream.Leaving {
 		t.reclaimer.Notice(upstream)
 	}
--- a/src/forwarder/forwarder.go
+++ b/src/forwarder/forwarder.go
@@ -95,7 +95,9 @@
 func failed(err error) dispatcher.Result {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return notRun(err)
+		result := notRun(err)
+		result.Unreached = true
+		return result
 	}
 	return lost(err)
 }
--- /dev/null
+++ b/src/locator/index_test.go
@@ -0,0 +1,106 @@
+package locator
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests unless the command line names one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// prompt returns chained hashes as prompts have them; equal beginnings give equal hashes.
+func prompt(first, length int) []uint64 {
+	blocks := make([]uint64, length)
+	chain := uint64(first+1) * 0x9e3779b97f4a7c15
+	for i := range blocks {
+		chain = (chain ^ chain>>29) * 0xbf58476d1ce4e5b9
+		blocks[i] = chain
+	}
+	return blocks
+}
+
+// Cache events come late, twice, in the wrong order, or never, and the index
+// overwrites what it has no room for. A wrong entry may cost a caller a little
+// time; so none may claim more than the prompt has, name an engine that never had
+// the prompt's beginning, or outlast its age.
+func TestFindClaimsNoMoreThanWasTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		x := New(3)
+		told := make(map[uint32]map[int]time.Time)
+		for range 50 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "ms")) * time.Millisecond)
+			holder := uint32(rapid.IntRange(1, 12).Draw(t, "holder"))
+			first := rapid.IntRange(0, 5).Draw(t, "prompt")
+			blocks := prompt(first, rapid.IntRange(1, 40).Draw(t, "length"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				x.Add(now, holder, blocks)
+				if told[holder] == nil {
+					told[holder] = make(map[int]time.Time)
+				}
+				told[holder][first] = now
+			case 1:
+				x.Remove(holder, blocks[0])
+				delete(told[holder], first)
+			default:
+				var found [MaxMatches]Match
+				for _, match := range found[:x.Find(now, blocks, &found)] {
+					at, known := told[match.Holder][first]
+					if !known || now.Sub(at) > forgetAfter+stampUnit {
+						t.Fatalf("engine %d: got a match for what it was told at %v, want none at %v", match.Holder, at, now)
+					}
+					if got, most := match.Blocks, float64(len(blocks)); got > most || got <= 0 {
+						t.Fatalf("blocks: got %v, want above 0 and at most %v", got, most)
+					}
+				}
+			}
+		}
+	})
+}
+
+// A long prompt was computed at an engine a moment ago, and one of the engine's
+// events was lost. The next call with the same beginning must still find nearly
+// all of it there, and half as much after the half-life.
+func TestFindStandsAGap(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	x := New(8)
+	blocks := prompt(1, 16)
+	x.Add(now, 5, blocks)
+	x.Remove(5, blocks[7])
+	var found [MaxMatches]Match
+	if got, want := x.Find(now, blocks, &found), 1; got != want {
+		t.Fatalf("engines: got %d, want %d", got, want)
+	}
+	if got, want := found[0].Blocks, 16.0; got != want {
+		t.Errorf("blocks with a gap: got %v, want %v", got, want)
+	}
+	x.Find(now.Add(halfLife), blocks, &found)
+	if got, want := found[0].Blocks, 8.0; got != want {
+		t.Errorf("blocks after the half-life: got %v, want %v", got, want)
+	}
+}
+
+// BenchmarkFind is one lookup of a prompt that several engines have cached.
+func BenchmarkFind(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	x := New(14)
+	blocks := prompt(1, 64)
+	for holder := range uint32(4) {
+		x.Add(now, holder+1, blocks[:16*(holder+1)])
+	}
+	var found [MaxMatches]Match
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Find(now, blocks, &found)
+	}
+}
--- a/src/router/router.go
+++ b/src/router/router.go
@@ -1,98 +1,231 @@
 package router
 
 import (
-	"cmp"
-	"encoding/binary"
+	"math"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
-
-	"github.com/cespare/xxhash/v2"
+	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/locator"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// affinityBound is how far above the mean load an upstream may be and still
-// take a call for the prefix it has cached.
-const affinityBound = 1.25
+const (
+	// silentAfter is how long an upstream may be silent and still get new work,
+	// several announcements.
+	silentAfter = 1500 * time.Millisecond
+	// nearBest is how many seconds from the best score count as equal.
+	nearBest = 0.01
+)
 
-// Router picks among the usable upstreams of the current snapshot.
+// Router picks among the usable upstreams of the current snapshot; its exported
+// fields are set before use.
 type Router struct {
 	Snapshot *atomic.Pointer[indexer.Snapshot]
+	// Entry places this entry's subset among all.
+	Entry units.Instance
+	// Index may be nil.
+	Index *locator.Index
+	// Now and Random may be nil, for the clock and the shared source.
+	Now    func() time.Time
+	Random func() uint64
 
-	next atomic.Uint64
+	next    atomic.Uint64
+	subsets atomic.Pointer[subsets]
+
+	mu      sync.Mutex
+	risks   map[units.DataCentre]*risk
+	ejector ejector.Ejector
 }
 
 // Pick returns the upstream for the next attempt, or nil for none.
 func (r *Router) Pick(call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
-	service, known := r.Snapshot.Load().Service(call.Service)
-	if !known {
+	s := r.of(call.Service)
+	if s == nil {
 		return nil
 	}
-	candidates := untried(service.Usable, tried)
-	if len(candidates) == 0 {
-		return nil
+	now := r.now()
+	for _, how := range []fitness{healthy, alive, untried} {
+		if chosen := r.pick(s, call, tried, now, how); chosen != nil {
+			return chosen
+		}
 	}
+	return nil
+}
+
+func (r *Router) pick(s *subset, call *dispatcher.Call, tried []units.Upstream, now time.Time, how fitness) *tracker.Upstream {
 	switch call.Policy {
 	case parser.RoundRobin:
-		return candidates[r.next.Add(1)%uint64(len(candidates))]
-	case parser.PrefixCost:
-		if upstream := byPrefix(call, candidates); upstream != nil {
-			return upstream
-		}
+		return r.roundRobin(s, call, tried, now, how)
 	case parser.LeastLoaded:
+		return leastLoaded(s, call, tried, now, how)
+	case parser.PrefixCost:
 	}
-	return slices.MinFunc(candidates, compareLoad)
+	return r.prefixCost(s, call, tried, now, how)
 }
 
-func untried(usable []*tracker.Upstream, tried []units.Upstream) []*tracker.Upstream {
-	if len(tried) == 0 {
-		return usable
+func (r *Router) roundRobin(s *subset, call *dispatcher.Call, tried []units.Upstream, now time.Time, how fitness) *tracker.Upstream {
+	count := uint64(len(s.candidates))
+	if count == 0 {
+		return nil
 	}
-	candidates := make([]*tracker.Upstream, 0, len(usable))
-	for _, upstream := range usable {
-		if !slices.Contains(tried, upstream.Name) {
-			candidates = append(candidates, upstream)
+	start := r.next.Add(1)
+	for i := range count {
+		c := &s.candidates[(start+i)%count]
+		if c.fit(call, tried, now, how) {
+			return c.upstream
 		}
 	}
-	return candidates
+	return nil
 }
 
-func compareLoad(a, b *tracker.Upstream) int {
-	return cmp.Compare(load(a), load(b))
+func leastLoaded(s *subset, call *dispatcher.Call, tried []units.Upstream, now time.Time, how fitness) *tracker.Upstream {
+	var best *tracker.Upstream
+	least := int64(math.MaxInt64)
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if load := c.upstream.Live.InFlight.Load(); load < least && c.fit(call, tried, now, how) {
+			best = c.upstream
+			least = load
+		}
+	}
+	return best
 }
 
-func load(upstream *tracker.Upstream) int64 {
-	return upstream.Live.InFlight.Load()
+// prefixCost returns the better of two random candidates among those whose cost
+// is nearly the lowest: entries that see the same loads would otherwise all
+// send to the same one.
+func (r *Router) prefixCost(s *subset, call *dispatcher.Call, tried []units.Upstream, now time.Time, how fitness) *tracker.Upstream {
+	d := decision{
+		call:   call,
+		now:    now,
+		target: s.service.Target.FirstToken.Seconds(),
+	}
+	if r.Index != nil {
+		d.found = r.Index.Find(now, call.Blocks, &d.matches)
+	}
+	var scores [subsetSize]float64
+	best := math.Inf(1)
+	for i := range s.candidates {
+		scores[i] = math.Inf(1)
+		if c := &s.candidates[i]; c.fit(call, tried, now, how) {
+			scores[i] = d.score(c)
+		}
+	}
+	s.place(&d, &scores)
+	for _, score := range scores[:len(s.candidates)] {
+		best = min(best, score)
+	}
+	if math.IsInf(best, 1) {
+		return nil
+	}
+	chosen := r.oneOfTwo(scores[:len(s.candidates)], best+nearBest)
+	upstream := s.candidates[chosen].upstream
+	if r.Index != nil {
+		r.Index.Add(now, upstream.Live.Number, call.Blocks)
+	}
+	return upstream
 }
 
-// byPrefix returns the upstream that the call's prefix hashes to, unless it is loaded too far above the mean.
-func byPrefix(call *dispatcher.Call, candidates []*tracker.Upstream) *tracker.Upstream {
-	if len(call.Blocks) == 0 {
-		return nil
+// place makes entries agree on where a prompt goes that nobody has cached.
+func (s *subset) place(d *decision, scores *[subsetSize]float64) {
+	if d.found > 0 || len(d.call.Blocks) == 0 {
+		return
+	}
+	place, highest := -1, uint64(0)
+	for i := range s.candidates {
+		weight := mix(d.call.Blocks[0], s.candidates[i].weight)
+		if weight >= highest && !math.IsInf(scores[i], 1) {
+			place, highest = i, weight
+		}
 	}
-	var total int64
-	for _, upstream := range candidates {
-		total += load(upstream)
+	if place >= 0 {
+		scores[place] -= placeShare * float64(d.call.Prompt) * s.candidates[place].perToken
 	}
-	bound := affinityBound * float64(total+1) / float64(len(candidates))
-	var best *tracker.Upstream
-	var bestWeight uint64
-	for _, upstream := range candidates {
-		weight := rendezvous(call.Blocks[0], upstream.Name)
-		if float64(load(upstream)) <= bound && (best == nil || weight > bestWeight) {
-			best = upstream
-			bestWeight = weight
+}
+
+// oneOfTwo draws two of the candidates whose score is at most limit and returns the lower one's index.
+func (r *Router) oneOfTwo(scores []float64, limit float64) int {
+	near := 0
+	for _, score := range scores {
+		if score <= limit {
+			near++
 		}
 	}
-	return best
+	first := nth(scores, limit, r.draw(near))
+	second := nth(scores, limit, r.draw(near))
+	if scores[second] < scores[first] {
+		return second
+	}
+	return first
 }
 
-func rendezvous(block uint64, name units.Upstream) uint64 {
-	var buffer [64]byte
-	key := binary.LittleEndian.AppendUint64(buffer[:0], block)
-	return xxhash.Sum64(append(key, name...))
+func (r *Router) draw(count int) int {
+	random := r.Random
+	if random == nil {
+		random = rand.Uint64
+	}
+	return int(random() % uint64(count))
+}
+
+// nth returns the index of the nth score that is at most limit.
+func nth(scores []float64, limit float64, n int) int {
+	for i, score := range scores {
+		if score > limit {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return 0
+}
+
+func (r *Router) now() time.Time {
+	if r.Now == nil {
+		return time.Now()
+	}
+	return r.Now()
+}
+
+// fitness is how much is asked of a candidate; less is asked where nobody fits.
+type fitness int
+
+const (
+	// healthy leaves out ejected and silent upstreams.
+	healthy fitness = iota
+	// alive leaves out silent ones.
+	alive
+	// untried takes all that the call has not been at; where all are silent it
+	// may be this entry that heard nothing.
+	untried
+)
+
+// fit reports whether a candidate may get the call.
+func (c *candidate) fit(call *dispatcher.Call, tried []units.Upstream, now time.Time, how fitness) bool {
+	upstream := c.upstream
+	if !serves(upstream, call.Model) || slices.Contains(tried, upstream.Name) {
+		return false
+	}
+	if how <= healthy && upstream.Live.EjectedUntil.Load() > now.UnixNano() {
+		return false
+	}
+	return how > alive || now.Sub(upstream.HeardAt) < silentAfter
+}
+
+// serves reports whether an upstream has the model that a call names, as its
+// model or as an adapter.
+func serves(upstream *tracker.Upstream, model units.Model) bool {
+	if upstream.Model == "" || model == "" || upstream.Model == model {
+		return true
+	}
+	return slices.Contains(upstream.Adapters, string(model))
 }
--- /dev/null
+++ b/src/router/router_test.go
@@ -0,0 +1,313 @@
+package router
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/locator"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// TestMain fixes the seed of the property tests unless the command line names one.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var testStart = time.Unix(1_000_000, 0)
+
+// fleet is a router over engines that tests change at will.
+type fleet struct {
+	router  *Router
+	now     time.Time
+	engines []*tracker.Upstream
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{
+		now: testStart,
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	f.router = &Router{
+		Snapshot: &atomic.Pointer[indexer.Snapshot]{},
+		Entry:    "e1",
+		Index:    locator.New(10),
+		Now:      func() time.Time { return f.now },
+		Random:   random.Uint64,
+	}
+	for i := range count {
+		f.engines = append(f.engines, &tracker.Upstream{
+			Name:           units.Upstream(fmt.Sprintf("ember-%d", i)),
+			Service:        "ember-llm",
+			DataCentre:     units.DataCentre(fmt.Sprintf("dc-%d", i%4)),
+			Price:          1,
+			Incarnation:    1,
+			Slots:          16,
+			Step:           2 * time.Millisecond,
+			PrefillPerStep: 128,
+			HeardAt:        testStart,
+			Live: &tracker.Live{
+				Number: uint32(i + 1),
+				Since:  testStart.Add(-time.Hour),
+			},
+		})
+	}
+	f.publish(f.engines)
+	return f
+}
+
+func (f *fleet) publish(usable []*tracker.Upstream) {
+	f.router.Snapshot.Store(indexer.Build(&parser.Configuration{
+		Services: []parser.Service{{
+			Name:   "ember-llm",
+			Kind:   parser.ModelService,
+			Target: parser.Target{FirstToken: time.Second},
+		}},
+	}, usable))
+}
+
+func modelCall(policy parser.Policy, first uint64) *dispatcher.Call {
+	call := &dispatcher.Call{
+		ID:        "call-1",
+		Service:   "ember-llm",
+		Kind:      parser.ModelService,
+		Policy:    policy,
+		Prompt:    2048,
+		MaxOutput: 256,
+	}
+	for i := range 32 {
+		call.Blocks = append(call.Blocks, mix(first, uint64(i)))
+	}
+	return call
+}
+
+// Callers share long beginnings of prompts. Two calls with the same beginning
+// must meet at one engine while it has room, since elsewhere the beginning is
+// computed again; once it is loaded too far, the next goes elsewhere.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	f := newFleet(6)
+	call := modelCall(parser.PrefixCost, 7)
+	first := f.router.Pick(call, nil)
+	for range 8 {
+		if got, want := f.router.Pick(call, nil).Name, first.Name; got != want {
+			t.Fatalf("engine of the same prefix: got %s, want %s", got, want)
+		}
+	}
+	first.Live.InFlight.Store(200)
+	if got := f.router.Pick(call, nil).Name; got == first.Name {
+		t.Errorf("engine under 200 calls: got %s again, want another", got)
+	}
+}
+
+// Calls below the latency target must gather on the cheap instances, or the
+// buyer could hold no fewer; at load that misses the target the dear ones must
+// help, since a late answer costs more.
+func TestCallsGatherOnCheapInstances(t *testing.T) {
+	f := newFleet(6)
+	for i, engine := range f.engines {
+		engine.Price = units.Price(1 + 2*(i%2))
+	}
+	used := make(map[units.Price]int)
+	for i := range 24 {
+		chosen := f.router.Pick(modelCall(parser.PrefixCost, uint64(i)), nil)
+		chosen.Live.InFlight.Add(1)
+		used[chosen.Price]++
+	}
+	if got, want := used[3], 0; got != want {
+		t.Errorf("calls at dear instances: got %d of 24, want %d", got, want)
+	}
+	for i := range 120 {
+		chosen := f.router.Pick(modelCall(parser.PrefixCost, uint64(100+i)), nil)
+		chosen.Live.InFlight.Add(1)
+		used[chosen.Price]++
+	}
+	if got := used[3]; got == 0 {
+		t.Error("calls at dear instances with the cheap ones full: got 0, want some")
+	}
+}
+
+// An engine gets its notice; others in its data centre are likely to follow. New
+// streams must avoid that data centre for a while although it is as cheap.
+func TestWaveKeepsCallsAway(t *testing.T) {
+	f := newFleet(8)
+	for _, engine := range f.engines {
+		engine.Reclaimable = true
+	}
+	f.router.Departed(f.engines[0])
+	f.publish(f.engines[1:])
+	for i := range 40 {
+		if got := f.router.Pick(modelCall(parser.PrefixCost, uint64(i)), nil); got.DataCentre == "dc-0" {
+			t.Fatalf("after a notice in dc-0: got %s there, want another data centre", got.Name)
+		}
+	}
+}
+
+// A new engine has an empty cache and every entry sees it idle at once. If all
+// calls went there, they would all wait; it must get a part that grows.
+func TestNewEngineWarmsUp(t *testing.T) {
+	cases := map[string]struct {
+		age         time.Duration
+		least, most int64
+	}{
+		"new":  {age: 0, least: 1, most: 5},
+		"warm": {age: warmUp, least: 9, most: 12},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(4)
+			fresh := f.engines[0]
+			fresh.Live.Since = testStart.Add(-c.age)
+			fresh.Live.InFlight.Store(1)
+			for _, engine := range f.engines[1:] {
+				engine.Live.InFlight.Store(15)
+			}
+			for i := range 12 {
+				f.router.Pick(modelCall(parser.PrefixCost, uint64(i)), nil).Live.InFlight.Add(1)
+			}
+			if got := fresh.Live.InFlight.Load() - 1; got < c.least || got > c.most {
+				t.Errorf("calls of 12: got %d, want %d to %d", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+// Of many engines one entry must use a bounded part, the same after a restart,
+// and hardly another one when an engine goes; all entries together use them all.
+func TestSubsetIsBoundedAndStable(t *testing.T) {
+	f := newFleet(640)
+	before := f.router.choose(f.engines)
+	if got, want := len(before), subsetSize; got != want {
+		t.Fatalf("upstreams of one entry: got %d, want %d", got, want)
+	}
+	gone := before[0]
+	var rest []*tracker.Upstream
+	for _, engine := range f.engines {
+		if engine != gone {
+			rest = append(rest, engine)
+		}
+	}
+	kept := 0
+	for _, engine := range f.router.choose(rest) {
+		for _, known := range before {
+			if engine == known {
+				kept++
+			}
+		}
+	}
+	if got, want := kept, subsetSize-1; got != want {
+		t.Errorf("upstreams kept when one went: got %d, want %d", got, want)
+	}
+	covered := make(map[units.Upstream]bool)
+	for i := range 990 {
+		other := &Router{
+			Entry: units.Instance(fmt.Sprintf("e%d", i)),
+		}
+		for _, engine := range other.choose(f.engines) {
+			covered[engine.Name] = true
+		}
+	}
+	if got, want := len(covered), 640; got != want {
+		t.Errorf("upstreams that 990 entries use: got %d, want %d", got, want)
+	}
+}
+
+// Upstreams fail, fall silent, are tried before, serve other models and come
+// back, in any order and under each policy. A caller must never be sent where the
+// call has been, nor to an engine without its model, nor to an ejected or silent
+// one while there is a better, and must be sent somewhere while anyone is left.
+func TestPickKeepsItsRules(t *testing.T) {
+	policies := rapid.SampledFrom([]parser.Policy{parser.PrefixCost, parser.RoundRobin, parser.LeastLoaded})
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 8).Draw(t, "engines"))
+		for range 12 {
+			f.disturb(t)
+			var tried []units.Upstream
+			for _, engine := range f.engines {
+				if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
+					tried = append(tried, engine.Name)
+				}
+			}
+			call := modelCall(policies.Draw(t, "policy"), rapid.Uint64().Draw(t, "prompt"))
+			call.Model = "ember"
+			left, fine := 0, 0
+			for _, engine := range f.engines {
+				c := candidate{upstream: engine}
+				if c.fit(call, tried, f.now, untried) {
+					left++
+				}
+				if c.fit(call, tried, f.now, healthy) {
+					fine++
+				}
+			}
+			chosen := f.router.Pick(call, tried)
+			if got, want := chosen != nil, left > 0; got != want {
+				t.Fatalf("an upstream with %d left: got %t, want %t", left, got, want)
+			}
+			if chosen == nil {
+				continue
+			}
+			c := candidate{upstream: chosen}
+			if !c.fit(call, tried, f.now, untried) {
+				t.Fatalf("chosen %s: got one that was tried or has not the model", chosen.Name)
+			}
+			if fine > 0 && !c.fit(call, tried, f.now, healthy) {
+				t.Fatalf("chosen %s: got an ejected or silent one, want one of %d others", chosen.Name, fine)
+			}
+		}
+	})
+}
+
+// disturb changes one engine and lets time pass.
+func (f *fleet) disturb(t *rapid.T) {
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
+	engine := f.engines[rapid.IntRange(0, len(f.engines)-1).Draw(t, "engine")]
+	switch rapid.IntRange(0, 5).Draw(t, "disturbance") {
+	case 0:
+		f.router.Observe(engine, dispatcher.Result{Kind: dispatcher.NotRun, Unreached: true})
+	case 1:
+		f.router.Observe(engine, dispatcher.Result{Kind: dispatcher.Lost})
+	case 2:
+		f.router.Observe(engine, dispatcher.Result{Kind: dispatcher.Answered})
+	case 3:
+		engine.HeardAt = f.now
+	case 4:
+		engine.Model = rapid.SampledFrom([]units.Model{"", "ember", "other"}).Draw(t, "model")
+	case 5:
+		engine.Live.InFlight.Store(int64(rapid.IntRange(0, 40).Draw(t, "in-flight")))
+	}
+}
+
+// BenchmarkPick640 is one decision over 640 engines with long shared prompts.
+func BenchmarkPick640(b *testing.B) {
+	for _, policy := range []parser.Policy{parser.PrefixCost, parser.LeastLoaded, parser.RoundRobin} {
+		b.Run(string(policy), func(b *testing.B) {
+			f := newFleet(640)
+			f.router.Random = nil
+			var calls []*dispatcher.Call
+			for i := range 64 {
+				calls = append(calls, modelCall(policy, uint64(i%16)))
+			}
+			for _, call := range calls {
+				f.router.Pick(call, nil)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				f.router.Pick(calls[i%len(calls)], nil)
+			}
+		})
+	}
+}
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -102,6 +102,11 @@
 	return usable
 }
 
+// Find returns an upstream by name, or nil.
+func (t *Tracker) Find(name units.Upstream) *Upstream {
+	return t.upstreams[name]
+}
+
 // All returns every known upstream, the leaving ones included.
 func (t *Tracker) All() []*Upstream {
 	all := make([]*Upstream, 0, len(t.upstreams))
@@ -135,6 +140,7 @@
 		t.numbered++
 		next.Live.Number = t.numbered
 	}
+	next.Load.correct(next.Live)
 	t.upstreams[name] = next
 	actions := []Action{Changed{}}
 	if next.Leaving {
@@ -156,6 +162,7 @@
 func (t *Tracker) expire(now time.Time) []Action {
 	var actions []Action
 	for name, upstream := range t.upstreams {
+		upstream.Live.sample(now)
 		silent := now.Sub(upstream.HeardAt) >= t.Expiry
 		left := upstream.Leaving && !now.Before(upstream.LeavesAt)
 		if !silent && !left {
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -43,6 +43,8 @@
 	Queued       int
 	QueuedTokens units.Tokens
 	MeasuredAt   time.Time
+	// Others is what of Running and Queued this entry had not sent.
+	Others int
 }
 
 // KV is what the export of an engine's KV cache costs; zeros mean that it exports none.
@@ -62,6 +64,45 @@
 	Since time.Time
 	// EjectedUntil is in nanoseconds of Unix time, 0 where it is not ejected.
 	EjectedUntil atomic.Int64
+
+	// history holds what was in flight at the last samples; the table's owner
+	// alone uses it.
+	history [historyLength]sample
+	samples int
+}
+
+type sample struct {
+	at       time.Time
+	inFlight int64
+}
+
+// historyLength is how many samples are kept, a few reports' age.
+const historyLength = 32
+
+// sample notes what is in flight now.
+func (l *Live) sample(now time.Time) {
+	l.history[l.samples%historyLength] = sample{
+		at:       now,
+		inFlight: l.InFlight.Load(),
+	}
+	l.samples++
+}
+
+// inFlightAt returns what was in flight at an earlier moment, by the last sample before it.
+func (l *Live) inFlightAt(at time.Time) int64 {
+	for i := l.samples - 1; i >= max(0, l.samples-historyLength); i-- {
+		if known := l.history[i%historyLength]; !known.at.After(at) {
+			return known.inFlight
+		}
+	}
+	return 0
+}
+
+// correct takes out of a report what this entry had sent itself, which it knows
+// better and without lag.
+func (l *Load) correct(live *Live) {
+	own := live.inFlightAt(l.MeasuredAt)
+	l.Others = max(0, l.Running+l.Queued-int(own))
 }
 
 func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
