Show that the proofs of routing bite

The index property then found that a block whose entry had faded took the weight of the whole match to 0; it counts as missing now.

--- a/src/locator/index.go
+++ b/src/locator/index.go
@@ -152,12 +152,15 @@
 		match.missed++
 		for i := range bucket {
 			known := bucket[i].Load()
-			if known>>tagShift == block>>tagShift && uint32(known>>stampBits&holderMask) == match.Holder {
+			if known>>tagShift != block>>tagShift || uint32(known>>stampBits&holderMask) != match.Holder {
+				continue
+			}
+			if weight := confidence(age(now, known)); weight > 0 {
 				match.missed = 0
 				match.Blocks = float64(index + 1)
-				match.weight = min(match.weight, confidence(age(now, known)))
-				break
+				match.weight = min(match.weight, weight)
 			}
+			break
 		}
 		going = going || match.missed <= maxMissing
 	}
--- a/src/locator/index_test.go
+++ b/src/locator/index_test.go
@@ -38,7 +38,7 @@
 		x := New(3)
 		told := make(map[uint32]map[int]time.Time)
 		for range 50 {
-			now = now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "ms")) * time.Millisecond)
+			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Second, 20 * time.Second, 2 * time.Minute}).Draw(t, "passed"))
 			holder := uint32(rapid.IntRange(1, 12).Draw(t, "holder"))
 			first := rapid.IntRange(0, 5).Draw(t, "prompt")
 			blocks := prompt(first, rapid.IntRange(1, 40).Draw(t, "length"))
--- a/src/router/router_test.go
+++ b/src/router/router_test.go
@@ -244,11 +244,10 @@
 			call.Model = "ember"
 			left, fine := 0, 0
 			for _, engine := range f.engines {
-				c := candidate{upstream: engine}
-				if c.fit(call, tried, f.now, untried) {
+				if allowed(engine, tried) {
 					left++
 				}
-				if c.fit(call, tried, f.now, healthy) {
+				if allowed(engine, tried) && f.sound(engine) {
 					fine++
 				}
 			}
@@ -259,17 +258,31 @@
 			if chosen == nil {
 				continue
 			}
-			c := candidate{upstream: chosen}
-			if !c.fit(call, tried, f.now, untried) {
+			if !allowed(chosen, tried) {
 				t.Fatalf("chosen %s: got one that was tried or has not the model", chosen.Name)
 			}
-			if fine > 0 && !c.fit(call, tried, f.now, healthy) {
+			if fine > 0 && !f.sound(chosen) {
 				t.Fatalf("chosen %s: got an ejected or silent one, want one of %d others", chosen.Name, fine)
 			}
 		}
 	})
 }
 
+func allowed(engine *tracker.Upstream, tried []units.Upstream) bool {
+	for _, name := range tried {
+		if name == engine.Name {
+			return false
+		}
+	}
+	return engine.Model != "other"
+}
+
+// sound reports whether an engine is neither ejected nor silent.
+func (f *fleet) sound(engine *tracker.Upstream) bool {
+	ejected := time.Unix(0, engine.Live.EjectedUntil.Load()).After(f.now)
+	return !ejected && f.now.Sub(engine.HeardAt) < silentAfter
+}
+
 // disturb changes one engine and lets time pass.
 func (f *fleet) disturb(t *rapid.T) {
 	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond)
