--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -54,6 +54,7 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -116,6 +117,7 @@
 			Recorder:  e.recorder,
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
+			Observer:  e.traffic.router,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
