Refuse bad input with its reason and remedy

Cause: wrong routes, methods, media types and keys of another brand were mapped to one problem or none, slow readers held calls for good, and messages of other versions were read. Ruled out: lifting the body's time limit by hand, since net/http does it at the body's end (the mutant survived, so the line went).

--- a/src/control/control.go
+++ b/src/control/control.go
@@ -38,7 +38,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	kept, state, records, err := keeper.Open(c.Settings.DataFolder)
 	if err != nil {
-		return fmt.Errorf("open the data folder: %w", err)
+		return fmt.Errorf("open the data folder: %w; see that it is on a disk with space that this process may write to", err)
 	}
 	defer func() { _ = kept.Close() }()
 	out := newOutbox(c.Client, c.Settings)
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -82,6 +82,10 @@
 	ProblemBadKey      ProblemKind = "bad-key"
 	ProblemNotFound    ProblemKind = "not-found"
 	ProblemTooLarge    ProblemKind = "too-large"
+	ProblemForbidden   ProblemKind = "forbidden"
+	ProblemMethod      ProblemKind = "method-not-allowed"
+	ProblemMediaType   ProblemKind = "unsupported-media-type"
+	ProblemTooSlow     ProblemKind = "too-slow"
 )
 
 // Refusal is the final answer to a call that gets no other.
--- a/src/entry/announcement.go
+++ b/src/entry/announcement.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -62,8 +61,8 @@
 		_ = response.WriteError(http.StatusRequestEntityTooLarge, err)
 		return
 	}
-	announcement := &messages.Announcement{}
-	if err := protojson.Unmarshal(content, announcement); err != nil {
+	announcement, err := parseAnnouncement(content)
+	if err != nil {
 		_ = response.WriteError(http.StatusBadRequest, err)
 		return
 	}
--- a/src/indexer/snapshot.go
+++ b/src/indexer/snapshot.go
@@ -123,16 +123,15 @@
 	return brand, known
 }
 
-// Account returns the account that an API key "ID.SECRET" belongs to, within a brand.
-func (s *Snapshot) Account(brand units.Brand, key string) (*parser.ClientAccount, bool) {
+// Account returns the account that an API key "ID.SECRET" belongs to, of any brand.
+func (s *Snapshot) Account(key string) (*parser.ClientAccount, bool) {
 	id, secret, found := strings.Cut(key, ".")
 	known, exists := s.keys[id]
 	if !found || !exists {
 		return nil, false
 	}
 	sum := HashKey(known.salt, secret)
-	match := subtle.ConstantTimeCompare(sum, known.hash) == 1
-	if !match || known.account.Brand != brand {
+	if subtle.ConstantTimeCompare(sum, known.hash) != 1 {
 		return nil, false
 	}
 	return known.account, true
--- a/src/launcher/options.go
+++ b/src/launcher/options.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"os/signal"
 	"syscall"
@@ -31,8 +32,13 @@
 	ExitRefused
 	// ExitPortInUse means that a listener's address is taken.
 	ExitPortInUse
+	// ExitDisk means that a folder or file cannot be written.
+	ExitDisk
 )
 
+// exitCodes goes into the help.
+const exitCodes = `Exit codes: 0 done, 1 failed, 2 wrong command line, 3 wrong file, 4 refused by control, 5 address in use, 6 folder or file cannot be written.`
+
 // options is the whole command line.
 type options struct {
 	Entry   entryCommand   `cmd:"" group:"Processes" help:"Run an entry instance: take calls and bring them to upstreams."`
@@ -77,7 +83,7 @@
 	exited := false
 	command, err := kong.New(&options{},
 		kong.Name("rosecroft"),
-		kong.Description("Serves language models and applications on reclaimable machines."),
+		kong.Description("Serves language models and applications on reclaimable machines.\n\n"+exitCodes),
 		kong.Writers(out, errOut),
 		kong.Exit(func(int) { exited = true }),
 		kong.Vars{"version": version + " " + revision},
@@ -123,9 +129,20 @@
 		return ExitInvalid
 	case errors.Is(err, syscall.EADDRINUSE):
 		return ExitPortInUse
+	case isDisk(err):
+		return ExitDisk
 	}
 	return ExitFailed
 }
 
+func isDisk(err error) bool {
+	for _, cause := range []error{fs.ErrPermission, syscall.EROFS, syscall.ENOSPC, syscall.ENOTDIR, syscall.EDQUOT} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // requestTimeout bounds a request to an instance.
 const requestTimeout = 10 * time.Second
--- a/src/parser/configuration.go
+++ b/src/parser/configuration.go
@@ -130,7 +130,7 @@
 func ParseConfiguration(file string, content []byte) (*Configuration, error) {
 	c := &Configuration{}
 	d := decode(file, content, c)
-	if len(d.problems) == 0 {
+	if !d.unreadable {
 		d.validate(c)
 	}
 	if err := d.problems.err(); err != nil {
--- a/src/parser/configuration_test.go
+++ b/src/parser/configuration_test.go
@@ -51,6 +51,30 @@
 				"  - {name: c, kind: plain, brands: [b], route: /x/y}\n",
 			want: []string{`f:5:48: services[1].route: "/x/y" is not allowed`},
 		},
+		"bad duration and dangling brand at once": {
+			document: "version: 1\nrecord:\n  keep-for: 10\nclient-accounts:\n  - {name: a, brand: b}\n",
+			want: []string{
+				`f:3:13: record.keep-for: "10" is not allowed`,
+				`f:5:22: client-accounts[0].brand: "b" is not allowed`,
+			},
+		},
+		"brands misread hide no accounts": {
+			document: "version: 1\nbrands: b\nclient-accounts:\n  - {name: a, brand: b}\n",
+			want:     []string{`f:2:9: brands: "b" is not allowed: a list`},
+		},
+		"endless rate": {
+			document: "version: 1\nbrands: [{name: b}]\nclient-accounts:\n  - {name: a, brand: b, limits: {requests-per-second: inf}}\n",
+			want:     []string{`f:4:55: client-accounts[0].limits.requests-per-second: "inf" is not allowed: a number from 0`},
+		},
+		"host in capitals": {
+			document: "version: 1\nbrands: [{name: b, hosts: [A.example]}]\n",
+			want:     []string{`f:2:28: brands[0].hosts[0]: "A.example" is not allowed: a host name in lower case`},
+		},
+		"two rules for one call": {
+			document: "version: 1\nbrands: [{name: b}]\nservices:\n  - {name: a, kind: plain, brands: [b], route: /x, calls: " +
+				"[{method: POST, path: /y, repeatable: true}, {method: POST, path: /y}]}\n",
+			want: []string{`f:4:125: services[0].calls[1].path: "/y" is not allowed: one rule`},
+		},
 		"empty": {
 			document: "",
 			want:     []string{"f:1:1: document"},
--- a/src/parser/decoder.go
+++ b/src/parser/decoder.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,13 +25,19 @@
 	file     string
 	places   map[string]token.Position
 	problems Problems
+	// unreadable says that nothing of the document was decoded.
+	unreadable bool
+	// decoded is how many of the problems the decoder found; a value below one
+	// of these places was never read, so that validation must not judge it.
+	decoded int
 }
 
 // decode fills target from content and reports everything that does not fit.
 func decode(file string, content []byte, target any) *document {
 	d := &document{
-		file:   file,
-		places: make(map[string]token.Position),
+		file:       file,
+		places:     make(map[string]token.Position),
+		unreadable: true,
 	}
 	if len(content) > maxDocument {
 		d.report("document", fmt.Sprintf("%d bytes", len(content)),
@@ -46,7 +54,9 @@
 			"exactly one document that is not empty", "write one document in the file")
 		return d
 	}
+	d.unreadable = false
 	d.fill("", tree.Docs[0].Body, reflect.ValueOf(target).Elem())
+	d.decoded = len(d.problems)
 	return d
 }
 
@@ -70,6 +80,9 @@
 
 // report adds a problem at the place of path or of its nearest parent.
 func (d *document) report(path, value, allowed, remedy string) {
+	if d.misread(path) {
+		return
+	}
 	place := d.place(path)
 	d.problems = append(d.problems, &Problem{
 		File:    d.file,
@@ -82,6 +95,14 @@
 	})
 }
 
+// misread reports whether the decoder refused the value at path or around it.
+func (d *document) misread(path string) bool {
+	return slices.ContainsFunc(d.problems[:d.decoded], func(problem *Problem) bool {
+		rest, below := strings.CutPrefix(path, problem.Path)
+		return below && (rest == "" || problem.Path == "" || rest[0] == '.' || rest[0] == '[')
+	})
+}
+
 func (d *document) place(path string) token.Position {
 	for path != "" {
 		if place, known := d.places[path]; known {
@@ -195,7 +216,7 @@
 		target.SetUint(parsed)
 	case reflect.Float64:
 		parsed, err := strconv.ParseFloat(value, 64)
-		if err != nil || parsed < 0 || parsed != parsed {
+		if err != nil || parsed < 0 || math.IsNaN(parsed) || math.IsInf(parsed, 0) {
 			d.report(path, value, "a number from 0", "write it in digits")
 			return
 		}
--- a/src/parser/settings.go
+++ b/src/parser/settings.go
@@ -76,7 +76,7 @@
 func ParseSettings(file string, content []byte, role Role) (*Settings, error) {
 	s := &Settings{}
 	d := decode(file, content, s)
-	if len(d.problems) == 0 {
+	if !d.unreadable {
 		d.validateSettings(s, role)
 	}
 	if err := d.problems.err(); err != nil {
--- a/src/parser/validator.go
+++ b/src/parser/validator.go
@@ -46,6 +46,9 @@
 			if host == "" || strings.ContainsAny(host, "/: ") {
 				d.report(place, host, "a host name without port or path", "write the name alone")
 			}
+			if host != strings.ToLower(host) {
+				d.report(place, host, "a host name in lower case", "write it in lower case, as it is compared")
+			}
 			if hosts[host] {
 				d.report(place, host, "each host with one brand", "remove it from one of them")
 			}
@@ -81,7 +84,7 @@
 }
 
 func (d *document) checkBrand(at string, name units.Brand, brands map[units.Brand]bool) {
-	if !brands[name] {
+	if !brands[name] && !d.misread("brands") {
 		d.report(at, string(name), "a brand listed under brands", "correct the name or add the brand")
 	}
 }
@@ -165,6 +168,11 @@
 		if !strings.HasPrefix(rule.Path, "/") {
 			d.report(place+".path", rule.Path, "an absolute path", "begin it with /")
 		}
+		for _, earlier := range rules[:j] {
+			if earlier.Method == rule.Method && earlier.Path == rule.Path {
+				d.report(place+".path", rule.Path, "one rule for each method and path", "remove one of the two")
+			}
+		}
 	}
 }
 
--- a/src/server/model.go
+++ b/src/server/model.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +19,8 @@
 	blockBytes       = 256
 	maxBlocks        = 256
 	defaultMaxOutput = 256
+	// mostTokens is beyond what any model generates for one call.
+	mostTokens = 1 << 24
 )
 
 // modelRequest is the part of an OpenAI-compatible request that routing needs.
@@ -25,17 +30,43 @@
 	MaxTokens units.Tokens `json:"max_tokens"`
 	Prompt    string       `json:"prompt"`
 	Messages  []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
+		Role    string  `json:"role"`
+		Content content `json:"content"`
 	} `json:"messages"`
 }
 
+// content is a message's text, written as one string or as a list of parts.
+type content string
+
+// UnmarshalJSON reads both forms; parts that are no text count for nothing here.
+func (c *content) UnmarshalJSON(raw []byte) error {
+	if len(raw) == 0 || raw[0] != '[' {
+		return json.Unmarshal(raw, (*string)(c))
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		*c += content(part.Text)
+	}
+	return nil
+}
+
 func parseModelRequest(body []byte) (*modelRequest, error) {
 	request := &modelRequest{}
 	if err := json.Unmarshal(body, request); err != nil {
 		return nil, err
 	}
-	if request.MaxTokens <= 0 {
+	if request.Model == "" {
+		return nil, errors.New("model is missing")
+	}
+	if request.MaxTokens < 0 || request.MaxTokens > mostTokens {
+		return nil, fmt.Errorf("max_tokens is not between 0 and %d", mostTokens)
+	}
+	if request.MaxTokens == 0 {
 		request.MaxTokens = defaultMaxOutput
 	}
 	return request, nil
@@ -43,11 +74,18 @@
 
 // promptText returns the prompt as the engines see it.
 func (r *modelRequest) promptText() string {
-	text := r.Prompt
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var text strings.Builder
+	text.WriteString(r.Prompt)
 	for _, message := range r.Messages {
-		text += message.Role + "\n" + message.Content + "\n"
+		text.WriteString(message.Role)
+		text.WriteByte('\n')
+		text.WriteString(string(message.Content))
+		text.WriteByte('\n')
 	}
-	return text
+	return text.String()
 }
 
 // blockHashes returns the chained hash of each whole block of a prompt, so that
--- a/src/server/problem.go
+++ b/src/server/problem.go
@@ -23,13 +23,15 @@
 	Detail   string              `json:"detail"`
 	Instance string              `json:"instance,omitempty"`
 	Executed dispatcher.Executed `json:"executed"`
+	// RetryAfter is in seconds; it stands in the body too since a stream that
+	// has begun can send no header.
+	RetryAfter int `json:"retry-after,omitempty"`
 }
 
 // writeProblem writes a refusal as the final answer to a call.
 func writeProblem(writer http.ResponseWriter, id units.CallID, refusal *dispatcher.Refusal) {
 	if refusal.RetryAfter > 0 {
-		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
-		writer.Header().Set("Retry-After", strconv.Itoa(seconds))
+		writer.Header().Set("Retry-After", strconv.Itoa(retrySeconds(refusal)))
 	}
 	writer.Header().Set("Content-Type", problemType)
 	writer.WriteHeader(refusal.Status)
@@ -44,23 +46,42 @@
 		Detail:   refusal.Detail,
 		Instance: string(id),
 		Executed: refusal.Executed,
+
+		RetryAfter: retrySeconds(refusal),
 	}
 }
 
-func badRequest(detail string) *dispatcher.Refusal {
+func retrySeconds(refusal *dispatcher.Refusal) int {
+	return int(math.Ceil(refusal.RetryAfter.Seconds()))
+}
+
+func refusalOf(status int, kind dispatcher.ProblemKind, detail string) *dispatcher.Refusal {
 	return &dispatcher.Refusal{
-		Status:   http.StatusBadRequest,
-		Kind:     dispatcher.ProblemBadRequest,
+		Status:   status,
+		Kind:     kind,
 		Detail:   detail,
 		Executed: dispatcher.ExecutedNo,
 	}
 }
 
+func badRequest(detail string) *dispatcher.Refusal {
+	return refusalOf(http.StatusBadRequest, dispatcher.ProblemBadRequest, detail)
+}
+
 func notFound(detail string) *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:   http.StatusNotFound,
-		Kind:     dispatcher.ProblemNotFound,
-		Detail:   detail,
-		Executed: dispatcher.ExecutedNo,
+	return refusalOf(http.StatusNotFound, dispatcher.ProblemNotFound, detail)
+}
+
+// routeRefusal tells why the router found no handler.
+func routeRefusal(status int, request *http.Request) *dispatcher.Refusal {
+	asked := request.Method + " " + request.URL.Path
+	switch status {
+	case http.StatusMethodNotAllowed:
+		return refusalOf(status, dispatcher.ProblemMethod, "the route does not take "+asked)
+	case http.StatusUnsupportedMediaType, http.StatusNotAcceptable:
+		return refusalOf(status, dispatcher.ProblemMediaType, "send and accept JSON at "+asked)
+	case http.StatusNotFound:
+		return notFound("no route answers " + asked)
 	}
+	return refusalOf(status, dispatcher.ProblemBadRequest, "the request cannot be routed: "+asked)
 }
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,28 +12,18 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/indexer"
-	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
 const (
-	maxBody       = 8 << 20
 	maxHeader     = 32 << 10
-	maxKey        = 255
 	headerTimeout = 5 * time.Second
-	bodyTimeout   = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
-	unreadyRetry  = time.Second
-	bearerPrefix  = "Bearer "
-
-	headerKey    = "Idempotency-Key"
-	headerCallID = "Rosecroft-Call-Id"
 )
 
 // Dispatcher runs a call to its end.
@@ -54,6 +43,12 @@
 	Ready func() bool
 	// Drain is how long a planned stop waits for calls to finish.
 	Drain time.Duration
+	// BodyTimeout and WriteTimeout replace the defaults where they are set: the
+	// time for a whole request body, and for each write to a caller.
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+
+	meters meters
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -61,7 +56,6 @@
 	server := &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
@@ -85,12 +79,7 @@
 	container := restful.NewContainer()
 	container.Router(restful.CurlyRouter{})
 	container.ServiceErrorHandler(func(failure restful.ServiceError, request *restful.Request, response *restful.Response) {
-		s.refuse(response, "", &dispatcher.Refusal{
-			Status:   failure.Code,
-			Kind:     dispatcher.ProblemNotFound,
-			Detail:   "no route answers " + request.Request.Method + " " + request.Request.URL.Path,
-			Executed: dispatcher.ExecutedNo,
-		})
+		s.refuse(response, newCallID(response), routeRefusal(failure.Code, request.Request))
 	})
 	models := new(restful.WebService)
 	models.Path("/v1")
@@ -122,9 +111,10 @@
 }
 
 func (s *Server) listModels(request *restful.Request, response *restful.Response) {
+	id := newCallID(response)
 	snapshot, brand, _, refusal := s.identify(request.Request)
 	if refusal != nil {
-		s.refuse(response, "", refusal)
+		s.refuse(response, id, refusal)
 		return
 	}
 	type model struct {
@@ -149,44 +139,15 @@
 	_ = json.NewEncoder(response).Encode(list)
 }
 
-// identify finds who calls: the brand by Host, the account by API key.
-func (s *Server) identify(request *http.Request) (*indexer.Snapshot, units.Brand, *parser.ClientAccount, *dispatcher.Refusal) {
-	snapshot := s.Snapshot.Load()
-	if snapshot == nil || !s.Ready() {
-		return nil, "", nil, &dispatcher.Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Kind:       dispatcher.ProblemUnready,
-			Detail:     "this entry takes no calls now",
-			Executed:   dispatcher.ExecutedNo,
-			RetryAfter: unreadyRetry,
-		}
-	}
-	brand, known := snapshot.Brand(request.Host)
-	if !known {
-		return nil, "", nil, &dispatcher.Refusal{
-			Status:   http.StatusMisdirectedRequest,
-			Kind:     dispatcher.ProblemUnknownHost,
-			Detail:   "the Host header names no brand",
-			Executed: dispatcher.ExecutedNo,
-		}
-	}
-	key, bearer := strings.CutPrefix(request.Header.Get("Authorization"), bearerPrefix)
-	account, known := snapshot.Account(brand, key)
-	if !bearer || !known {
-		return nil, "", nil, &dispatcher.Refusal{
-			Status:   http.StatusUnauthorized,
-			Kind:     dispatcher.ProblemBadKey,
-			Detail:   "send the account's API key as Authorization: Bearer KEY",
-			Executed: dispatcher.ExecutedNo,
-		}
-	}
-	return snapshot, brand, account, nil
-}
-
 func (s *Server) model(request *restful.Request, response *restful.Response) {
-	snapshot, call, refusal := s.accept(request.Request, response)
+	id := newCallID(response)
+	if refusal := checkJSON(request.Request); refusal != nil {
+		s.refuse(response, id, refusal)
+		return
+	}
+	snapshot, call, refusal := s.accept(id, request.Request, response.ResponseWriter)
 	if refusal != nil {
-		s.refuse(response, "", refusal)
+		s.refuse(response, id, refusal)
 		return
 	}
 	parsed, err := parseModelRequest(call.Body)
@@ -205,13 +166,14 @@
 	call.Prompt = units.Tokens(len(prompt) / bytesPerToken)
 	call.MaxOutput = parsed.MaxTokens
 	call.Blocks = blockHashes(prompt)
-	s.dispatch(request.Request, response, service, call)
+	s.dispatch(request.Request, response.ResponseWriter, service, call)
 }
 
 func (s *Server) plain(request *restful.Request, response *restful.Response) {
-	snapshot, call, refusal := s.accept(request.Request, response)
+	id := newCallID(response)
+	snapshot, call, refusal := s.accept(id, request.Request, response.ResponseWriter)
 	if refusal != nil {
-		s.refuse(response, "", refusal)
+		s.refuse(response, id, refusal)
 		return
 	}
 	service, known := snapshot.PlainService(call.Brand, call.Path)
@@ -223,53 +185,7 @@
 	if call.Path == "" {
 		call.Path = "/"
 	}
-	s.dispatch(request.Request, response, service, call)
-}
-
-// accept identifies the caller and reads the whole request.
-func (s *Server) accept(request *http.Request, writer http.ResponseWriter) (*indexer.Snapshot, *dispatcher.Call, *dispatcher.Refusal) {
-	snapshot, brand, account, refusal := s.identify(request)
-	if refusal != nil {
-		return nil, nil, refusal
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBody))
-	if err != nil {
-		return nil, nil, bodyRefusal(err)
-	}
-	id := units.CallID(uuid.NewString())
-	key := request.Header.Get(headerKey)
-	if len(key) > maxKey {
-		return nil, nil, badRequest("the Idempotency-Key is longer than 255 characters")
-	}
-	if key == "" {
-		key = string(id)
-	}
-	writer.Header().Set(headerCallID, string(id))
-	writer.Header().Set(headerKey, key)
-	return snapshot, &dispatcher.Call{
-		ID:      id,
-		Key:     key,
-		Brand:   brand,
-		Account: account,
-		Method:  request.Method,
-		Path:    request.URL.Path,
-		Query:   request.URL.RawQuery,
-		Header:  request.Header,
-		Body:    body,
-	}, nil
-}
-
-func bodyRefusal(err error) *dispatcher.Refusal {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &dispatcher.Refusal{
-			Status:   http.StatusRequestEntityTooLarge,
-			Kind:     dispatcher.ProblemTooLarge,
-			Detail:   "the body is larger than 8 MiB",
-			Executed: dispatcher.ExecutedNo,
-		}
-	}
-	return badRequest("the body could not be read whole: " + err.Error())
+	s.dispatch(request.Request, response.ResponseWriter, service, call)
 }
 
 func (s *Server) dispatch(request *http.Request, writer http.ResponseWriter, service *indexer.Service, call *dispatcher.Call) {
@@ -279,7 +195,7 @@
 	call.Policy = service.Policy
 	call.Deadline = began.Add(service.Deadline)
 	call.Repeatable = service.Repeatable(call.Method, call.Path)
-	out := newSink(writer)
+	out := s.newSink(writer, call, began)
 	err := s.Dispatcher.Do(request.Context(), call, out)
 	var refusal *dispatcher.Refusal
 	outcome := "answered"
@@ -311,5 +227,10 @@
 	s.Scope.Tagged(map[string]string{
 		"problem": string(refusal.Kind),
 	}).Counter("refusals").Inc(1)
+	s.Log.Info().
+		Str("call", string(id)).
+		Str("problem", string(refusal.Kind)).
+		Str("detail", refusal.Detail).
+		Msg("call-refused")
 	writeProblem(writer, id, refusal)
 }
--- /dev/null
+++ b/src/server/server_test.go
@@ -0,0 +1,284 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/parser"
+)
+
+const (
+	okKey    = "Bearer k1.secret"
+	otherKey = "Bearer k2.secret"
+	modelURL = "/v1/chat/completions"
+	okBody   = `{"model":"m","messages":[{"role":"user","content":"hello"}]}`
+)
+
+// answering is a dispatcher that runs a function for each call.
+type answering func(ctx context.Context, call *dispatcher.Call, sink dispatcher.Sink) error
+
+func (a answering) Do(ctx context.Context, call *dispatcher.Call, sink dispatcher.Sink) error {
+	return a(ctx, call, sink)
+}
+
+func answerOK(_ context.Context, _ *dispatcher.Call, sink dispatcher.Sink) error {
+	return sink.Answer(&dispatcher.Answer{Status: http.StatusOK, Body: []byte("{}")})
+}
+
+func testConfiguration(t *testing.T) *parser.Configuration {
+	t.Helper()
+	salt := bytes.Repeat([]byte{1}, 8)
+	hash := hex.EncodeToString(indexer.HashKey(salt, "secret"))
+	document := fmt.Sprintf(`version: 1
+brands: [{name: b, hosts: [b.example]}, {name: c, hosts: [c.example]}]
+client-accounts:
+  - {name: a1, brand: b, keys: [{id: k1, salt: %[1]x, sha256: %[2]s}]}
+  - {name: a2, brand: c, keys: [{id: k2, salt: %[1]x, sha256: %[2]s}]}
+services:
+  - {name: s, kind: model, brands: [b], models: [m]}
+  - {name: p, kind: plain, brands: [b], route: /p}
+`, salt, hash)
+	configuration, err := parser.ParseConfiguration("test", []byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return configuration
+}
+
+// serve runs a server until the test ends and returns its address.
+func serve(t *testing.T, server *Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Listener = listener
+	server.Log = zerolog.Nop()
+	server.Scope = tally.NoopScope
+	server.Drain = 10 * time.Second
+	server.Snapshot = &atomic.Pointer[indexer.Snapshot]{}
+	server.Snapshot.Store(indexer.Build(testConfiguration(t), nil))
+	if server.Ready == nil {
+		server.Ready = func() bool { return true }
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("the server's end: got %v, want none", err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+// Whatever is wrong with a request, its caller learns what and whether to ask
+// again, in a problem body that says truthfully that nothing ran; the id in it
+// is the one in the header and in the log.
+func TestBadRequestsGetProblems(t *testing.T) {
+	cases := map[string]struct {
+		method, path, host, key, contentType, body, idempotency string
+		unready                                                 bool
+		want                                                    int
+		kind                                                    dispatcher.ProblemKind
+		again                                                   bool
+	}{
+		"bad JSON":          {body: "{", want: 400, kind: dispatcher.ProblemBadRequest},
+		"no body":           {body: "", want: 400, kind: dispatcher.ProblemBadRequest},
+		"two documents":     {body: okBody + okBody, want: 400, kind: dispatcher.ProblemBadRequest},
+		"no model":          {body: "{}", want: 400, kind: dispatcher.ProblemBadRequest},
+		"tokens below 0":    {body: `{"model":"m","max_tokens":-1}`, want: 400, kind: dispatcher.ProblemBadRequest},
+		"tokens beyond all": {body: `{"model":"m","max_tokens":99999999999}`, want: 400, kind: dispatcher.ProblemBadRequest},
+		"tokens not whole":  {body: `{"model":"m","max_tokens":1e99}`, want: 400, kind: dispatcher.ProblemBadRequest},
+		"long key":          {body: okBody, idempotency: strings.Repeat("x", maxKey+1), want: 400, kind: dispatcher.ProblemBadRequest},
+		"no API key":        {body: okBody, key: "none", want: 401, kind: dispatcher.ProblemBadKey},
+		"wrong secret":      {body: okBody, key: "Bearer k1.wrong", want: 401, kind: dispatcher.ProblemBadKey},
+		"unknown key":       {body: okBody, key: "Bearer k9.secret", want: 401, kind: dispatcher.ProblemBadKey},
+		"another brand":     {body: okBody, key: otherKey, want: 403, kind: dispatcher.ProblemForbidden},
+		"unknown model":     {body: `{"model":"x"}`, want: 404, kind: dispatcher.ProblemNotFound},
+		"unknown route":     {path: "/q", body: okBody, want: 404, kind: dispatcher.ProblemNotFound},
+		"unknown model route": {
+			path: "/v1/nothing", body: okBody, want: 404, kind: dispatcher.ProblemNotFound,
+		},
+		"wrong method":  {method: http.MethodDelete, body: okBody, want: 405, kind: dispatcher.ProblemMethod},
+		"too large":     {body: strings.Repeat(" ", maxBody+1), want: 413, kind: dispatcher.ProblemTooLarge},
+		"not JSON":      {contentType: "text/plain", body: okBody, want: 415, kind: dispatcher.ProblemMediaType},
+		"unknown brand": {host: "x.example", body: okBody, want: 421, kind: dispatcher.ProblemUnknownHost},
+		"unready":       {unready: true, body: okBody, want: 503, kind: dispatcher.ProblemUnready, again: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ran := atomic.Bool{}
+			address := serve(t, &Server{
+				Dispatcher: answering(func(ctx context.Context, call *dispatcher.Call, sink dispatcher.Sink) error {
+					ran.Store(true)
+					return answerOK(ctx, call, sink)
+				}),
+				Ready: func() bool { return !c.unready },
+			})
+			request, err := http.NewRequestWithContext(t.Context(), or(c.method, http.MethodPost),
+				"http://"+address+or(c.path, modelURL), strings.NewReader(c.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Host = or(c.host, "b.example")
+			request.Header.Set("Authorization", or(c.key, okKey))
+			request.Header.Set("Content-Type", or(c.contentType, jsonType))
+			request.Header.Set(headerKey, c.idempotency)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			var got problem
+			if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+				t.Fatalf("body: got %v, want a problem", err)
+			}
+			if response.StatusCode != c.want || got.Status != c.want || got.Title != string(c.kind) {
+				t.Errorf("problem: got %d %+v, want %d %s", response.StatusCode, got, c.want, c.kind)
+			}
+			if got.Executed != dispatcher.ExecutedNo || ran.Load() {
+				t.Errorf("executed: got %q and ran %t, want no and not run", got.Executed, ran.Load())
+			}
+			if id := response.Header.Get(headerCallID); id == "" || id != got.Instance {
+				t.Errorf("call id: got %q in the header and %q in the body, want the same", id, got.Instance)
+			}
+			if again := response.Header.Get("Retry-After") != ""; again != c.again || (got.RetryAfter > 0) != c.again {
+				t.Errorf("Retry-After: got %t, want %t", again, c.again)
+			}
+		})
+	}
+}
+
+func or(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
+
+// A caller sends its headers and half a body, then nothing. It must get an
+// answer that says to ask again, and hold no memory for good.
+func TestSlowBodyIsRefused(t *testing.T) {
+	address := serve(t, &Server{
+		Dispatcher:  answering(answerOK),
+		BodyTimeout: 50 * time.Millisecond,
+	})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	head := "POST " + modelURL + " HTTP/1.1\r\nHost: b.example\r\nAuthorization: " + okKey +
+		"\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{"
+	if _, err := io.WriteString(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	content, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"HTTP/1.1 408", "Retry-After: 1", `"executed":"no"`} {
+		if got := string(content); !strings.Contains(got, want) {
+			t.Errorf("answer: got %q, want %q in it", got, want)
+		}
+	}
+}
+
+// A stream lasts longer than a request's body may take. The time limit for the
+// body must not end it: the caller would get half an answer.
+func TestLongStreamOutlivesTheBodysTime(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	address := serve(t, &Server{
+		BodyTimeout:  limit,
+		WriteTimeout: limit,
+		Dispatcher: answering(func(ctx context.Context, _ *dispatcher.Call, sink dispatcher.Sink) error {
+			if err := sink.Begin(http.Header{}); err != nil {
+				return err
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(4 * limit):
+			}
+			return errors.Join(sink.Event(1, []byte("{}")), sink.End())
+		}),
+	})
+	status, body := post(t, address)
+	if want := "data: [DONE]\n\n"; status != http.StatusOK || !strings.HasSuffix(body, want) {
+		t.Errorf("stream: got %d %q, want the end %q", status, body, want)
+	}
+}
+
+func post(t *testing.T, address string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+modelURL, strings.NewReader(okBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "b.example"
+	request.Header.Set("Authorization", okKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(content)
+}
+
+// A caller asks for a stream and reads none of it. Once the buffers between are
+// full, its writes stall; the call must end so that its engine's slot is freed.
+func TestCallerWhoReadsNothingIsDropped(t *testing.T) {
+	ended := make(chan error, 1)
+	address := serve(t, &Server{
+		WriteTimeout: 50 * time.Millisecond,
+		Dispatcher: answering(func(_ context.Context, _ *dispatcher.Call, sink dispatcher.Sink) error {
+			err := sink.Begin(http.Header{})
+			event := bytes.Repeat([]byte("x"), 1<<20)
+			for err == nil {
+				err = sink.Event(1, event)
+			}
+			ended <- err
+			return err
+		}),
+	})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	request := "POST " + modelURL + " HTTP/1.1\r\nHost: b.example\r\nAuthorization: " + okKey +
+		"\r\nContent-Length: " + fmt.Sprint(len(okBody)) + "\r\n\r\n" + okBody
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the call's error: got none, want one")
+		}
+	case <-time.After(30 * time.Second):
+		t.Error("the call: got still running, want ended")
+	}
+}
--- a/src/server/sink.go
+++ b/src/server/sink.go
@@ -4,13 +4,22 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-const streamType = "text/event-stream"
+const (
+	streamType = "text/event-stream"
+	// writeTimeout bounds one write; a stream may last as long as its caller reads.
+	writeTimeout = 10 * time.Second
+	// writeSize is how much of a whole answer one write holds, so that a slow
+	// caller of a long one is told from one that reads nothing.
+	writeSize = 64 << 10
+)
 
 // sink writes one call's answer to its caller.
 type sink struct {
@@ -18,13 +27,27 @@
 	flusher *http.ResponseController
 	begun   bool
 	buffer  []byte
+	// timeout bounds each write; without it a caller that stops reading would
+	// hold its call, its memory and its upstream's slot for good.
+	timeout time.Duration
+	meters  *serviceMeters
+	// last is when the call began or its last event was written.
+	last   time.Time
+	events int
 }
 
-func newSink(writer http.ResponseWriter) *sink {
-	return &sink{
+func (s *Server) newSink(writer http.ResponseWriter, call *dispatcher.Call, began time.Time) *sink {
+	out := &sink{
 		writer:  writer,
 		flusher: http.NewResponseController(writer),
+		timeout: writeTimeout,
+		meters:  s.meters.of(s.Scope, call.Service),
+		last:    began,
+	}
+	if s.WriteTimeout > 0 {
+		out.timeout = s.WriteTimeout
 	}
+	return out
 }
 
 // Answer writes a whole answer.
@@ -32,8 +55,19 @@
 	maps.Copy(s.writer.Header(), answer.Header)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	s.writer.WriteHeader(answer.Status)
-	_, err := s.writer.Write(answer.Body)
-	return err
+	for part := range slices.Chunk(answer.Body, writeSize) {
+		s.extend()
+		if _, err := s.writer.Write(part); err != nil {
+			return err
+		}
+	}
+	s.meters.whole.RecordDuration(time.Since(s.last))
+	return s.flusher.Flush()
+}
+
+// extend gives the next write its time.
+func (s *sink) extend() {
+	_ = s.flusher.SetWriteDeadline(time.Now().Add(s.timeout))
 }
 
 // Begin starts a stream.
@@ -42,6 +76,7 @@
 	s.writer.Header().Set("Content-Type", streamType)
 	s.writer.Header().Set("Cache-Control", "no-store")
 	s.writer.WriteHeader(http.StatusOK)
+	s.extend()
 	return s.flusher.Flush()
 }
 
@@ -51,9 +86,21 @@
 	s.buffer = strconv.AppendInt(s.buffer, int64(offset), 10)
 	s.buffer = append(s.buffer, "\ndata: "...)
 	s.buffer = append(s.buffer, data...)
+	s.record()
 	return s.flush()
 }
 
+func (s *sink) record() {
+	now := time.Now()
+	if s.events == 0 {
+		s.meters.firstToken.RecordDuration(now.Sub(s.last))
+	} else {
+		s.meters.betweenTokens.RecordDuration(now.Sub(s.last))
+	}
+	s.events++
+	s.last = now
+}
+
 // End writes the final marker of a stream.
 func (s *sink) End() error {
 	s.buffer = append(s.buffer[:0], "data: [DONE]"...)
@@ -78,6 +125,7 @@
 
 func (s *sink) flush() error {
 	s.buffer = append(s.buffer, "\n\n"...)
+	s.extend()
 	if _, err := s.writer.Write(s.buffer); err != nil {
 		return err
 	}
