--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -67,13 +67,13 @@
 	configuration := &configurationMachine{
 		log: log,
 	}
-	views := newRegistry(settings.Timing, log)
+	registry := newRegistry(settings.Timing, log)
 	return &coordinator{
 		settings: settings,
 		state:    configuration,
-		machines: []machine{configuration, views},
-		duties:   []duty{views},
-		hearers:  []hearer{views},
+		machines: []machine{configuration, registry},
+		duties:   []duty{registry},
+		hearers:  []hearer{registry},
 		log:      log,
 		keeper:   kept,
 		node: replicator.New(time.Now(), replicator.Options{
@@ -88,7 +88,7 @@
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
-		registry:  views,
+		registry:  registry,
 	}
 }
 
--- a/src/control/view.go
+++ b/src/control/view.go
@@ -18,22 +18,24 @@
 	viewTick = 100 * time.Millisecond
 	// afterFence is how much longer than the fence a silent entry stays in the
 	// view: it has fenced itself before its records get new owners.
-	afterFence    = time.Second
-	steadyFor     = 600 * time.Millisecond
-	steadyGap     = 1500 * time.Millisecond
-	viewSettle    = 200 * time.Millisecond
-	betweenViews  = time.Second
-	holdMajority  = 30 * time.Second
-	viewsRetained = 8
+	afterFence      = time.Second
+	steadyFor       = 600 * time.Millisecond
+	steadyGap       = 1500 * time.Millisecond
+	viewSettle      = 200 * time.Millisecond
+	betweenViews    = time.Second
+	holdMajority    = 30 * time.Second
+	changesRetained = 32
 )
 
-// registry is the machine of the entry view and, at the leader, its registrar.
+// registry is the entry view of the log and, at the leader, its registrar.
 type registry struct {
 	log       zerolog.Logger
 	view      *messages.EntryView
 	registrar *registrar.Registrar
-	led       bool
 	tickedAt  time.Time
+	leading   bool
+	// told is the number of the view that the registrar knows.
+	told uint64
 	// changes are the last proposals with their reasons, the newest last.
 	changes []ViewChange
 }
@@ -68,8 +70,8 @@
 	}
 }
 
-// Name returns the machine's key in snapshots.
-func (*registry) Name() string { return "entry-view" }
+// Name is the view's key in snapshots.
+func (r *registry) Name() string { return "entry-view" }
 
 // Apply takes a committed view; one whose number is not the next changes
 // nothing, so that a proposal made twice counts once.
@@ -79,7 +81,6 @@
 		return nil
 	}
 	r.view = view
-	r.registrar.Step(time.Now(), registrar.Applied{View: view})
 	r.log.Info().
 		Uint64("number", view.GetNumber()).
 		Int("members", len(view.GetMembers())).
@@ -96,14 +97,15 @@
 func (r *registry) Restore(content []byte) error {
 	view := &messages.EntryView{}
 	if err := proto.Unmarshal(content, view); err != nil {
-		return fmt.Errorf("restore the entry view: %w", err)
+		return fmt.Errorf("read the entry view of a snapshot: %w", err)
 	}
 	r.view = view
 	return nil
 }
 
-// Hear tells the registrar of an entry and the entry of the newest view.
+// Hear tells the registrar of an entry and gives the entry a newer view.
 func (r *registry) Hear(now time.Time, heartbeat *messages.EntryHeartbeat, response *messages.EntryHeartbeatResponse) {
+	r.lead(now)
 	r.registrar.Step(now, registrar.Heard{
 		Member: &messages.EntryMember{
 			Entry:       heartbeat.GetEntry(),
@@ -118,16 +120,13 @@
 	}
 }
 
-// Lead proposes the next view where one is due.
+// Lead returns the proposal for the next view when one is due.
 func (r *registry) Lead(now time.Time, _ units.Term) []*messages.Command {
-	if !r.led {
-		r.led = true
-		r.registrar.Step(now, registrar.Led{View: r.view})
-	}
 	if now.Sub(r.tickedAt) < viewTick {
 		return nil
 	}
 	r.tickedAt = now
+	r.lead(now)
 	var commands []*messages.Command
 	for _, action := range r.registrar.Step(now, registrar.Ticked{}) {
 		switch a := action.(type) {
@@ -145,8 +144,20 @@
 
 // Rest ends the registrar's leadership.
 func (r *registry) Rest() {
-	r.led = false
-	r.registrar.Step(time.Now(), registrar.Lost{})
+	r.leading = false
+	r.registrar.Step(time.Time{}, registrar.Lost{})
+}
+
+// lead tells the registrar of a new leadership or a newly applied view.
+func (r *registry) lead(now time.Time) {
+	switch {
+	case !r.leading:
+		r.registrar.Step(now, registrar.Led{View: r.view})
+	case r.view.GetNumber() != r.told:
+		r.registrar.Step(now, registrar.Applied{View: r.view})
+	}
+	r.leading = true
+	r.told = r.view.GetNumber()
 }
 
 func (r *registry) propose(proposal registrar.Propose) *messages.Command {
@@ -162,7 +173,7 @@
 			Str("reason", string(change.Reason)).
 			Msg("entry-view-proposed")
 	}
-	r.changes = r.changes[max(0, len(r.changes)-viewsRetained):]
+	r.changes = r.changes[max(0, len(r.changes)-changesRetained):]
 	return &messages.Command{
 		Change: &messages.Command_EntryView{
 			EntryView: proposal.View,
--- a/src/loader/outcome.go
+++ b/src/loader/outcome.go
@@ -32,6 +32,8 @@
 	Key       string
 	// Prompt is a model call's whole prompt.
 	Prompt string
+	// Seed is what the call asked the engine to draw with.
+	Seed   string
 	Result Result
 	// Scheduled is when the call was due, from the start of the load.
 	Scheduled time.Duration
