--- a/src/control/control.go
+++ b/src/control/control.go
@@ -39,7 +39,7 @@
 func (c *Control) Run(ctx context.Context) error {
 	folder, kept, err := keeper.Open(c.Settings.DataFolder, c.Settings.Name)
 	if err != nil {
-		return fmt.Errorf("open the data folder: %w", err)
+		return fmt.Errorf("open the data folder: %w; see that it is on a disk with space that this process may write to", err)
 	}
 	defer func() { _ = folder.Close() }()
 	out := newOutbox(c.Client, c.Settings)
