--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if !response.GetIsLeader() {
-		f.leader = response.GetLeaderAddress()
+		f.leader = f.known(response.GetLeaderAddress())
 		f.next++
 		return
 	}
@@ -179,6 +179,17 @@
 	return f.settings.Control[f.next%len(f.settings.Control)].Address
 }
 
+// known returns an address that the settings name, else "": this entry may reach
+// control by other addresses than control's own instances, and then asks in turn.
+func (f *follower) known(address string) string {
+	for _, instance := range f.settings.Control {
+		if instance.Address == address {
+			return address
+		}
+	}
+	return ""
+}
+
 func (f *follower) heartbeat() *messages.EntryHeartbeat {
 	return &messages.EntryHeartbeat{
 		Entry:          string(f.settings.Name),
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -18,6 +18,9 @@
 // awaitLimit bounds every wait for a state; no test asserts on speed.
 const awaitLimit = 30 * time.Second
 
+// shownLog is how many bytes of each process's log a failed test prints.
+const shownLog = 2000
+
 // programs is the folder of the built programs.
 var programs string
 
@@ -51,9 +54,23 @@
 		Standin: filepath.Join(programs, "standin"),
 	}
 	t.Cleanup(stage.Stop)
+	t.Cleanup(func() { showLogs(t, stage.Folder) })
 	return stage
 }
 
+// showLogs prints the end of each process's log when the test has failed.
+func showLogs(t *testing.T, folder string) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, file := range files {
+		content, _ := os.ReadFile(file)
+		t.Logf("%s ends with:\n%s", filepath.Base(file), content[max(0, len(content)-shownLog):])
+	}
+}
+
 // startFleet starts a fleet over the data centres and waits until it answers.
 func startFleet(t *testing.T, stage *stager.Stage, controls, entries int) {
 	t.Helper()
@@ -66,7 +83,8 @@
 	}
 }
 
-// apply submits a configuration file and waits until it is in force everywhere.
+// apply submits a configuration file and waits until it is in force and every
+// running entry takes calls.
 func apply(t *testing.T, stage *stager.Stage, file string) {
 	t.Helper()
 	flags, err := stage.Flags(certifier.Identity{
@@ -84,6 +102,9 @@
 	if err != nil {
 		t.Fatalf("apply %s: %v: %s", file, err, output)
 	}
+	if err := stage.AwaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // await waits until the condition holds.
--- a/src/registrar/registrar.go
+++ b/src/registrar/registrar.go
@@ -11,6 +11,9 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+// pair is the size of a view of which either member may be lost.
+const pair = 2
+
 // Options are the periods of a registrar.
 type Options struct {
 	// Suspicion is how long a member may be silent before it is removed.
@@ -151,8 +154,9 @@
 	r.proposedAt = now
 	return []Action{Propose{
 		View: &messages.EntryView{
-			Number:  r.proposed,
-			Members: members,
+			Number:          r.proposed,
+			Members:         members,
+			PreviousMembers: r.view.GetMembers(),
 		},
 		Changes: changes,
 	}}
@@ -232,6 +236,10 @@
 func (r *Registrar) removable(now time.Time, silent []*messages.EntryMember) ([]*messages.EntryMember, *Held) {
 	total := len(r.view.GetMembers())
 	most := max((total-1)/2, 0)
+	// Of two members both hold every record, so that the one left has them all.
+	if total == pair {
+		most = 1
+	}
 	if len(silent) <= most {
 		return silent, nil
 	}
