Report a change at once, and let no cut relay or late heartbeat mislead

Cause: in force was told up to an interval late; a relay that lost control kept its children for the whole fence, so that they ran out of lease with it; a heartbeat that a relay brought late could make an entry look older; an entry ahead of a log that began anew counted as in force. Change: a new version and a child's new version send the next heartbeat at once; a relay is of use for a third of the fence after its last contact; older heartbeats and earlier lives change nothing; an entry ahead is missing with the remedy as its reason. Dumps show who reports directly and whether an entry is fenced.

--- a/src/control/distribution.go
+++ b/src/control/distribution.go
@@ -101,7 +101,9 @@
 		e = &entryState{}
 		d.entries[name] = e
 	}
-	e.heartbeat = heartbeat
+	if !overtaken(heartbeat, e.heartbeat) {
+		e.heartbeat = heartbeat
+	}
 	e.at = now
 	e.fencedSince = time.Time{}
 	if direct {
@@ -109,6 +111,15 @@
 	}
 }
 
+// overtaken reports whether a heartbeat tells less than the last one, since a
+// relay brought it after the entry had reported by another way.
+func overtaken(heartbeat, last *messages.EntryHeartbeat) bool {
+	if heartbeat.GetIncarnation() != last.GetIncarnation() {
+		return heartbeat.GetIncarnation() < last.GetIncarnation()
+	}
+	return heartbeat.GetVersionInForce() < last.GetVersionInForce()
+}
+
 // Lead looks who has the accepted version and which entries must have stopped.
 func (d *distribution) Lead(now time.Time, _ units.Term) []*messages.Command {
 	if !d.leading {
@@ -168,7 +179,8 @@
 func (d *distribution) settle(now time.Time, name units.Instance, e *entryState) {
 	if e.fencedSince.IsZero() {
 		since, fenced := d.proof.Fenced(now, d.views, e.heartbeat.GetViewNumber())
-		if fenced && !d.current(e) {
+		behind := units.Version(e.heartbeat.GetVersionInForce()) < d.state.Version()
+		if fenced && behind {
 			e.fencedSince = since
 		}
 	}
@@ -180,7 +192,7 @@
 }
 
 func (d *distribution) current(e *entryState) bool {
-	return e.heartbeat != nil && units.Version(e.heartbeat.GetVersionInForce()) >= d.state.Version()
+	return e.heartbeat != nil && units.Version(e.heartbeat.GetVersionInForce()) == d.state.Version()
 }
 
 func (d *distribution) inView(name units.Instance) bool {
@@ -212,6 +224,10 @@
 func (d *distribution) missing(now time.Time, name units.Instance, e *entryState) *messages.EntryStatus {
 	reason := fmt.Sprintf("behind at version %d, heard %s ago", e.heartbeat.GetVersionInForce(), rounded(now.Sub(e.at)))
 	switch {
+	case units.Version(e.heartbeat.GetVersionInForce()) > d.state.Version():
+		// Only a log that began anew on empty disks knows less than an entry.
+		reason = fmt.Sprintf("ahead at version %d: control has lost what it accepted; submit the configuration with a higher version",
+			e.heartbeat.GetVersionInForce())
 	case e.heartbeat == nil:
 		reason = fmt.Sprintf("not heard since this leader began %s ago", rounded(now.Sub(e.at)))
 	case e.heartbeat.GetStopping():
--- /dev/null
+++ b/src/control/distribution_test.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/configurator"
+	"github.com/rosecroft/rosecroft/src/distributor"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const testFence = 3 * time.Second
+
+// newTestDistribution returns one that leads, with version 5 accepted and three entries in the view.
+func newTestDistribution(now time.Time) *distribution {
+	d := &distribution{
+		state:   &configurationMachine{},
+		proof:   distributor.Proof{Fence: testFence},
+		entries: make(map[units.Instance]*entryState),
+	}
+	document := []byte("version: 5")
+	d.state.Submit(&messages.Submission{
+		Version:     5,
+		Document:    document,
+		ContentHash: configurator.Hash(document),
+	})
+	d.views = d.views.With(&messages.EntryView{
+		Number: 1,
+		Members: []*messages.EntryMember{
+			{Entry: "e1", Incarnation: 1},
+			{Entry: "e2", Incarnation: 1},
+			{Entry: "e3", Incarnation: 1},
+		},
+	})
+	d.Lead(now, 1)
+	return d
+}
+
+func beat(entry string, incarnation, version uint64) *messages.EntryHeartbeat {
+	return &messages.EntryHeartbeat{
+		Entry:          entry,
+		Incarnation:    incarnation,
+		VersionInForce: version,
+		ViewNumber:     1,
+	}
+}
+
+// Two entries have the accepted version and the third one is in trouble. The
+// operator must see how many have it, who is missing and why; and an entry counts
+// without the version only once it must have stopped.
+func TestStatusTellsWhoIsMissingAndWhy(t *testing.T) {
+	cases := map[string]struct {
+		third  *messages.EntryHeartbeat
+		after  time.Duration
+		force  uint32
+		reason string
+	}{
+		"has it":                  {third: beat("e3", 1, 5), after: time.Second, force: 3},
+		"behind":                  {third: beat("e3", 1, 4), after: 500 * time.Millisecond, force: 2, reason: "behind at version 4, heard"},
+		"silent":                  {third: beat("e3", 1, 4), after: 2 * time.Second, force: 2, reason: "behind at version 4, silent since 2s"},
+		"silent beyond the fence": {third: beat("e3", 1, 4), after: 4 * time.Second, force: 3, reason: "fenced since"},
+		"never heard":             {after: time.Second, force: 2, reason: "not heard since this leader began"},
+		"ahead of control":        {third: beat("e3", 1, 6), after: 4 * time.Second, force: 2, reason: "ahead at version 6"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := newTestDistribution(now)
+			d.note(now, beat("e1", 1, 5), true)
+			d.note(now, beat("e2", 1, 5), true)
+			if c.third != nil {
+				d.note(now, c.third, true)
+			}
+			d.Lead(now.Add(observeInterval), 1)
+			now = now.Add(c.after)
+			d.Lead(now, 1)
+			status := &messages.Status{}
+			d.report(now, status)
+			if got, want := status.GetInForce(), c.force; got != want {
+				t.Errorf("in force: got %d, want %d", got, want)
+			}
+			if got, want := status.GetEntries(), uint32(3); got != want {
+				t.Errorf("entries: got %d, want %d", got, want)
+			}
+			reason := ""
+			if len(status.GetMissing()) > 0 {
+				reason = status.GetMissing()[0].GetReason()
+			}
+			if !strings.Contains(reason, c.reason) || c.reason == "" && reason != "" {
+				t.Errorf("reason: got %q, want %q in it", reason, c.reason)
+			}
+		})
+	}
+}
+
+// Only one of three entries has the accepted version and the others are silent.
+// They may serve on among themselves, so that they never count.
+func TestSilentMajorityNeverCountsAsInForce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newTestDistribution(now)
+	d.note(now, beat("e1", 1, 5), true)
+	d.note(now, beat("e2", 1, 4), true)
+	d.note(now, beat("e3", 1, 4), true)
+	for range 600 {
+		now = now.Add(observeInterval)
+		d.note(now, beat("e1", 1, 5), true)
+		d.Lead(now, 1)
+	}
+	status := &messages.Status{}
+	d.report(now, status)
+	if got, want := status.GetInForce(), uint32(1); got != want {
+		t.Errorf("in force: got %d, want %d", got, want)
+	}
+}
+
+// An entry reports by itself after its relay has failed, and then the relay brings
+// an older heartbeat of it. The entry must not look as if it had gone back.
+func TestLateRelayedHeartbeatChangesNothing(t *testing.T) {
+	cases := map[string]*messages.EntryHeartbeat{
+		"older version":      beat("e1", 2, 4),
+		"earlier life":       beat("e1", 1, 9),
+		"earlier life, same": beat("e1", 1, 5),
+	}
+	for name, late := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := newTestDistribution(now)
+			d.note(now, beat("e1", 2, 5), true)
+			d.note(now, late, false)
+			held := d.entries["e1"].heartbeat
+			if got, want := held.GetIncarnation(), uint64(2); got != want {
+				t.Errorf("incarnation: got %d, want %d", got, want)
+			}
+			if got, want := held.GetVersionInForce(), uint64(5); got != want {
+				t.Errorf("version: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -36,7 +36,9 @@
 	Name           units.Instance `yaml:"name"`
 	VersionInForce units.Version  `yaml:"version-in-force"`
 	Fenced         bool           `yaml:"fenced"`
-	Silence        time.Duration  `yaml:"silence"`
+	// Direct says that the entry reports without a relay.
+	Direct  bool          `yaml:"direct"`
+	Silence time.Duration `yaml:"silence"`
 }
 
 func (c *coordinator) dump() *Dump {
@@ -65,7 +67,8 @@
 		dump.Entries = append(dump.Entries, EntryDump{
 			Name:           name,
 			VersionInForce: units.Version(entry.heartbeat.GetVersionInForce()),
-			Fenced:         entry.heartbeat.GetFenced(),
+			Fenced:         !entry.fencedSince.IsZero(),
+			Direct:         time.Since(entry.directAt) < directFor,
 			Silence:        time.Since(entry.at),
 		})
 	}
--- a/src/entry/dump.go
+++ b/src/entry/dump.go
@@ -11,6 +11,8 @@
 type Dump struct {
 	Name           units.Instance `yaml:"name"`
 	VersionInForce units.Version  `yaml:"version-in-force"`
+	// Fenced says that the lease to serve has ended, so that calls are refused.
+	Fenced bool `yaml:"fenced"`
 	// View is the number of the entry view, 0 before the first.
 	View      uint64         `yaml:"view"`
 	Upstreams []UpstreamDump `yaml:"upstreams"`
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -154,6 +154,7 @@
 			Client: e.Client,
 		},
 		until: &e.until,
+		news:  make(chan struct{}, 1),
 		lease: distributor.Lease{
 			Fence: e.Settings.Timing.Fence,
 		},
@@ -184,6 +185,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
+		dump.Fenced = fenced(&e.until)
 		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -37,6 +37,8 @@
 	pusher      *distributor.Pusher
 	// until is when the lease to serve ends.
 	until *atomic.Pointer[time.Time]
+	// news holds one wish for an early heartbeat.
+	news chan struct{}
 
 	// leader is the address to ask, "" while none is known.
 	leader string
@@ -62,10 +64,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-f.news:
 		}
 	}
 }
 
+// hasNews lets the next heartbeat leave at once, so that the operator who waits
+// for a change to be in force waits for no interval.
+func (f *follower) hasNews() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) beat(ctx context.Context) {
 	relays := distributor.Relays(f.view.Load(), f.settings.Name)
 	if len(relays) == 0 || f.orphan > 0 {
--- a/src/entry/relay.go
+++ b/src/entry/relay.go
@@ -53,6 +53,9 @@
 	if f.children == nil {
 		f.children = make(map[string]*child)
 	}
+	if last := f.children[heartbeat.GetEntry()]; last != nil && last.heartbeat.GetVersionInForce() < heartbeat.GetVersionInForce() {
+		f.hasNews()
+	}
 	f.children[heartbeat.GetEntry()] = &child{
 		heartbeat: heartbeat,
 		at:        now,
@@ -63,7 +66,9 @@
 	response := &messages.EntryHeartbeatResponse{
 		AcceptedVersion: uint64(source.Version()),
 		Update:          source.Update(units.Version(heartbeat.GetVersionInForce())),
-		InContact:       age < f.settings.Timing.Fence,
+		// A relay that is cut off says so early: its children need the rest of their
+		// leases to find another way.
+		InContact: age < f.settings.Timing.Fence/alarmShare,
 	}
 	if response.GetInContact() {
 		response.ContactAgeMs = uint64(age.Milliseconds()) + 1
@@ -130,6 +135,7 @@
 
 // pushDown sends a new version on to the children.
 func (f *follower) pushDown(ctx context.Context) {
+	f.hasNews()
 	source := f.coordinator.source.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/src/prover/control_test.go
+++ b/src/prover/control_test.go
@@ -297,6 +297,15 @@
 		return entryDump(t, stage.Entries[0]).VersionInForce == 501
 	})
 	t.Logf("entry 500 changes behind within %s of its start", time.Since(began).Round(time.Millisecond))
+	for _, node := range stage.Controls {
+		info, err := os.Stat(node.Settings.DataFolder + "/records")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, most := info.Size(), int64(400*len(document(t, 501, "change"))); got > most {
+			t.Errorf("bytes of the records of %s: got %d, want at most %d", node.Settings.Name, got, most)
+		}
+	}
 	leader.Kill()
 	accept(t, without(stage.Controls, leader), 1)
 	accept(t, without(stage.Controls, leader), 502)
--- a/src/prover/controlcut_test.go
+++ b/src/prover/controlcut_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/stager"
@@ -126,6 +127,7 @@
 func configured(t *testing.T) *stager.Stage {
 	t.Helper()
 	stage := newControlStage(t)
+	stage.Timing.Fence = 2 * time.Second
 	startFleet(t, stage, 3, 3)
 	apply(t, stage, "../../examples/hearthline.yaml")
 	return stage
@@ -315,3 +317,50 @@
 		return entryDump(t, frozen).VersionInForce == 2
 	})
 }
+
+// Entries of one data centre report through a relay, which freezes: its
+// connections stay open and carry nothing. The others must not be fenced with it,
+// and must have the next change in force.
+func TestFrozenRelayTakesNobodyAlong(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 3, 8)
+	apply(t, stage, "../../examples/hearthline.yaml")
+	await(t, "view with eight entries at each", func() bool {
+		return viewInForce(t, stage, stage.Entries) == 8
+	})
+	view := &messages.EntryView{}
+	for _, node := range stage.Entries {
+		view.Members = append(view.Members, &messages.EntryMember{
+			Entry:      string(node.Settings.Name),
+			DataCentre: string(node.Settings.DataCentre),
+		})
+	}
+	leaves := slices.DeleteFunc(slices.Clone(stage.Entries), func(node *stager.Node) bool {
+		return len(distributor.Relays(view, node.Settings.Name)) == 0
+	})
+	if got, want := len(leaves), 4; got != want {
+		t.Fatalf("entries behind a relay: got %d, want %d", got, want)
+	}
+	leader := leaderOf(t, stage.Controls)
+	await(t, "leader hears half of the entries through relays", func() bool {
+		direct := 0
+		for _, entry := range controlDump(t, leader).Entries {
+			if entry.Direct {
+				direct++
+			}
+		}
+		return direct == len(stage.Entries)-len(leaves)
+	})
+	leaf := leaves[0]
+	relay := distributor.Relays(view, leaf.Settings.Name)[0].GetEntry()
+	for _, node := range stage.Entries {
+		if string(node.Settings.Name) == relay {
+			node.Signal(syscall.SIGSTOP)
+		}
+	}
+	accept(t, stage.Controls, 2)
+	await(t, "change in force behind the frozen relay", func() bool {
+		return entryDump(t, leaf).VersionInForce == 2
+	})
+	never(t, "the entry behind the frozen relay unready", func() bool { return !isReady(t, leaf) })
+}
