--- a/src/cmd/measure/main.go
+++ b/src/cmd/measure/main.go
@@ -79,7 +79,9 @@
 		{name: "record", run: bench.Record},
 		{name: "overload", run: bench.Overload},
 		{name: "changes", run: bench.Changes},
+		{name: "repair", run: bench.Repair},
 		{name: "slopes", run: bench.Slopes},
+		{name: "failures", run: bench.Failures},
 		{name: "cost-hearthline", run: func(ctx context.Context) (*measurer.Result, error) {
 			return bench.Cost(ctx, "hearthline")
 		}},
--- a/src/loader/caller.go
+++ b/src/loader/caller.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// cut is a stream that ended early; the caller asks for all of it again.
+func (c *caller) cut(err error) reply {
+	c.outcome.Cuts++
+	return c.lost(err)
+}
+
 func (c *caller) refused(response *http.Response) reply {
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -206,7 +212,7 @@
 		}
 		parsed := &event{}
 		if err := json.Unmarshal([]byte(data), parsed); err != nil || len(parsed.Choices) == 0 {
-			return c.lost(fmt.Errorf("the stream ended with %.200s", data))
+			return c.cut(fmt.Errorf("the stream ended with %.200s", data))
 		}
 		now := time.Now()
 		if tokens == 0 {
@@ -218,7 +224,7 @@
 		tokens++
 		text.WriteString(parsed.Choices[0].Text)
 	}
-	return c.lost(errors.Join(errors.New("the stream has no final marker"), lines.Err()))
+	return c.cut(errors.Join(errors.New("the stream has no final marker"), lines.Err()))
 }
 
 func (c *caller) ended(tokens int, gaps []time.Duration, text []byte) reply {
--- a/src/loader/outcome.go
+++ b/src/loader/outcome.go
@@ -43,8 +43,10 @@
 	// GapP95 is the 95th percentile of the time between tokens.
 	GapP95 time.Duration
 	Tokens int
-	// Sends is how often the caller sent the call.
+	// Sends is how often the caller sent the call, Cuts how many of its streams
+	// ended early.
 	Sends int
+	Cuts  int
 	// RefusedIn is how long the last refusal took.
 	RefusedIn time.Duration
 	Status    int
--- a/src/measurer/plot.go
+++ b/src/measurer/plot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -11,6 +12,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/standin"
 )
 
 const (
@@ -43,6 +45,32 @@
 	return draw(path, "Calls within the latency target", "price of the engines held, per hour", "calls within the target, %", drawn)
 }
 
+// plotWave draws how many tokens each policy had computed again by a moment of the load.
+func plotWave(path string, waves []*trial) error {
+	var drawn []series
+	for _, t := range waves {
+		one := series{
+			name:   string(t.policy),
+			points: plotter.XYs{{}},
+		}
+		slices.SortFunc(t.again, func(a, b standin.Line) int { return a.At.Compare(b.At) })
+		total := 0
+		for _, line := range t.again {
+			total += line.Tokens
+			one.points = append(one.points, plotter.XY{
+				X: line.At.Sub(t.began).Seconds(),
+				Y: float64(total),
+			})
+		}
+		one.points = append(one.points, plotter.XY{
+			X: t.report.Span.Seconds(),
+			Y: float64(total),
+		})
+		drawn = append(drawn, one)
+	}
+	return draw(path, "Tokens computed again through a wave", "seconds of load; the wave comes at 6", "tokens", drawn)
+}
+
 // draw writes curves as an SVG file.
 func draw(path, title, x, y string, drawn []series) error {
 	if err := os.MkdirAll(filepath.Dir(path), folderMode); err != nil {
--- a/src/measurer/policy.go
+++ b/src/measurer/policy.go
@@ -10,6 +10,7 @@
 	"github.com/rosecroft/rosecroft/src/deployer"
 	"github.com/rosecroft/rosecroft/src/loader"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/standin"
 	"github.com/rosecroft/rosecroft/src/units"
 	"github.com/rosecroft/rosecroft/src/wrecker"
 )
@@ -43,6 +44,9 @@
 	// recomputed counts tokens that engines computed again for streams that went on.
 	recomputed int
 	verdict    *wrecker.Verdict
+	// began is when the load began, again what engines computed anew since.
+	began time.Time
+	again []standin.Line
 }
 
 // costPerThousand is the price of the engines for 1,000 calls that met the target.
@@ -84,6 +88,7 @@
 		}
 		addCost(result, policy, curves[policy], best[policy])
 	}
+	var waves []*trial
 	for _, policy := range policies {
 		t, err := b.trial(ctx, name, policy, sizes[len(sizes)-1], rate, []wrecker.Step{{
 			At:  waveAt,
@@ -93,10 +98,13 @@
 			return nil, err
 		}
 		addWave(result, t)
+		waves = append(waves, t)
 	}
-	plotName := "cost-" + name + ".svg"
-	result.Plots = []string{plotName}
-	return result, plotCost(filepath.Join(b.Root, resultsFolder, plotName), curves)
+	result.Plots = []string{"cost-" + name + ".svg", "wave-" + name + ".svg"}
+	if err := plotCost(filepath.Join(b.Root, resultsFolder, result.Plots[0]), curves); err != nil {
+		return nil, err
+	}
+	return result, plotWave(filepath.Join(b.Root, resultsFolder, result.Plots[1]), waves)
 }
 
 func addCost(result *Result, policy parser.Policy, curve []*trial, best *trial) {
@@ -166,8 +174,10 @@
 		report:     report,
 		spent:      spent(fleet, began, time.Now()),
 		good:       report.Within(firstToken, betweenTokens),
-		recomputed: truth.Recomputed(),
-		verdict:    wrecker.Check(report, truth),
+		recomputed: truth.RecomputedTokens(),
+		verdict:    wrecker.Check(report, truth, schedule),
+		began:      began,
+		again:      truth.Recomputed,
 	}
 	fmt.Printf("%s %s engines=%d good=%d of %d first-token %s cost=%.4f recomputed=%.1f %s\n", name, policy, engines, t.good,
 		len(report.Outcomes), quantiles(report.FirstTokens()), t.costPerThousand(), t.recomputedPerThousand(), t.verdict)
--- /dev/null
+++ b/src/prover/failures_test.go
@@ -0,0 +1,51 @@
+package prover
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/deployer"
+	"github.com/rosecroft/rosecroft/src/wrecker"
+)
+
+// Callers book, read and stream while an entry stops, another dies, a control
+// instance dies, an engine gets its notice, another freezes, a data centre's
+// engines are taken back and two operators race. Each call must end with one
+// whole answer or a true refusal, as the upstreams' journals tell: whatever
+// dies, another process holds the call's record or can go on with its stream.
+func TestShortFailureRun(t *testing.T) {
+	experiment := &wrecker.Experiment{
+		Deployment: deployer.Hearthline(filepath.Join("..", "..")),
+		Stage:      newStage(t),
+		Rates: deployer.Rates{
+			Stream: 8,
+			Whole:  2,
+			Once:   8,
+			Read:   4,
+		},
+		Span: 9 * time.Second,
+		Seed: 1,
+		Log:  t.Output(),
+		Schedule: []wrecker.Step{
+			{At: 1500 * time.Millisecond, Act: wrecker.NoticeUpstream, Target: 3},
+			{At: 2000 * time.Millisecond, Act: wrecker.StopEntry, Target: 4, Lasts: time.Second},
+			{At: 2500 * time.Millisecond, Act: wrecker.KillControl, Target: 1, Lasts: time.Second},
+			{At: 3000 * time.Millisecond, Act: wrecker.RacingOperators, Target: 1},
+			{At: 4000 * time.Millisecond, Act: wrecker.FreezeUpstream, Target: 9, Lasts: 2 * time.Second},
+			{At: 5500 * time.Millisecond, Act: wrecker.Wave, Target: 2},
+			{At: 6500 * time.Millisecond, Act: wrecker.KillEntry, Target: 7, Lasts: time.Second},
+		},
+	}
+	verdict, _, err := experiment.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(verdict)
+	if got, want := verdict.Faults, 0; len(got) != want {
+		t.Errorf("faults: got %q, want %d", got, want)
+	}
+	if got, want := verdict.Answered, 1; got < want {
+		t.Errorf("answered calls: got %d, want at least %d", got, want)
+	}
+}
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -39,6 +39,8 @@
 	Standin string
 	// Timing goes into every process's settings.
 	Timing parser.Timing
+	// Voters goes into every process's settings; 0 leaves the default.
+	Voters int
 	// Secured runs every process over TLS, with certificates made in Folder.
 	Secured bool
 
@@ -141,6 +143,7 @@
 	}
 	node.Settings.InsecureLoopback = !s.Secured
 	node.Settings.Timing = s.Timing
+	node.Settings.Voters = s.Voters
 	node.path = filepath.Join(s.Folder, string(node.Settings.Name)+".yaml")
 	content, err := yaml.Marshal(node.Settings)
 	if err != nil {
--- a/src/wrecker/checker.go
+++ b/src/wrecker/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,12 +23,18 @@
 	// runs holds when each caller's call began to run, and where.
 	runs    map[string][]standin.Line
 	leaving map[string]time.Time
-	// recomputed counts tokens that engines computed again.
-	recomputed int
+	// Recomputed are the tokens that engines computed again for streams that went on.
+	Recomputed []standin.Line
 }
 
-// Recomputed returns how many tokens engines computed again for streams that went on.
-func (t *Truth) Recomputed() int { return t.recomputed }
+// RecomputedTokens returns how many tokens engines computed again.
+func (t *Truth) RecomputedTokens() int {
+	total := 0
+	for _, line := range t.Recomputed {
+		total += line.Tokens
+	}
+	return total
+}
 
 // ReadTruth reads every journal in a folder.
 func ReadTruth(folder string) (*Truth, error) {
@@ -58,7 +65,7 @@
 		case standin.Started:
 			t.runs[line.Reference] = append(t.runs[line.Reference], line)
 		case standin.Recomputed:
-			t.recomputed += line.Tokens
+			t.Recomputed = append(t.Recomputed, line)
 		case standin.LeavingBegan:
 			t.leaving[line.Upstream] = line.At
 		}
@@ -73,13 +80,14 @@
 	Unknown int
 	Lost    int
 	Doubled int
-	// Cut are streams that callers saw end early and asked for again.
+	// Cut are streams that callers saw end early and asked for again. Only an
+	// entry that dies or freezes may cut one.
 	Cut    int
 	Faults []string
 }
 
-// Check compares what callers were told with the truth.
-func Check(report *loader.Report, truth *Truth) *Verdict {
+// Check compares what callers were told with the truth, after a schedule.
+func Check(report *loader.Report, truth *Truth, schedule []Step) *Verdict {
 	v := &Verdict{}
 	for _, outcome := range report.Outcomes {
 		v.count(outcome)
@@ -87,9 +95,22 @@
 	}
 	v.checkTexts(report)
 	v.checkLeaving(truth)
+	v.checkCuts(report, schedule)
 	return v
 }
 
+// checkCuts finds streams that ended early although no entry died or froze.
+func (v *Verdict) checkCuts(report *loader.Report, schedule []Step) {
+	if slices.ContainsFunc(schedule, func(s Step) bool { return s.Act == KillEntry || s.Act == FreezeEntry }) {
+		return
+	}
+	for _, outcome := range report.Outcomes {
+		if outcome.Cuts > 0 {
+			v.fault(outcome, "its stream ended early while no entry died: "+outcome.Detail)
+		}
+	}
+}
+
 func (v *Verdict) count(outcome *loader.Outcome) {
 	switch outcome.Result {
 	case loader.Answered:
@@ -104,9 +125,7 @@
 	case loader.Failed:
 		v.fault(outcome, "not a whole answer: "+outcome.Detail)
 	}
-	if outcome.Kind == loader.Stream && outcome.Sends > 1 && outcome.Result == loader.Answered {
-		v.Cut++
-	}
+	v.Cut += outcome.Cuts
 }
 
 func (v *Verdict) checkRuns(outcome *loader.Outcome, runs []standin.Line) {
--- a/src/wrecker/run.go
+++ b/src/wrecker/run.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, report, err
 	}
-	verdict := Check(report, truth)
+	verdict := Check(report, truth, e.Schedule)
 	verdict.Faults = append(verdict.Faults, watch.faults()...)
 	return verdict, report, nil
 }
