--- a/src/recorder/judgement.go
+++ b/src/recorder/judgement.go
@@ -262,9 +262,16 @@
 	return highest
 }
 
-// later returns the record of the higher proposal. In round 0 any of several
-// proposals may stand at a majority, so the one that may have run counts.
+// later returns the record of the higher proposal, and of one proposal the state
+// that was set last. In round 0 any of several proposals may stand at a majority,
+// so the one that may have run counts.
 func later(a, b *messages.CallRecord) *messages.CallRecord {
+	if compareBallots(a.GetAccepted(), b.GetAccepted()) == 0 {
+		if rank(b.GetState()) > rank(a.GetState()) {
+			return b
+		}
+		return a
+	}
 	if a.GetAccepted().GetRound() == 0 && b.GetAccepted().GetRound() == 0 {
 		if mayHaveRun(b) {
 			return b
