--- a/src/cmd/demo/tour.go
+++ b/src/cmd/demo/tour.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,7 +21,7 @@
 	apiKey      = "strath-sweeps.example-secret"
 	tokens      = 120
 	callTimeout = 20 * time.Second
-	tries       = 5
+	shortPause  = 50 * time.Millisecond
 	settleTime  = 500 * time.Millisecond
 )
 
@@ -81,29 +82,32 @@
 	t.count(fmt.Sprintf("model stream=%t", stream), content, err)
 }
 
-// call asks the entries in turn, as the balancer would, while they say that the call did not run.
+// call asks the entries in turn, as the balancer would, for as long as it is
+// told to come back; a resend under the same key cannot run twice.
 func (t *tour) call(ctx context.Context, round int, path, body, key string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var last error
-	for try := range tries {
+	for try := 0; ctx.Err() == nil; try++ {
 		entry := t.stage.Entries[(round+try)%entries]
 		if !entry.Running() {
 			continue
 		}
-		content, again, err := send(ctx, entry.CallerURL()+path, body, key)
-		if err == nil || !again {
+		content, pause, err := send(ctx, entry.CallerURL()+path, body, key)
+		if err == nil || pause == 0 {
 			return content, err
 		}
 		last = err
+		time.Sleep(pause)
 	}
 	return nil, errors.Join(errors.New("no entry took the call"), last)
 }
 
-func send(ctx context.Context, url, body, key string) (content []byte, again bool, err error) {
+// send makes one try; pause is how long to wait before the next, 0 for no more.
+func send(ctx context.Context, url, body, key string) (content []byte, pause time.Duration, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
-		return nil, false, err
+		return nil, 0, err
 	}
 	request.Header.Set("Authorization", "Bearer "+apiKey)
 	request.Header.Set("Content-Type", "application/json")
@@ -112,15 +116,18 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errors.Is(err, syscall.ECONNREFUSED), err
+		return nil, shortPause, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err = io.ReadAll(response.Body)
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d: %s", response.StatusCode, content)
-		return nil, bytes.Contains(content, []byte(`"executed":"no"`)), err
+	if err != nil {
+		return nil, shortPause, err
+	}
+	if response.StatusCode != http.StatusOK {
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+		return nil, time.Duration(seconds) * time.Second, fmt.Errorf("status %d: %s", response.StatusCode, content)
 	}
-	return content, false, err
+	return content, 0, nil
 }
 
 // streamText returns the text of a whole stream.
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,7 +13,6 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
-	"github.com/rosecroft/rosecroft/src/forwarder"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -21,7 +20,6 @@
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
-	"github.com/rosecroft/rosecroft/src/router"
 	"github.com/rosecroft/rosecroft/src/server"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -43,6 +41,7 @@
 	snapshot    atomic.Pointer[indexer.Snapshot]
 	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
+	traffic     *traffic
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
@@ -52,7 +51,10 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.traffic = newTraffic(e)
+	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -65,6 +67,7 @@
 	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
+	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
 		return e.serveCallers(ctx, lasting)
@@ -87,6 +90,7 @@
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
+	e.leaveView(ctx)
 	e.Log.Info().Msg("drained")
 	return nil
 }
@@ -94,8 +98,11 @@
 // View returns the newest entry view that control has committed, nil before the first.
 func (e *Entry) View() *messages.EntryView { return e.view.Load() }
 
+// ready says whether the balancer should send calls here. Without the record the
+// entry would refuse every call that may not be repeated, so that callers saw
+// refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready()
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -106,14 +113,11 @@
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter:  &limiter.Limiter{},
-			Recorder: e.recorder,
-			Router: &router.Router{
-				Snapshot: &e.snapshot,
-			},
-			Exchanger: &forwarder.Forwarder{
-				Client: forwarder.NewSecureClient(e.Certificates.ToUpstreams()),
-			},
+			Limiter:   &limiter.Limiter{},
+			Recorder:  e.recorder,
+			Router:    e.traffic.router,
+			Exchanger: e.traffic.forwarder,
+			Observer:  e.traffic.router,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
@@ -125,6 +129,7 @@
 	server := &connector.Server{
 		Listener: e.Peers,
 		TLS:      e.Certificates.Peers(),
+		Traffic:  e.Client.Traffic,
 	}
 	e.recorder.Handle(server)
 	return server
--- /dev/null
+++ b/src/entry/traffic.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/forwarder"
+	"github.com/rosecroft/rosecroft/src/locator"
+	"github.com/rosecroft/rosecroft/src/router"
+	"github.com/rosecroft/rosecroft/src/tracker"
+)
+
+// indexBits sizes the cache index: 16,384 buckets of 64 bytes, 1 MiB.
+const indexBits = 14
+
+// traffic is the part of an entry that brings calls to upstreams.
+type traffic struct {
+	router    *router.Router
+	forwarder *forwarder.Forwarder
+	reclaimer *forwarder.Reclaimer
+}
+
+func newTraffic(e *Entry) *traffic {
+	pools := &forwarder.Pools{
+		TLS: e.Certificates.ToUpstreams(),
+	}
+	chooser := &router.Router{
+		Snapshot: &e.snapshot,
+		Entry:    e.Settings.Name,
+		Index:    locator.New(indexBits),
+	}
+	reclaimer := &forwarder.Reclaimer{
+		Router: chooser,
+		Pools:  pools,
+		Log:    e.Log,
+	}
+	return &traffic{
+		router:    chooser,
+		reclaimer: reclaimer,
+		forwarder: &forwarder.Forwarder{
+			Pools:     pools,
+			Reclaimer: reclaimer,
+		},
+	}
+}
+
+// departed takes up that an upstream leaves or is gone. One whose time has
+// passed was told of before.
+func (t *traffic) departed(upstream *tracker.Upstream) {
+	if upstream.Leaving && !time.Now().Before(upstream.LeavesAt) {
+		return
+	}
+	t.router.Departed(upstream)
+	if upstream.Leaving {
+		t.reclaimer.Notice(upstream)
+	}
+}
--- a/src/recorder/recorder.go
+++ b/src/recorder/recorder.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Ready reports whether this entry knows the owners of records.
+func (r *Recorder) Ready() bool { return r.view.Load() != nil }
+
 func (r *Recorder) tick(ctx context.Context, owner *Owner) {
 	if committed := r.EntryView(); committed.GetNumber() > owner.ViewNumber() {
 		r.step(ctx, owner, Viewed{View: NewView(committed, SlotCount)})
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -67,6 +67,7 @@
 
 	upstreams map[units.Upstream]*Upstream
 	gone      map[units.Upstream]tombstone
+	numbered  uint32
 }
 
 // tombstone keeps a late announcement from bringing an ended incarnation back.
@@ -101,6 +102,11 @@
 	return usable
 }
 
+// Find returns an upstream by name, or nil.
+func (t *Tracker) Find(name units.Upstream) *Upstream {
+	return t.upstreams[name]
+}
+
 // All returns every known upstream, the leaving ones included.
 func (t *Tracker) All() []*Upstream {
 	all := make([]*Upstream, 0, len(t.upstreams))
@@ -130,7 +136,11 @@
 	}
 	if known != nil && known.Incarnation == next.Incarnation {
 		next.Live = known.Live
+	} else {
+		t.numbered++
+		next.Live.Number = t.numbered
 	}
+	next.Load.correct(next.Live)
 	t.upstreams[name] = next
 	actions := []Action{Changed{}}
 	if next.Leaving {
@@ -152,6 +162,7 @@
 func (t *Tracker) expire(now time.Time) []Action {
 	var actions []Action
 	for name, upstream := range t.upstreams {
+		upstream.Live.sample(now)
 		silent := now.Sub(upstream.HeardAt) >= t.Expiry
 		left := upstream.Leaving && !now.Before(upstream.LeavesAt)
 		if !silent && !left {
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -27,7 +27,10 @@
 	Adapters     []string
 	Slots        int
 	Step         time.Duration
-	Load         Load
+	// PrefillPerStep is how many prompt tokens a step computes, 0 where unknown.
+	PrefillPerStep units.Tokens
+	KV             KV
+	Load           Load
 	// HeardAt is when the announcement arrived here.
 	HeardAt time.Time
 	// Live is shared by all announcements of one incarnation.
@@ -40,6 +43,14 @@
 	Queued       int
 	QueuedTokens units.Tokens
 	MeasuredAt   time.Time
+	// Others is what of Running and Queued this entry had not sent.
+	Others int
+}
+
+// KV is what the export of an engine's KV cache costs; zeros mean that it exports none.
+type KV struct {
+	BytesPerToken  int64
+	BytesPerSecond int64
 }
 
 // Live counts what this entry has under way at an upstream; traffic changes it.
@@ -47,6 +58,51 @@
 	InFlight atomic.Int64
 	// Prefill counts prompt tokens sent and not yet answered by a first token.
 	Prefill atomic.Int64
+	// Number identifies the incarnation within this process, from 1.
+	Number uint32
+	// Since is when the incarnation was first heard of.
+	Since time.Time
+	// EjectedUntil is in nanoseconds of Unix time, 0 where it is not ejected.
+	EjectedUntil atomic.Int64
+
+	// history holds what was in flight at the last samples; the table's owner
+	// alone uses it.
+	history [historyLength]sample
+	samples int
+}
+
+type sample struct {
+	at       time.Time
+	inFlight int64
+}
+
+// historyLength is how many samples are kept, a few reports' age.
+const historyLength = 32
+
+// sample notes what is in flight now.
+func (l *Live) sample(now time.Time) {
+	l.history[l.samples%historyLength] = sample{
+		at:       now,
+		inFlight: l.InFlight.Load(),
+	}
+	l.samples++
+}
+
+// inFlightAt returns what was in flight at an earlier moment, by the last sample before it.
+func (l *Live) inFlightAt(at time.Time) int64 {
+	for i := l.samples - 1; i >= max(0, l.samples-historyLength); i-- {
+		if known := l.history[i%historyLength]; !known.at.After(at) {
+			return known.inFlight
+		}
+	}
+	return 0
+}
+
+// correct takes out of a report what this entry had sent itself, which it knows
+// better and without lag.
+func (l *Load) correct(live *Live) {
+	own := live.inFlightAt(l.MeasuredAt)
+	l.Others = max(0, l.Running+l.Queued-int(own))
 }
 
 func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
@@ -73,7 +129,14 @@
 			QueuedTokens: units.Tokens(a.GetLoad().GetQueuedTokens()),
 			MeasuredAt:   now.Add(-time.Duration(a.GetLoad().GetAgeMs()) * time.Millisecond),
 		},
+		PrefillPerStep: units.Tokens(a.GetPrefillPerStep()),
+		KV: KV{
+			BytesPerToken:  int64(a.GetKvBytesPerToken()),
+			BytesPerSecond: int64(a.GetKvBytesPerSecond()),
+		},
 		HeardAt: now,
-		Live:    &Live{},
+		Live: &Live{
+			Since: now,
+		},
 	}
 }
