--- a/src/cmd/demo/main.go
+++ b/src/cmd/demo/main.go
@@ -17,9 +17,10 @@
 
 const (
 	controls = 3
-	entries  = 3
-	engines  = 4
-	rounds   = 6
+	// With one entry stopped and one dead, a majority of each record's owners lives.
+	entries = 4
+	engines = 4
+	rounds  = 6
 )
 
 type options struct {
