--- a/src/server/sink.go
+++ b/src/server/sink.go
@@ -19,6 +19,8 @@
 	// writeSize is how much of a whole answer one write holds, so that a slow
 	// caller of a long one is told from one that reads nothing.
 	writeSize = 64 << 10
+	// holdSize is the most bytes that wait for a later event.
+	holdSize = 8 << 10
 )
 
 // sink writes one call's answer to its caller.
@@ -26,7 +28,6 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 	begun   bool
-	buffer  []byte
 	// timeout bounds each write; without it a caller that stops reading would
 	// hold its call, its memory and its upstream's slot for good.
 	timeout time.Duration
@@ -34,6 +35,9 @@
 	// last is when the call began or its last event was written.
 	last   time.Time
 	events int
+	// held says that the buffer waits for a later event.
+	held   bool
+	buffer []byte
 }
 
 func (s *Server) newSink(writer http.ResponseWriter, call *dispatcher.Call, began time.Time) *sink {
@@ -76,13 +80,13 @@
 	s.writer.Header().Set("Content-Type", streamType)
 	s.writer.Header().Set("Cache-Control", "no-store")
 	s.writer.WriteHeader(http.StatusOK)
-	s.extend()
-	return s.flusher.Flush()
+	// The header goes out with the first event, in one write.
+	return nil
 }
 
 // Event writes one event, whose id is the count of tokens up to it.
 func (s *sink) Event(offset units.Tokens, data []byte) error {
-	s.buffer = append(s.buffer[:0], "id: "...)
+	s.buffer = append(s.buffer, "id: "...)
 	s.buffer = strconv.AppendInt(s.buffer, int64(offset), 10)
 	s.buffer = append(s.buffer, "\ndata: "...)
 	s.buffer = append(s.buffer, data...)
@@ -101,9 +105,13 @@
 	s.last = now
 }
 
+// Hold keeps events back until the first that is not held.
+func (s *sink) Hold(hold bool) { s.held = hold }
+
 // End writes the final marker of a stream.
 func (s *sink) End() error {
-	s.buffer = append(s.buffer[:0], "data: [DONE]"...)
+	s.held = false
+	s.buffer = append(s.buffer, "data: [DONE]"...)
 	return s.flush()
 }
 
@@ -118,15 +126,21 @@
 	if err != nil {
 		return
 	}
-	s.buffer = append(s.buffer[:0], "event: error\ndata: "...)
+	s.held = false
+	s.buffer = append(s.buffer, "event: error\ndata: "...)
 	s.buffer = append(s.buffer, content...)
 	_ = s.flush()
 }
 
 func (s *sink) flush() error {
 	s.buffer = append(s.buffer, "\n\n"...)
+	if s.held && len(s.buffer) < holdSize {
+		return nil
+	}
+	content := s.buffer
+	s.buffer = s.buffer[:0]
 	s.extend()
-	if _, err := s.writer.Write(s.buffer); err != nil {
+	if _, err := s.writer.Write(content); err != nil {
 		return err
 	}
 	return s.flusher.Flush()
