Let the stand-in engine look up its cache when a prompt's turn comes

Cause: prompts with the same beginning that waited together were each computed whole, since the stand-in looked its cache up on arrival and filled it only at the first token; engines look it up when they schedule and fill it as they compute.

--- a/src/forwarder/exchange.go
+++ b/src/forwarder/exchange.go
@@ -39,7 +39,7 @@
 	client   *http.Client
 	// waiting is whether the prompt counts as waiting at the upstream.
 	waiting bool
-	id     mover.StreamID
+	id      mover.StreamID
 	// progress is the stream's offset for readers elsewhere.
 	progress atomic.Int64
 
--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -1,12 +1,9 @@
 package forwarder
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
@@ -21,13 +18,6 @@
 	paceShare = 2
 )
 
-var (
-	errCut     = errors.New("the stream ended before its final marker")
-	idField    = []byte("id: ")
-	dataField  = []byte("data: ")
-	eventField = []byte("event: ")
-)
-
 // passStream hands a stream's events on, each after a check, until its final marker.
 func (e *exchange) passStream(response *http.Response) dispatcher.Result {
 	version := units.ModelVersion(response.Header.Get(HeaderModelVersion))
@@ -48,30 +38,11 @@
 // passEvents hands events on in as few writes as come in reads.
 func (e *exchange) passEvents(response *http.Response, lines *lineReader, batch dispatcher.Batcher) dispatcher.Result {
 	reader := newEventReader(e.call.ID)
-	var offset units.Tokens
 	for {
-		line, err := lines.next()
-		if errors.Is(err, io.EOF) {
-			return lost(errCut)
-		}
+		offset, data, err := lines.event()
 		if err != nil {
 			return lost(err)
 		}
-		if id, found := bytes.CutPrefix(line, idField); found {
-			offset, err = parseOffset(id)
-			if err != nil {
-				return lost(err)
-			}
-			continue
-		}
-		// The upstream ends a stream that it cannot finish with an event of its own kind.
-		if bytes.HasPrefix(line, eventField) {
-			return lost(fmt.Errorf("the upstream ended the stream with %q", line))
-		}
-		data, found := bytes.CutPrefix(line, dataField)
-		if !found {
-			continue
-		}
 		if string(data) == doneMarker {
 			result := e.endStream()
 			e.drain(response)
@@ -103,14 +74,6 @@
 	time.Sleep(now.Truncate(pace).Add(pace).Sub(now))
 }
 
-func parseOffset(id []byte) (units.Tokens, error) {
-	number, err := strconv.ParseInt(string(id), 10, 64)
-	if err != nil {
-		return 0, fmt.Errorf("an event's id is no token offset: %w", err)
-	}
-	return units.Tokens(number), nil
-}
-
 func (e *exchange) passEvent(reader *eventReader, offset units.Tokens, data []byte) (dispatcher.Result, bool) {
 	text, err := reader.read(data)
 	if err != nil {
--- a/src/prover/stream_test.go
+++ b/src/prover/stream_test.go
@@ -309,6 +309,7 @@
 // A caller who hangs up must cost no more tokens: the engine would generate to
 // the end for nobody, in a slot that others wait for.
 func TestCallerWhoHangsUpCancelsTheUpstreamsWork(t *testing.T) {
+	t.Parallel()
 	engines, call, _ := startStreams(t, 1)
 	call.tokens = 20000
 	ctx, cancel := context.WithCancel(t.Context())
@@ -330,6 +331,7 @@
 // cache must go to another engine first and the stream after it: the caller sees
 // the whole text, and hardly a token is computed again.
 func TestStreamMovesWithItsCacheOnNotice(t *testing.T) {
+	t.Parallel()
 	engines, call, _ := startStreams(t, 2, "--notice", "2s")
 	call.tokens = 1500
 	ctx, cancel := context.WithTimeout(t.Context(), streamLimit)
@@ -425,6 +427,7 @@
 // knows whether the booking stands, so the caller must hear `unknown`, and no
 // other upstream may book it a second time.
 func TestSilentBookingIsUnknownAndRunsOnce(t *testing.T) {
+	t.Parallel()
 	cases := map[string]string{
 		"silent":    `{"delay-ms":60000}`,
 		"crossed":   `{"cross":true}`,
--- a/src/standin/engine.go
+++ b/src/standin/engine.go
@@ -110,18 +110,7 @@
 		return known, false
 	}
 	s = newSequence(e.Options.ModelVersion, prompt)
-	cached := e.cache.hit(s.blocks) * blockBytes / bytesPerToken
-	held := max(cached, e.takeImport(prompt.Call))
-	s.prefill = max(0, s.context()-held)
-	e.work.Prefilled += s.prefill
-	if prompt.Offset > 0 || prompt.Attempt > 1 {
-		e.work.Recomputed += s.prefill
-		e.Journal.Write(Line{
-			Happening: Recomputed,
-			Call:      prompt.Call,
-			Tokens:    s.prefill,
-		})
-	}
+	s.prefill = e.uncached(s)
 	e.sequences[prompt.Call] = s
 	e.queue = append(e.queue, s)
 	// Priority 0 goes first; equal priorities keep their order.
@@ -129,6 +118,41 @@
 	return s, true
 }
 
+// uncached returns the tokens of a sequence that are not cached now; the lock is held.
+func (e *Engine) uncached(s *sequence) int {
+	cached := e.cache.hit(s.blocks) * blockBytes / bytesPerToken
+	return max(0, s.context()-cached)
+}
+
+// schedule looks up what a sequence must compute, at the moment when its turn
+// comes: what others computed while it waited is cached by then.
+func (e *Engine) schedule(s *sequence) {
+	s.scheduled = true
+	s.prefill = min(e.uncached(s), max(0, s.context()-e.takeImport(s.call)))
+	e.work.Prefilled += s.prefill
+	if !s.again {
+		return
+	}
+	e.work.Recomputed += s.prefill
+	e.Journal.Write(Line{
+		Happening: Recomputed,
+		Call:      s.call,
+		Tokens:    s.prefill,
+	})
+}
+
+// compute spends prefill budget on a sequence and returns what is left of it.
+func (e *Engine) compute(s *sequence, budget int) int {
+	done := min(budget, s.prefill)
+	s.prefill -= done
+	computed := min(len(s.blocks), (s.context()-s.prefill)*bytesPerToken/blockBytes)
+	if computed > s.cached {
+		e.cache.add(s.blocks[s.cached:computed])
+		s.cached = computed
+	}
+	return budget - done
+}
+
 // Runs reports whether the call has a sequence here.
 func (e *Engine) Runs(call string) bool {
 	e.mu.Lock()
@@ -200,10 +224,14 @@
 	}
 	budget := e.Options.PrefillPerStep
 	for _, s := range e.running {
+		if !s.scheduled && budget == 0 {
+			continue
+		}
+		if !s.scheduled {
+			e.schedule(s)
+		}
 		if s.prefill > 0 {
-			done := min(budget, s.prefill)
-			budget -= done
-			s.prefill -= done
+			budget = e.compute(s, budget)
 			continue
 		}
 		e.generate(s)
@@ -218,6 +246,7 @@
 		return
 	}
 	if s.generated == s.offset {
+		// Marks the blocks as used; those that were cached before count too.
 		e.cache.add(s.blocks)
 	}
 	s.generated++
--- a/src/standin/sequence.go
+++ b/src/standin/sequence.go
@@ -14,9 +14,15 @@
 	priority int
 	blocks   []uint64
 	// prompt and offset are the tokens that the sequence started from.
-	prompt    int
-	offset    int
-	prefill   int
+	prompt  int
+	offset  int
+	prefill int
+	// cached is how many of the blocks were put into the prefix cache since.
+	cached int
+	// scheduled says that its turn to compute has come, again that an earlier
+	// attempt may have computed the same.
+	scheduled bool
+	again     bool
 	generated int
 	most      int
 	cancelled bool
@@ -37,6 +43,7 @@
 		offset:    prompt.Offset,
 		generated: prompt.Offset,
 		most:      prompt.Most,
+		again:     prompt.Offset > 0 || prompt.Attempt > 1,
 		readers:   1,
 		changed:   make(chan struct{}),
 	}
--- a/src/standin/transfer.go
+++ b/src/standin/transfer.go
@@ -64,7 +64,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.sequences[call]
-	if s == nil || s.prefill > 0 {
+	if s == nil || !s.scheduled || s.prefill > 0 {
 		return 0
 	}
 	e.work.Exported += s.context()
