--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -314,7 +314,7 @@
 func (c *coordinator) hear(heartbeat *messages.EntryHeartbeat) *messages.EntryHeartbeatResponse {
 	now := time.Now()
 	response := &messages.EntryHeartbeatResponse{
-		LeaderAddress: addressOf(c.settings, c.node.LeaderID()),
+		Leader: string(c.node.LeaderID()),
 	}
 	if !c.node.Lead(now) {
 		return response
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -44,11 +44,11 @@
 	coordinator *coordinator
 	traffic     *traffic
 	stopping    atomic.Bool
-	// until is when the lease to serve ends.
-	until       atomic.Pointer[time.Time]
-	follower    *follower
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
+	// until is when the lease to serve ends.
+	until    atomic.Pointer[time.Time]
+	follower *follower
 }
 
 // Run serves until ctx ends and the calls under way have finished.
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -111,7 +111,7 @@
 		return
 	}
 	if !response.GetIsLeader() {
-		f.leader = f.known(response.GetLeaderAddress())
+		f.leader = f.controlAddress(units.Instance(response.GetLeader()))
 		f.next++
 		return
 	}
@@ -184,6 +184,17 @@
 	return f.lease.ControlAge(time.Now())
 }
 
+// controlAddress returns where this entry's settings say that a control instance
+// is; the address that another instance knows it by need not be reachable from here.
+func (f *follower) controlAddress(name units.Instance) string {
+	for _, known := range f.settings.Control {
+		if known.Name == name {
+			return known.Address
+		}
+	}
+	return ""
+}
+
 func (f *follower) address() string {
 	if f.leader != "" {
 		return f.leader
@@ -191,17 +202,6 @@
 	return f.settings.Control[f.next%len(f.settings.Control)].Address
 }
 
-// known returns an address that the settings name, else "": this entry may reach
-// control by other addresses than control's own instances, and then asks in turn.
-func (f *follower) known(address string) string {
-	for _, instance := range f.settings.Control {
-		if instance.Address == address {
-			return address
-		}
-	}
-	return ""
-}
-
 func (f *follower) heartbeat() *messages.EntryHeartbeat {
 	return &messages.EntryHeartbeat{
 		Entry:          string(f.settings.Name),
