Decide apart from I/O where an entry reports

Cause: the fall-back from relays to control stood inside the follower's I/O, and the mutant that took it out survived, since peers brought the change as well.

--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -19,10 +19,6 @@
 	heartbeatTimeout  = 500 * time.Millisecond
 	// alarmShare is the share of the fence without control after which peers are asked.
 	alarmShare = 3
-	// mostRefusals is how many beats in a row a relay may be of no use.
-	mostRefusals = 2
-	// orphanBeats is how many beats an entry reports to control before it tries its relays again.
-	orphanBeats = 25
 )
 
 // follower tells control what this entry has in force and brings back what is
@@ -43,9 +39,7 @@
 	// leader is the address to ask, "" while none is known.
 	leader string
 	next   int
-	// refusals and orphan count the beats that no relay carried.
-	refusals int
-	orphan   int
+	route  distributor.Route
 
 	mu    sync.Mutex
 	lease distributor.Lease
@@ -79,23 +73,12 @@
 }
 
 func (f *follower) beat(ctx context.Context) {
-	relays := distributor.Relays(f.view.Load(), f.settings.Name)
-	if len(relays) == 0 || f.orphan > 0 {
-		f.orphan = max(0, f.orphan-1)
+	relay := f.route.Target(distributor.Relays(f.view.Load(), f.settings.Name))
+	if relay == nil {
 		f.beatControl(ctx)
 		return
 	}
-	if f.beatRelay(ctx, relays[f.next%len(relays)].GetPeerAddress()) {
-		f.refusals = 0
-		return
-	}
-	f.next++
-	f.refusals++
-	// Relays that are gone or cut off must not take this entry with them.
-	if f.refusals >= mostRefusals {
-		f.refusals = 0
-		f.orphan = orphanBeats
-	}
+	f.route.Tried(f.beatRelay(ctx, relay.GetPeerAddress()))
 }
 
 func (f *follower) beatControl(ctx context.Context) {
