Prove the record on real processes and measure its cost

Cause: the machines were proved, the processes were not. An answer to a call that may not be repeated now waits, a second at most, until a majority keeps it, so that a caller who has it can have it again.

--- a/src/prover/fleet_test.go
+++ b/src/prover/fleet_test.go
@@ -58,7 +58,7 @@
 	return len(newest.Members)
 }
 
-func entryDump(t *testing.T, node *stager.Node) *entry.Dump {
+func entryDump(t testing.TB, node *stager.Node) *entry.Dump {
 	t.Helper()
 	dump := &entry.Dump{}
 	readDump(t, node, dump)
@@ -66,7 +66,7 @@
 }
 
 // readDump fills state from a running node's dump; it stays empty where the node does not answer.
-func readDump(t *testing.T, node *stager.Node, state any) {
+func readDump(t testing.TB, node *stager.Node, state any) {
 	t.Helper()
 	output, err := exec.CommandContext(t.Context(), programs+"/rosecroft", "dump", node.OperatorURL()).Output()
 	if err != nil {
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -43,7 +43,7 @@
 }
 
 // newStage returns a stage whose processes end with the test.
-func newStage(t *testing.T) *stager.Stage {
+func newStage(t testing.TB) *stager.Stage {
 	t.Helper()
 	stage := &stager.Stage{
 		Folder:  t.TempDir(),
@@ -55,7 +55,7 @@
 }
 
 // startFleet starts a fleet over the data centres and waits until it answers.
-func startFleet(t *testing.T, stage *stager.Stage, controls, entries int) {
+func startFleet(t testing.TB, stage *stager.Stage, controls, entries int) {
 	t.Helper()
 	dataCentres := []units.DataCentre{"dc-a", "dc-b", "dc-c", "dc-d"}
 	if err := stage.StartFleet(controls, entries, dataCentres); err != nil {
@@ -68,7 +68,7 @@
 
 // apply submits a configuration file and waits until it is in force and every
 // running entry takes calls.
-func apply(t *testing.T, stage *stager.Stage, file string) {
+func apply(t testing.TB, stage *stager.Stage, file string) {
 	t.Helper()
 	flags, err := stage.Flags(certifier.Identity{
 		Role: certifier.Operator,
@@ -91,7 +91,7 @@
 }
 
 // await waits until the condition holds.
-func await(t *testing.T, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), awaitLimit)
 	defer cancel()
--- /dev/null
+++ b/src/prover/recordcost_test.go
@@ -0,0 +1,56 @@
+package prover
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// BenchmarkRecord measures a booking at an entry that may be repeated, which has
+// no record, one that may not, and one that may not and bears the caller's key.
+func BenchmarkRecord(b *testing.B) {
+	for _, c := range []struct {
+		name       string
+		repeatable string
+		key        string
+	}{
+		{name: "repeatable", repeatable: "true"},
+		{name: "not-repeatable", repeatable: "false"},
+		{name: "not-repeatable-with-key", repeatable: "false", key: "bench"},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			content, err := os.ReadFile("../../examples/hearthline.yaml")
+			if err != nil {
+				b.Fatal(err)
+			}
+			file := filepath.Join(b.TempDir(), "configuration.yaml")
+			changed := strings.Replace(string(content), "repeatable: false", "repeatable: "+c.repeatable, 1)
+			changed = strings.ReplaceAll(changed, "requests-per-second: 400", "requests-per-second: 40000")
+			if err := os.WriteFile(file, []byte(changed), 0o600); err != nil {
+				b.Fatal(err)
+			}
+			stage, _ := startDiary(b, 4, 0, file)
+			var took []time.Duration
+			for i := 0; b.Loop(); i++ {
+				key := c.key
+				if key != "" {
+					key = fmt.Sprintf("%s-%d", c.key, i)
+				}
+				began := time.Now()
+				got := sendBooking(b.Context(), stage.Entries[0], key, `{"flue":1}`)
+				took = append(took, time.Since(began))
+				if want := http.StatusOK; got.status != want {
+					b.Fatalf("status: got %d (%s), want %d", got.status, got.body, want)
+				}
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+		})
+	}
+}
--- a/src/recorder/judgement.go
+++ b/src/recorder/judgement.go
@@ -202,7 +202,7 @@
 		return p.conclude(Conflicting, nil)
 	}
 	if standing != nil && mayHaveRun(standing) {
-		return p.settle(now, standing)
+		return p.settleUnlessWorks(now, standing)
 	}
 	if standing == nil && p.Made {
 		return p.conclude(Undecidable, nil)
@@ -214,11 +214,23 @@
 // or it provably did not and may be sent again.
 func (p *Proposer) judgeLookedPromises(now time.Time, standing *messages.CallRecord) []ProposerAction {
 	if standing != nil && mayHaveRun(standing) {
-		return p.settle(now, standing)
+		return p.settleUnlessWorks(now, standing)
 	}
 	return p.conclude(Absent, nil)
 }
 
+// settleUnlessWorks waits for an entry that got its intent stored before the
+// promises were made and is still at work: its answer will come.
+func (p *Proposer) settleUnlessWorks(now time.Time, standing *messages.CallRecord) []ProposerAction {
+	if !p.works(standing) {
+		return p.settle(now, standing)
+	}
+	if p.lookOnly {
+		return p.conclude(Running, nil)
+	}
+	return p.wait(now)
+}
+
 // settle stores that nobody knows whether the call ran, so that every later
 // resend learns the same.
 func (p *Proposer) settle(now time.Time, standing *messages.CallRecord) []ProposerAction {
--- a/src/recorder/owner_test.go
+++ b/src/recorder/owner_test.go
@@ -184,6 +184,42 @@
 	}
 }
 
+// Two entries hold a key at once; one asks for promises to break the tie, and
+// before they are made the other has stored its intent and runs the booking. The
+// first must wait for that answer: "unknown" would be said of a call that is
+// about to be answered.
+func TestTieBreakWaitsForTheOneThatRuns(t *testing.T) {
+	proposer := &Proposer{
+		Self:   testIdentity,
+		Key:    testKey,
+		Call:   "a",
+		View:   NewView(entryView(1), 1),
+		Random: rand.New(rand.NewPCG(1, 1)),
+	}
+	asked := proposer.Step(testTime, Begun{Lease: benchLease})[0].(AskOwner)
+	asked = proposer.Step(testTime, OwnerAnswered{
+		Asked: asked,
+		Response: &messages.RecordResponse{
+			Status: messages.RecordStatus_RECORD_STATUS_HELD,
+			Record: proposed("b", 0, admitted),
+		},
+	})[0].(AskOwner)
+	running := proposed("b", 0, dispatching)
+	running.Runner = string(testIdentity.Name)
+	running.RunnerIncarnation = uint64(testIdentity.Incarnation)
+	running.LeaseMs = benchLease.Milliseconds()
+	proposer.Step(testTime, OwnerAnswered{
+		Asked: asked,
+		Response: &messages.RecordResponse{
+			Status: messages.RecordStatus_RECORD_STATUS_DONE,
+			Record: running,
+		},
+	})
+	if got, want := proposer.phase, waiting; got != want {
+		t.Errorf("phase: got %d, want %d", got, want)
+	}
+}
+
 // A data centre is lost. Wherever three of them have entries, each slot must
 // keep a majority of its owners, or calls under its keys would end as unknown.
 func TestOwnersStandInThreeDataCentres(t *testing.T) {
--- a/src/recorder/session.go
+++ b/src/recorder/session.go
@@ -17,6 +17,8 @@
 	// admissionLease is how long a call that may not be repeated can be held
 	// before its intent is stored.
 	admissionLease = 2 * time.Second
+	// answerPatience is how long an answer waits for its owners.
+	answerPatience = time.Second
 )
 
 // session is one call's proposer with what comes back from its owners.
@@ -194,7 +196,10 @@
 	ended := endOf(call, s, answer, refusal)
 	saysNo := refusal != nil && refusal.Executed == dispatcher.ExecutedNo
 	if !saysNo || !call.KeyGiven || call.Repeatable {
-		r.storeLater(ctx, s, ended)
+		stored := r.storeLater(ctx, s, ended)
+		if answer != nil && !call.Repeatable {
+			await(stored, answerPatience)
+		}
 		return refusal
 	}
 	concluded, done := r.drive(context.WithoutCancel(ctx), s, ended)
@@ -206,10 +211,26 @@
 	return &weaker
 }
 
-func (r *Recorder) storeLater(ctx context.Context, s *session, ended Ended) {
+// storeLater stores the end of a call beside the caller's answer; the channel is
+// closed once it is stored or given up.
+func (r *Recorder) storeLater(ctx context.Context, s *session, ended Ended) <-chan struct{} {
+	stored := make(chan struct{})
 	r.storing.Go(func() {
+		defer close(stored)
 		r.drive(context.WithoutCancel(ctx), s, ended)
 	})
+	return stored
+}
+
+// await holds an answer until it is stored, so that a caller that has it can have
+// it again, but not for long: the caller's answer is worth more than a resend's.
+func await(stored <-chan struct{}, patience time.Duration) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-stored:
+	case <-timer.C:
+	}
 }
 
 func endOf(call *dispatcher.Call, s *session, answer *dispatcher.Answer, refusal *dispatcher.Refusal) Ended {
