--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -100,11 +100,6 @@
 // Do runs a call to its end. A *Refusal as its error is the call's final answer;
 // any other error means that the caller is gone.
 func (d *Dispatcher) Do(ctx context.Context, call *Call, sink Sink) error {
-	if !call.Repeatable {
-		// A caller that hangs up and sends the call again under its key wants the
-		// answer of the first run; cancelling that run would lose it.
-		ctx = context.WithoutCancel(ctx)
-	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	release, err := d.Limiter.Admit(ctx, call)
