Hand over what a stopping entry cannot finish

Cause: a planned stop refused connections at once, and its drain cut off what had not ended. Change: unready first while calls are still taken, then refusals as not run, then hand-over: a call that may not be repeated ends here while its caller collects the answer from the record; one that may goes to another entry through the record; streams end with an event that names the place. GET /v1/calls/KEY at any entry. The entry leaves the view only after its last call, and is ready only once the view has its present life: the others took its calls for those of an entry that was gone.

Ruled out: moving a call that may not be repeated, since its upstream may have run it; a goroutine more for each call to make it detachable (memory of open streams).

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -19,17 +19,21 @@
 	Key string
 	// KeyGiven says that the caller sent the key.
 	KeyGiven bool
-	Brand    units.Brand
-	Account  *parser.ClientAccount
-	Service  units.Service
-	Kind     parser.ServiceKind
-	Policy   parser.Policy
-	Method   string
-	Path     string
-	Query    string
-	Header   http.Header
-	Body     []byte
-	Deadline time.Time
+	// Adopted says that another entry handed the call over.
+	Adopted bool
+	Brand   units.Brand
+	Account *parser.ClientAccount
+	Service units.Service
+	Kind    parser.ServiceKind
+	Policy  parser.Policy
+	Method  string
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	// RecordedBody is the body that the caller sent, where it differs from Body.
+	RecordedBody []byte
+	Deadline     time.Time
 	// BetweenTokens is the latency target from one token to the next, 0 for none.
 	BetweenTokens time.Duration
 	// Repeatable says that running the call twice does no harm.
--- /dev/null
+++ b/src/entry/adopter.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+// methodAdopt carries a call from an entry that stops to another one.
+const methodAdopt connector.Method = "call/adopt"
+
+// adoptTries is how many entries are asked to take a call.
+const adoptTries = 3
+
+var errNotAdopted = errors.New("no other entry took the call")
+
+// Adopt hands a call to another entry of the view.
+func (e *Entry) Adopt(ctx context.Context, call *dispatcher.Call) error {
+	request := adoptRequest(call)
+	members := e.View().GetMembers()
+	tries := 0
+	for _, index := range rand.Perm(len(members)) {
+		if members[index].GetEntry() == string(e.Settings.Name) {
+			continue
+		}
+		response := &messages.AdoptResponse{}
+		err := e.Client.Call(ctx, members[index].GetPeerAddress(), methodAdopt, request, response)
+		if err == nil && response.GetTaken() {
+			return nil
+		}
+		if tries++; tries == adoptTries {
+			break
+		}
+	}
+	return errNotAdopted
+}
+
+func adoptRequest(call *dispatcher.Call) *messages.AdoptRequest {
+	request := &messages.AdoptRequest{
+		Key:     call.Key,
+		Brand:   string(call.Brand),
+		Account: string(call.Account.Name),
+		Service: string(call.Service),
+		Method:  call.Method,
+		Path:    call.Path,
+		Query:   call.Query,
+		Body:    call.Body,
+	}
+	for name, values := range call.Header {
+		if name == "Authorization" {
+			continue
+		}
+		request.Header = append(request.Header, &messages.HeaderField{
+			Name:   name,
+			Values: values,
+		})
+	}
+	return request
+}
+
+func (e *Entry) handleAdoption(server *connector.Server) {
+	connector.Handle(server, methodAdopt, func(ctx context.Context, _ connector.Peer, request *messages.AdoptRequest) (*messages.AdoptResponse, error) {
+		return e.callers.Adopt(ctx, request), nil
+	})
+}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -45,6 +45,9 @@
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
+	callers     *server.Server
+	// leaving is set once the last call has ended; control then drops this entry.
+	leaving atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -54,6 +57,7 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.callers = e.callerServer()
 	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
@@ -86,7 +90,7 @@
 	defer cancel()
 	defer context.AfterFunc(lasting, cancel)()
 	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
-	if err := e.callerServer().Run(ctx); err != nil {
+	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
@@ -119,8 +123,10 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready: e.ready,
-		Drain: e.Settings.Timing.Drain,
+		Ready:   e.ready,
+		Drain:   e.Settings.Timing.Drain,
+		Adopter: e,
+		Records: e.recorder,
 	}
 }
 
@@ -132,6 +138,7 @@
 		Traffic:  e.Client.Traffic,
 	}
 	e.recorder.Handle(server)
+	e.handleAdoption(server)
 	return server
 }
 
@@ -142,7 +149,7 @@
 		coordinator: e.coordinator,
 		incarnation: uint64(e.incarnation),
 		view:        &e.view,
-		stopping:    &e.stopping,
+		stopping:    &e.leaving,
 	}
 }
 
--- a/src/entry/leaver.go
+++ b/src/entry/leaver.go
@@ -18,7 +18,11 @@
 // leaveView waits until this entry has left the view and its records have had
 // time to move. An entry that ended at once would count as a silent member, and
 // the calls that it shares with a second lost one would end as unknown.
+//
+// It leaves only after its last call: a resend of one that still runs here would
+// else find its entry gone from the view and be told "unknown".
 func (e *Entry) leaveView(ctx context.Context) {
+	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveLimit)
 	defer cancel()
 	ticker := time.NewTicker(leavePoll)
--- a/src/recorder/recorder.go
+++ b/src/recorder/recorder.go
@@ -99,8 +99,13 @@
 	}
 }
 
-// Ready reports whether this entry knows the owners of records.
-func (r *Recorder) Ready() bool { return r.view.Load() != nil }
+// Ready reports whether this entry's life is in the view that it knows. Before,
+// the others would take its calls for those of an entry that is gone, and tell
+// resends "unknown" while they run.
+func (r *Recorder) Ready() bool {
+	view := r.view.Load()
+	return view != nil && view.Has(r.Self)
+}
 
 func (r *Recorder) tick(ctx context.Context, owner *Owner) {
 	if committed := r.EntryView(); committed.GetNumber() > owner.ViewNumber() {
--- a/src/recorder/refusal.go
+++ b/src/recorder/refusal.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,6 +10,8 @@
 
 const retryAfter = time.Second
 
+var errUnreachable = errors.New("the record of calls cannot be reached; ask again or ask another entry")
+
 func conflict() *dispatcher.Refusal {
 	return &dispatcher.Refusal{
 		Status:   http.StatusUnprocessableEntity,
--- a/src/recorder/session.go
+++ b/src/recorder/session.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -35,7 +37,7 @@
 		inbox:    make(chan OwnerAnswered, inboxSize),
 	}
 	s.proposer.Fresh = !call.KeyGiven
-	s.proposer.Made = call.KeyGiven && strings.HasPrefix(call.Key, dispatcher.MadeKeyPrefix)
+	s.proposer.Made = call.KeyGiven && !call.Adopted && strings.HasPrefix(call.Key, dispatcher.MadeKeyPrefix)
 	return s
 }
 
@@ -108,6 +110,26 @@
 	return r.earlier(call, concluded)
 }
 
+// Look returns the answer kept for a key, or whether an entry works on its call.
+func (r *Recorder) Look(ctx context.Context, account units.Account, key string) (*dispatcher.Answer, bool, error) {
+	s := &session{
+		proposer: r.newProposer(keyHash(account, key), nil, units.CallID(uuid.NewString())),
+		inbox:    make(chan OwnerAnswered, inboxSize),
+	}
+	if s.proposer.View == nil {
+		return nil, false, errUnreachable
+	}
+	concluded, ended := r.drive(ctx, s, Looked{})
+	switch {
+	case !ended || concluded.Outcome == Unavailable:
+		return nil, false, errUnreachable
+	case concluded.Outcome == Found:
+		return answerOf(concluded.Record), false, nil
+	default:
+		return nil, concluded.Outcome == Running, nil
+	}
+}
+
 // leaseOf returns how long a call may be held before its intent is stored; one
 // that may be repeated stores none and runs under this lease.
 func leaseOf(call *dispatcher.Call) time.Duration {
@@ -258,7 +280,11 @@
 		_, _ = hash.Write([]byte(part))
 		_, _ = hash.Write([]byte{0})
 	}
-	_, _ = hash.Write(call.Body)
+	body := call.Body
+	if call.RecordedBody != nil {
+		body = call.RecordedBody
+	}
+	_, _ = hash.Write(body)
 	return hash.Sum(nil)
 }
 
--- a/src/server/intake.go
+++ b/src/server/intake.go
@@ -42,7 +42,7 @@
 // identify finds who calls: the brand by Host, the account by API key.
 func (s *Server) identify(request *http.Request) (*indexer.Snapshot, units.Brand, *parser.ClientAccount, *dispatcher.Refusal) {
 	snapshot := s.Snapshot.Load()
-	if snapshot == nil || !s.Ready() {
+	if snapshot == nil || !s.takes() {
 		return nil, "", nil, &dispatcher.Refusal{
 			Status:     http.StatusServiceUnavailable,
 			Kind:       dispatcher.ProblemUnready,
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -48,7 +48,14 @@
 	BodyTimeout  time.Duration
 	WriteTimeout time.Duration
 
+	// Adopter finds another entry for a call that does not end within the
+	// drain; it may be nil.
+	Adopter Adopter
+	// Records tells what became of earlier calls.
+	Records Looker
+
 	meters meters
+	drain  drain
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -70,9 +77,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Drain)
-	defer cancel()
-	return server.Shutdown(drain)
+	return s.stop(context.WithoutCancel(ctx), server)
 }
 
 func (s *Server) handler() http.Handler {
@@ -84,6 +89,7 @@
 	models := new(restful.WebService)
 	models.Path("/v1")
 	models.Route(models.GET("/models").To(s.listModels))
+	models.Route(models.GET("/calls/{id}").To(s.collect))
 	models.Route(models.POST("/chat/completions").To(s.model))
 	models.Route(models.POST("/completions").To(s.model))
 	container.Add(models)
@@ -160,12 +166,7 @@
 		s.refuse(response, call.ID, notFound("model "+string(parsed.Model)+" is not served to this brand"))
 		return
 	}
-	prompt := parsed.promptText()
-	call.Model = parsed.Model
-	call.Stream = parsed.Stream
-	call.Prompt = units.Tokens(len(prompt) / bytesPerToken)
-	call.MaxOutput = parsed.MaxTokens
-	call.Blocks = blockHashes(prompt)
+	fillModel(call, parsed)
 	s.dispatch(request.Request, response.ResponseWriter, service, call)
 }
 
@@ -190,17 +191,24 @@
 
 func (s *Server) dispatch(request *http.Request, writer http.ResponseWriter, service *indexer.Service, call *dispatcher.Call) {
 	began := time.Now()
-	call.Service = service.Name
-	call.Kind = service.Kind
-	call.Policy = service.Policy
-	call.Deadline = began.Add(service.Deadline)
-	call.BetweenTokens = service.Target.BetweenTokens
-	call.Repeatable = service.Repeatable(call.Method, call.Path)
+	fillService(call, service, began)
 	out := s.newSink(writer, call, began)
-	err := s.Dispatcher.Do(request.Context(), call, out)
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	active := &activeCall{
+		call:   call,
+		cancel: cancel,
+		out:    out,
+	}
+	s.drain.enter(active)
+	defer s.drain.leave(active)
+	err := s.Dispatcher.Do(ctx, call, out)
 	var refusal *dispatcher.Refusal
 	outcome := "answered"
 	switch {
+	case err != nil && active.adopted.Load():
+		outcome = "handed-over"
+		out.moved(call)
 	case errors.As(err, &refusal):
 		outcome = string(refusal.Kind)
 		out.refuse(call.ID, refusal)
@@ -217,6 +225,26 @@
 		Msg("call-ended")
 }
 
+// fillService sets what the call's service decides.
+func fillService(call *dispatcher.Call, service *indexer.Service, began time.Time) {
+	call.Service = service.Name
+	call.Kind = service.Kind
+	call.Policy = service.Policy
+	call.Deadline = began.Add(service.Deadline)
+	call.BetweenTokens = service.Target.BetweenTokens
+	call.Repeatable = service.Repeatable(call.Method, call.Path)
+}
+
+// fillModel sets what the call's model request decides.
+func fillModel(call *dispatcher.Call, parsed *modelRequest) {
+	prompt := parsed.promptText()
+	call.Model = parsed.Model
+	call.Stream = parsed.Stream
+	call.Prompt = units.Tokens(len(prompt) / bytesPerToken)
+	call.MaxOutput = parsed.MaxTokens
+	call.Blocks = blockHashes(prompt)
+}
+
 func (s *Server) count(call *dispatcher.Call, outcome string) {
 	s.Scope.Tagged(map[string]string{
 		"service": string(call.Service),
--- a/src/server/sink.go
+++ b/src/server/sink.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
@@ -38,6 +39,11 @@
 	// held says that the buffer waits for a later event.
 	held   bool
 	buffer []byte
+
+	// mu guards what decides between an answer and a word where to collect it.
+	mu sync.Mutex
+	// ended says that the caller has its final answer.
+	ended bool
 }
 
 func (s *Server) newSink(writer http.ResponseWriter, call *dispatcher.Call, began time.Time) *sink {
@@ -56,6 +62,12 @@
 
 // Answer writes a whole answer.
 func (s *sink) Answer(answer *dispatcher.Answer) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return nil
+	}
+	s.ended = true
 	maps.Copy(s.writer.Header(), answer.Header)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	s.writer.WriteHeader(answer.Status)
@@ -118,6 +130,12 @@
 // refuse ends a call that gets no answer. A stream that has begun ends with an
 // error event and without the final marker, so that no caller takes it for whole.
 func (s *sink) refuse(id units.CallID, refusal *dispatcher.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.ended = true
 	if !s.begun {
 		writeProblem(s.writer, id, refusal)
 		return
@@ -132,6 +150,34 @@
 	_ = s.flush()
 }
 
+// collectLater tells the caller of a call that still runs where to collect its answer.
+func (s *sink) collectLater(call *dispatcher.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.begun {
+		return
+	}
+	s.ended = true
+	s.extend()
+	writeCollect(s.writer, location(call))
+	_ = s.flusher.Flush()
+}
+
+// moved ends the answer of a call that another entry has taken. A stream that has
+// begun ends with an event that names where the whole answer is, and without the
+// final marker.
+func (s *sink) moved(call *dispatcher.Call) {
+	if !s.begun {
+		s.collectLater(call)
+		return
+	}
+	s.held = false
+	s.buffer = append(s.buffer, "event: moved\ndata: {\"location\":"...)
+	s.buffer = strconv.AppendQuote(s.buffer, location(call))
+	s.buffer = append(s.buffer, ",\"retry-after\":1}"...)
+	_ = s.flush()
+}
+
 func (s *sink) flush() error {
 	s.buffer = append(s.buffer, "\n\n"...)
 	if s.held && len(s.buffer) < holdSize {
