--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -49,6 +49,9 @@
 	// until is when the lease to serve ends.
 	until    atomic.Pointer[time.Time]
 	follower *follower
+	callers  *server.Server
+	// leaving is set once the last call has ended; control then drops this entry.
+	leaving atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -58,6 +61,7 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.callers = e.callerServer()
 	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
@@ -92,7 +96,7 @@
 	defer cancel()
 	defer context.AfterFunc(lasting, cancel)()
 	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
-	if err := e.callerServer().Run(ctx); err != nil {
+	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
@@ -125,8 +129,10 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready: e.ready,
-		Drain: e.Settings.Timing.Drain,
+		Ready:   e.ready,
+		Drain:   e.Settings.Timing.Drain,
+		Adopter: e,
+		Records: e.recorder,
 	}
 }
 
@@ -139,6 +145,7 @@
 	}
 	e.recorder.Handle(server)
 	e.follower.serve(server)
+	e.handleAdoption(server)
 	return server
 }
 
@@ -149,7 +156,7 @@
 		coordinator: e.coordinator,
 		incarnation: uint64(e.incarnation),
 		view:        &e.view,
-		stopping:    &e.stopping,
+		stopping:    &e.leaving,
 		pusher: &distributor.Pusher{
 			Client: e.Client,
 		},
