--- a/src/prover/controldisk_test.go
+++ b/src/prover/controldisk_test.go
@@ -170,3 +170,51 @@
 		t.Fatalf("copy %s: %v: %s", from, err, output)
 	}
 }
+
+// A majority of the voters loses its disks for ever, and a person lets one voter
+// go on alone. The command must refuse a slip: another log, a minority, or an
+// instance that still runs. Then the others join again, and what was accepted
+// still stands.
+func TestRecoveryAfterALostMajority(t *testing.T) {
+	stage := newControlStage(t)
+	startFleet(t, stage, 3, 0)
+	accept(t, stage.Controls, 1)
+	survivor := leaderOf(t, stage.Controls)
+	logID := controlDump(t, survivor).Log
+	lost := without(stage.Controls, survivor)
+	survivor.Kill()
+	lost[0].Kill()
+	names := string(lost[0].Settings.Name) + "," + string(lost[1].Settings.Name)
+	recovery := func(logID, names string) string {
+		output, _ := exec.CommandContext(t.Context(), stage.Program, "recover-control",
+			filepath.Join(stage.Folder, string(survivor.Settings.Name)+".yaml"), "--log", logID, "--lost", names).CombinedOutput()
+		return string(output)
+	}
+	refusals := map[string]string{
+		recovery("another", names):                     "the folder holds log",
+		recovery(logID, string(lost[0].Settings.Name)): "which is a majority",
+		recovery(logID, names):                         "stop every control instance first",
+	}
+	for got, want := range refusals {
+		if !strings.Contains(got, want) {
+			t.Errorf("recovery: got %q, want %q", got, want)
+		}
+	}
+	lost[1].Kill()
+	if got, want := recovery(logID, names), "is the only voter of log"; !strings.Contains(got, want) {
+		t.Fatalf("recovery: got %q, want %q", got, want)
+	}
+	for _, node := range lost {
+		if err := os.RemoveAll(node.Settings.DataFolder); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, node := range stage.Controls {
+		if err := stage.Start(node); err != nil {
+			t.Fatal(err)
+		}
+	}
+	accept(t, stage.Controls, 1)
+	awaitVoters(t, stage.Controls, "c1", "c2", "c3")
+	accept(t, stage.Controls, 2)
+}
