--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -96,6 +96,10 @@
 	ProblemNotFound    ProblemKind = "not-found"
 	ProblemTooLarge    ProblemKind = "too-large"
 	ProblemRecord      ProblemKind = "record-unavailable"
+	ProblemForbidden   ProblemKind = "forbidden"
+	ProblemMethod      ProblemKind = "method-not-allowed"
+	ProblemMediaType   ProblemKind = "unsupported-media-type"
+	ProblemTooSlow     ProblemKind = "too-slow"
 )
 
 // Refusal is the final answer to a call that gets no other.
