--- a/src/server/sink.go
+++ b/src/server/sink.go
@@ -14,13 +14,13 @@
 
 const (
 	streamType = "text/event-stream"
-	// holdSize is the most bytes that wait for a later event.
-	holdSize = 8 << 10
 	// writeTimeout bounds one write; a stream may last as long as its caller reads.
 	writeTimeout = 10 * time.Second
 	// writeSize is how much of a whole answer one write holds, so that a slow
 	// caller of a long one is told from one that reads nothing.
 	writeSize = 64 << 10
+	// holdSize is the most bytes that wait for a later event.
+	holdSize = 8 << 10
 )
 
 // sink writes one call's answer to its caller.
@@ -28,9 +28,6 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 	begun   bool
-	// held says that the buffer waits for a later event.
-	held   bool
-	buffer []byte
 	// timeout bounds each write; without it a caller that stops reading would
 	// hold its call, its memory and its upstream's slot for good.
 	timeout time.Duration
@@ -38,6 +35,9 @@
 	// last is when the call began or its last event was written.
 	last   time.Time
 	events int
+	// held says that the buffer waits for a later event.
+	held   bool
+	buffer []byte
 }
 
 func (s *Server) newSink(writer http.ResponseWriter, call *dispatcher.Call, began time.Time) *sink {
@@ -94,9 +94,6 @@
 	return s.flush()
 }
 
-// Hold keeps events back until the first that is not held.
-func (s *sink) Hold(hold bool) { s.held = hold }
-
 func (s *sink) record() {
 	now := time.Now()
 	if s.events == 0 {
@@ -108,6 +105,9 @@
 	s.last = now
 }
 
+// Hold keeps events back until the first that is not held.
+func (s *sink) Hold(hold bool) { s.held = hold }
+
 // End writes the final marker of a stream.
 func (s *sink) End() error {
 	s.held = false
