Prove that refusals are truthful and that a leaving engine gets no work

Cause: a refusal by the record of calls was passed on as it was, so that its "executed: no" could deny an earlier attempt that may have run. That entries send nothing to a leaving engine was shown only by engines that refuse.

Change: such a refusal says unknown where an attempt before may have run. The second detachment from the caller's context goes; the record's stands before it.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -119,15 +119,7 @@
 	if earlier != nil {
 		return sink.Answer(earlier)
 	}
-	running := ctx
-	if !call.Repeatable {
-		// A charge that runs is not undone by a caller who hangs up; the answer
-		// is kept for the resend instead.
-		lasting, stop := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
-		defer stop()
-		running = lasting
-	}
-	answer, err := d.attempts(running, call, &Stream{Sink: sink})
+	answer, err := d.attempts(ctx, call, &Stream{Sink: sink})
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -166,7 +158,7 @@
 			break
 		}
 		if err := d.Recorder.Dispatching(ctx, call, attempt, upstream.Name); err != nil {
-			return nil, err
+			return nil, so.truthful(err)
 		}
 		before := stream.Offset()
 		result := d.exchange(ctx, call, attempt, upstream, stream)
@@ -208,6 +200,18 @@
 	return so.ended(ctx)
 }
 
+// truthful keeps a refusal of this attempt from denying an earlier one: what
+// another part knows of the last attempt says nothing of those before.
+func (so *attempts) truthful(err error) error {
+	var refusal *Refusal
+	if so.ran == ExecutedNo || !errors.As(err, &refusal) {
+		return err
+	}
+	corrected := *refusal
+	corrected.Executed = so.ran
+	return &corrected
+}
+
 func (so *attempts) ended(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
--- a/src/prover/stream_test.go
+++ b/src/prover/stream_test.go
@@ -37,7 +37,16 @@
 func (a ask) stream(ctx context.Context, at func(tokens int)) (string, error) {
 	body := fmt.Sprintf(`{"model":"ember-1","stream":true,"seed":%d,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
 		streamSeed, a.tokens, a.prompt)
-	response, err := post(ctx, a.entry.CallerURL()+"/v1/chat/completions", body, "")
+	return readStream(ctx, a.entry.CallerURL(), body, at)
+}
+
+// directStream makes the call at an engine without any entry between.
+func directStream(ctx context.Context, engine *stager.Upstream, a ask, at func(tokens int)) (string, error) {
+	return readStream(ctx, engine.URL, fmt.Sprintf(`{"model":"ember-1","stream":true,"max_tokens":%d,"prompt":%q}`, a.tokens, a.prompt), at)
+}
+
+func readStream(ctx context.Context, url, body string, at func(tokens int)) (string, error) {
+	response, err := post(ctx, url+"/v1/chat/completions", body, "")
 	if err != nil {
 		return "", err
 	}
@@ -363,6 +372,61 @@
 	}
 }
 
+// An engine that has had its notice goes on taking calls until it stops. No
+// entry may send it one once the notice is known there: it would be cut. The
+// engine's announcement reaches every entry, and its counts stay as they are.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	stage := newStage(t)
+	startFleet(t, stage, 1, 3)
+	engines := startEngines(t, stage, []string{"dc-a", "dc-b"}, "--notice", "60s")
+	apply(t, stage, "../../examples/hearthline.yaml")
+	awaitUpstreams(t, stage, len(engines))
+	inject(t, engines[0], `{"accept-leaving":true}`)
+	// One long stream keeps the engine from stopping early.
+	hold := ask{
+		entry:  stage.Entries[0],
+		prompt: "hold",
+		tokens: 100000,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	held := make(chan struct{}, 2)
+	for _, engine := range engines {
+		go func() {
+			_, _ = directStream(ctx, engine, hold, func(tokens int) {
+				if tokens == 1 {
+					held <- struct{}{}
+				}
+			})
+		}()
+		<-held
+	}
+	engines[0].Signal(syscall.SIGTERM)
+	for _, entry := range stage.Entries {
+		await(t, "the entry knows that the engine leaves", func() bool {
+			return strings.Contains(dump(t, entry), "leaving: true")
+		})
+	}
+	before := runsAt(t, engines[0])
+	for i := range 30 {
+		call := ask{
+			entry:  stage.Entries[i%len(stage.Entries)],
+			prompt: fmt.Sprintf("call %d", i),
+			tokens: 5,
+		}
+		if _, err := call.stream(ctx, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := runsAt(t, engines[0]), before; got != want {
+		t.Errorf("runs at the leaving engine: got %d, want %d", got, want)
+	}
+	if got, least := runsAt(t, engines[1]), 30; got < least {
+		t.Errorf("runs at the other engine: got %d, want at least %d", got, least)
+	}
+}
+
 // A wave takes a data centre's two engines on one second of notice while an
 // entry dies and one of the two engines dies before its stop. Callers at the
 // other entries must get each answer whole.
--- a/src/standin/faults.go
+++ b/src/standin/faults.go
@@ -25,6 +25,9 @@
 	DelayMS int `json:"delay-ms"`
 	// Refuse answers 503 and says that nothing ran.
 	Refuse bool `json:"refuse"`
+	// AcceptLeaving takes new calls after the notice, as an engine does that
+	// leaves it to others to stop sending.
+	AcceptLeaving bool `json:"accept-leaving"`
 	// Fail answers 500 after the call ran.
 	Fail bool `json:"fail"`
 }
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -136,7 +136,7 @@
 		return
 	}
 	// A call that runs here already may be read again while the engine leaves.
-	if m.Leaving.Load() && !m.Engine.Runs(call) {
+	if m.Leaving.Load() && !m.Faults.Current().AcceptLeaving && !m.Engine.Runs(call) {
 		refuse(response, "this engine is leaving")
 		return
 	}
