--- a/src/prover/stream_test.go
+++ b/src/prover/stream_test.go
@@ -337,38 +337,56 @@
 }
 
 // An engine gets its notice while it runs a stream that it cannot finish. Its KV
-// cache must go to another engine first and the stream after it: the caller sees
-// the whole text, and hardly a token is computed again.
-func TestStreamMovesWithItsCacheOnNotice(t *testing.T) {
-	t.Parallel()
-	engines, call, _ := startStreams(t, 2, "--notice", "2s")
-	call.tokens = 1500
-	ctx, cancel := context.WithTimeout(t.Context(), streamLimit)
-	defer cancel()
-	want, err := directText(ctx, undisturbed(t), call)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var left *stager.Upstream
-	got, err := call.stream(ctx, func(tokens int) {
-		if tokens == 200 {
-			left = busiest(t, engines)
-			left.Signal(syscall.SIGTERM)
-		}
-	})
-	if err != nil || got != want {
-		t.Fatalf("the stream: got %.60q... and %v, want %.60q...", got, err, want)
-	}
-	other := engines[0]
-	if left == other {
-		other = engines[1]
-	}
-	work := workOf(t, other)
-	if work.Imported < 200 {
-		t.Errorf("imported tokens: got %d, want at least 200", work.Imported)
+// cache must go to another engine first and the stream after it, with hardly a
+// token computed again. Where the link is too slow, or the engine dies while it
+// exports, the stream must go on elsewhere all the same. The caller sees one text.
+func TestStreamLeavesAReclaimedEngine(t *testing.T) {
+	cases := map[string]struct {
+		arguments []string
+		// killAt is the token at which the leaving engine dies, 0 for never.
+		killAt int
+		moves  bool
+	}{
+		"moves with its cache":   {moves: true},
+		"link too slow":          {arguments: []string{"--kv-rate", "100000"}},
+		"dies during the export": {arguments: []string{"--kv-rate", "2000000"}, killAt: 330},
 	}
-	if got, most := work.Recomputed, work.Imported/4; got > most {
-		t.Errorf("recomputed tokens: got %d, want at most %d", got, most)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines, call, _ := startStreams(t, 2, append([]string{"--notice", "2s"}, c.arguments...)...)
+			call.tokens = 1500
+			ctx, cancel := context.WithTimeout(t.Context(), streamLimit)
+			defer cancel()
+			want, err := directText(ctx, undisturbed(t), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var left *stager.Upstream
+			got, err := call.stream(ctx, func(tokens int) {
+				if tokens == 200 {
+					left = busiest(t, engines)
+					left.Signal(syscall.SIGTERM)
+				}
+				if tokens == c.killAt {
+					left.Kill()
+				}
+			})
+			if err != nil || got != want {
+				t.Fatalf("the stream: got %.60q... and %v, want %.60q...", got, err, want)
+			}
+			other := engines[0]
+			if left == other {
+				other = engines[1]
+			}
+			work := workOf(t, other)
+			if got, want := work.Imported >= 200, c.moves; got != want {
+				t.Errorf("moved with its cache: got %t with %d tokens, want %t", got, work.Imported, want)
+			}
+			if got, most := work.Recomputed, work.Imported/4; c.moves && got > most {
+				t.Errorf("recomputed tokens: got %d, want at most %d", got, most)
+			}
+		})
 	}
 }
 
