Send prefixes away from caches that give up what is in use

Change: blocks that an engine gives up although they were used seconds ago raise a fading pressure, which makes computing there up to three times as dear. The fading values of engines and data centres are read without locks, and a subset has 32 upstreams, since the decision had come above its 5 µs.

--- a/src/locator/index.go
+++ b/src/locator/index.go
@@ -90,15 +90,20 @@
 	bucket[oldest].Store(entry)
 }
 
-// Remove notes that an engine gave a block up.
-func (x *Index) Remove(holder uint32, block uint64) {
+// Remove notes that an engine gave a block up; it returns how long ago the block
+// was last noted there, and whether it was.
+func (x *Index) Remove(now time.Time, holder uint32, block uint64) (unused time.Duration, known bool) {
 	bucket := x.bucket(block)
 	entry := tag(block) | uint64(holder&holderMask)<<stampBits
 	for i := range bucket {
-		if known := bucket[i].Load(); known>>stampBits == entry>>stampBits {
-			bucket[i].CompareAndSwap(known, 0)
+		held := bucket[i].Load()
+		if held == 0 || held>>stampBits != entry>>stampBits {
+			continue
 		}
+		bucket[i].CompareAndSwap(held, 0)
+		return time.Duration(age(now, held)) * stampUnit, true
 	}
+	return 0, false
 }
 
 // Find writes the engines that have the beginning of a prompt cached to found
--- a/src/locator/index_test.go
+++ b/src/locator/index_test.go
@@ -50,7 +50,7 @@
 				}
 				told[holder][first] = now
 			case 1:
-				x.Remove(holder, blocks[0])
+				x.Remove(now, holder, blocks[0])
 				delete(told[holder], first)
 			default:
 				var found [MaxMatches]Match
@@ -76,7 +76,7 @@
 	x := New(8)
 	blocks := prompt(1, 16)
 	x.Add(now, 5, blocks)
-	x.Remove(5, blocks[7])
+	x.Remove(now, 5, blocks[7])
 	var found [MaxMatches]Match
 	if got, want := x.Find(now, blocks, &found), 1; got != want {
 		t.Fatalf("engines: got %d, want %d", got, want)
--- a/src/router/observer.go
+++ b/src/router/observer.go
@@ -53,7 +53,7 @@
 // Departed learns that an upstream leaves or is gone.
 func (r *Router) Departed(upstream *tracker.Upstream) {
 	if upstream.Reclaimable {
-		r.riskOf(upstream.DataCentre).notice(r.now())
+		r.noticesOf(upstream.DataCentre).add(r.now(), 1, maxNotices)
 	}
 }
 
@@ -66,7 +66,13 @@
 	for _, block := range events.GetAdded() {
 		r.Index.Put(now, upstream.Live.Number, block)
 	}
+	hot := 0.0
 	for _, block := range events.GetRemoved() {
-		r.Index.Remove(upstream.Live.Number, block)
+		if unused, known := r.Index.Remove(now, upstream.Live.Number, block); known {
+			hot += heat(unused)
+		}
+	}
+	if hot > 0 {
+		r.pressureOf(upstream.Live.Number).add(now, hot/fullPressure, 1)
 	}
 }
--- a/src/router/risk.go
+++ b/src/router/risk.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"math"
-	"sync"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/units"
@@ -15,50 +13,31 @@
 	// perNotice is the chance in a second that a recent notice adds for others.
 	perNotice = 0.05
 	maxHazard = 0.5
+	// maxNotices bounds how long a large wave is remembered.
+	maxNotices = 40
 	// baseHazard is the chance in a second that a reclaimable engine is taken in calm.
 	baseHazard = 1.0 / 3600
 )
 
-// risk is what recent notices say of one data centre.
-type risk struct {
-	mu      sync.Mutex
-	notices float64
-	at      time.Time
+// hazard returns the chance in a second that a reclaimable engine is taken, by
+// the recent notices of its data centre.
+func hazard(notices *fading, now time.Time) float64 {
+	return min(maxHazard, baseHazard+perNotice*notices.at(now))
 }
 
-// notice counts one notice.
-func (k *risk) notice(now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.notices = k.decayed(now) + 1
-	k.at = now
-}
-
-func (k *risk) decayed(now time.Time) float64 {
-	if k.notices == 0 {
-		return 0
-	}
-	return k.notices * math.Exp2(-now.Sub(k.at).Seconds()/waveHalfLife.Seconds())
-}
-
-// hazard returns the chance in a second that a reclaimable engine is taken.
-func (k *risk) hazard(now time.Time) float64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return min(maxHazard, baseHazard+perNotice*k.decayed(now))
-}
-
-// riskOf returns the risk of a data centre.
-func (r *Router) riskOf(dataCentre units.DataCentre) *risk {
+// noticesOf returns the recent notices of a data centre.
+func (r *Router) noticesOf(dataCentre units.DataCentre) *fading {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.risks == nil {
-		r.risks = make(map[units.DataCentre]*risk)
+	if r.notices == nil {
+		r.notices = make(map[units.DataCentre]*fading)
 	}
-	known := r.risks[dataCentre]
+	known := r.notices[dataCentre]
 	if known == nil {
-		known = &risk{}
-		r.risks[dataCentre] = known
+		known = &fading{
+			halfLife: waveHalfLife,
+		}
+		r.notices[dataCentre] = known
 	}
 	return known
 }
--- a/src/router/router.go
+++ b/src/router/router.go
@@ -40,9 +40,10 @@
 	next    atomic.Uint64
 	subsets atomic.Pointer[subsets]
 
-	mu      sync.Mutex
-	risks   map[units.DataCentre]*risk
-	ejector ejector.Ejector
+	mu        sync.Mutex
+	notices   map[units.DataCentre]*fading
+	pressures map[uint32]*fading
+	ejector   ejector.Ejector
 }
 
 // Pick returns the upstream for the next attempt, or nil for none.
--- a/src/router/router_test.go
+++ b/src/router/router_test.go
@@ -14,6 +14,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/locator"
+	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -139,6 +140,42 @@
 	}
 }
 
+// Calls gather at one engine that is in use, and with them more prefixes than its
+// cache holds: it gives up blocks that were used seconds ago, and each call is
+// computed whole. A prefix that it gave up must then go to another engine.
+func TestFullCacheSendsPrefixesElsewhere(t *testing.T) {
+	cases := map[string]struct {
+		unused time.Duration
+		want   bool
+	}{
+		"hot blocks given up":  {unused: time.Second, want: false},
+		"cold blocks given up": {unused: time.Minute, want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2)
+			f.engines[0].Live.InFlight.Store(4)
+			busy := f.engines[0]
+			call := modelCall(parser.PrefixCost, 3)
+			call.Prompt = 8192
+			var removed []uint64
+			for i := range uint64(8) {
+				other := modelCall(parser.PrefixCost, 100+i)
+				f.router.Cached(busy, &messages.CacheEvents{Added: other.Blocks})
+				removed = append(removed, other.Blocks...)
+			}
+			f.now = f.now.Add(c.unused)
+			busy.HeardAt = f.now
+			f.engines[1].HeardAt = f.now
+			f.router.Cached(busy, &messages.CacheEvents{Removed: removed})
+			chosen := f.router.Pick(call, nil)
+			if got := chosen == busy; got != c.want {
+				t.Errorf("sent to the engine in use: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 // An engine gets its notice; others in its data centre are likely to follow. New
 // streams must avoid that data centre for a while although it is as cheap.
 func TestWaveKeepsCallsAway(t *testing.T) {
--- a/src/router/score.go
+++ b/src/router/score.go
@@ -16,6 +16,7 @@
 	nearWeight    = 2
 	missWeight    = 20
 	workWeight    = 1
+	evictWeight   = 2
 	idlePrice     = 0.25
 	busyPrice     = 0.08
 	fillBonus     = 0.04
@@ -62,7 +63,10 @@
 	if over := under + 1 - c.slots; over > 0 {
 		first += over * typicalOutput * c.step / c.slots
 	}
-	return d.latency(first) + workWeight*work + price(c, under) + d.loss(c) + d.warming(c, under)
+	// What is computed on an engine that gives up what is in use will make it give
+	// up as much again, which somebody computes once more.
+	weight := workWeight + evictWeight*c.pressure.at(d.now)
+	return d.latency(first) + weight*work + price(c, under) + d.loss(c) + d.warming(c, under)
 }
 
 // waiting returns the time until the prompts before this one are computed. The
@@ -108,7 +112,7 @@
 		return 0
 	}
 	runs := float64(d.call.MaxOutput) * c.step
-	chance := min(1, c.risk.hazard(d.now)*runs)
+	chance := min(1, hazard(c.notices, d.now)*runs)
 	again := (float64(d.call.Prompt) + float64(d.call.MaxOutput)/2) * c.perToken
 	return chance * (again + disruption)
 }
--- a/src/router/subset.go
+++ b/src/router/subset.go
@@ -16,7 +16,7 @@
 const (
 	// subsetSize is how many upstreams of a service one entry uses at most, so
 	// that its connections and decisions do not grow with all of them.
-	subsetSize    = 48
+	subsetSize    = 32
 	defaultStep   = 25 * time.Millisecond
 	unknownTokens = 64
 	unknownSlots  = 16
@@ -39,7 +39,8 @@
 // candidate is one upstream as decisions see it; durations are in seconds.
 type candidate struct {
 	upstream *tracker.Upstream
-	risk     *risk
+	notices  *fading
+	pressure *fading
 	// weight places prompts that nobody has cached.
 	weight uint64
 	step   float64
@@ -139,7 +140,8 @@
 	}
 	c := candidate{
 		upstream: upstream,
-		risk:     r.riskOf(upstream.DataCentre),
+		notices:  r.noticesOf(upstream.DataCentre),
+		pressure: r.pressureOf(upstream.Live.Number),
 		weight:   xxhash.Sum64String(string(upstream.Name)),
 		step:     step.Seconds(),
 		perToken: step.Seconds() / float64(perStep),
