--- a/src/prover/stream_test.go
+++ b/src/prover/stream_test.go
@@ -37,7 +37,16 @@
 func (a ask) stream(ctx context.Context, at func(tokens int)) (string, error) {
 	body := fmt.Sprintf(`{"model":"ember-1","stream":true,"seed":%d,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
 		streamSeed, a.tokens, a.prompt)
-	response, err := post(ctx, a.entry.CallerURL()+"/v1/chat/completions", body, "")
+	return readStream(ctx, a.entry.CallerURL(), body, at)
+}
+
+// directStream makes the call at an engine without any entry between.
+func directStream(ctx context.Context, engine *stager.Upstream, a ask, at func(tokens int)) (string, error) {
+	return readStream(ctx, engine.URL, fmt.Sprintf(`{"model":"ember-1","stream":true,"max_tokens":%d,"prompt":%q}`, a.tokens, a.prompt), at)
+}
+
+func readStream(ctx context.Context, url, body string, at func(tokens int)) (string, error) {
+	response, err := post(ctx, url+"/v1/chat/completions", body, "")
 	if err != nil {
 		return "", err
 	}
@@ -328,38 +337,111 @@
 }
 
 // An engine gets its notice while it runs a stream that it cannot finish. Its KV
-// cache must go to another engine first and the stream after it: the caller sees
-// the whole text, and hardly a token is computed again.
-func TestStreamMovesWithItsCacheOnNotice(t *testing.T) {
+// cache must go to another engine first and the stream after it, with hardly a
+// token computed again. Where the link is too slow, or the engine dies while it
+// exports, the stream must go on elsewhere all the same. The caller sees one text.
+func TestStreamLeavesAReclaimedEngine(t *testing.T) {
+	cases := map[string]struct {
+		arguments []string
+		// killAt is the token at which the leaving engine dies, 0 for never.
+		killAt int
+		moves  bool
+	}{
+		"moves with its cache":   {moves: true},
+		"link too slow":          {arguments: []string{"--kv-rate", "100000"}},
+		"dies during the export": {arguments: []string{"--kv-rate", "2000000"}, killAt: 330},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines, call, _ := startStreams(t, 2, append([]string{"--notice", "2s"}, c.arguments...)...)
+			call.tokens = 1500
+			ctx, cancel := context.WithTimeout(t.Context(), streamLimit)
+			defer cancel()
+			want, err := directText(ctx, undisturbed(t), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var left *stager.Upstream
+			got, err := call.stream(ctx, func(tokens int) {
+				if tokens == 200 {
+					left = busiest(t, engines)
+					left.Signal(syscall.SIGTERM)
+				}
+				if tokens == c.killAt {
+					left.Kill()
+				}
+			})
+			if err != nil || got != want {
+				t.Fatalf("the stream: got %.60q... and %v, want %.60q...", got, err, want)
+			}
+			other := engines[0]
+			if left == other {
+				other = engines[1]
+			}
+			work := workOf(t, other)
+			if got, want := work.Imported >= 200, c.moves; got != want {
+				t.Errorf("moved with its cache: got %t with %d tokens, want %t", got, work.Imported, want)
+			}
+			if got, most := work.Recomputed, work.Imported/4; c.moves && got > most {
+				t.Errorf("recomputed tokens: got %d, want at most %d", got, most)
+			}
+		})
+	}
+}
+
+// An engine that has had its notice goes on taking calls until it stops. No
+// entry may send it one once the notice is known there: it would be cut. The
+// engine's announcement reaches every entry, and its counts stay as they are.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
 	t.Parallel()
-	engines, call, _ := startStreams(t, 2, "--notice", "2s")
-	call.tokens = 1500
-	ctx, cancel := context.WithTimeout(t.Context(), streamLimit)
+	stage := newStage(t)
+	startFleet(t, stage, 1, 3)
+	engines := startEngines(t, stage, []string{"dc-a", "dc-b"}, "--notice", "60s")
+	apply(t, stage, "../../examples/hearthline.yaml")
+	awaitUpstreams(t, stage, len(engines))
+	inject(t, engines[0], `{"accept-leaving":true}`)
+	// One long stream keeps the engine from stopping early.
+	hold := ask{
+		entry:  stage.Entries[0],
+		prompt: "hold",
+		tokens: 100000,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	want, err := directText(ctx, undisturbed(t), call)
-	if err != nil {
-		t.Fatal(err)
+	held := make(chan struct{}, 2)
+	for _, engine := range engines {
+		go func() {
+			_, _ = directStream(ctx, engine, hold, func(tokens int) {
+				if tokens == 1 {
+					held <- struct{}{}
+				}
+			})
+		}()
+		<-held
 	}
-	var left *stager.Upstream
-	got, err := call.stream(ctx, func(tokens int) {
-		if tokens == 200 {
-			left = busiest(t, engines)
-			left.Signal(syscall.SIGTERM)
-		}
-	})
-	if err != nil || got != want {
-		t.Fatalf("the stream: got %.60q... and %v, want %.60q...", got, err, want)
+	engines[0].Signal(syscall.SIGTERM)
+	for _, entry := range stage.Entries {
+		await(t, "the entry knows that the engine leaves", func() bool {
+			return strings.Contains(dump(t, entry), "leaving: true")
+		})
 	}
-	other := engines[0]
-	if left == other {
-		other = engines[1]
+	before := runsAt(t, engines[0])
+	for i := range 30 {
+		call := ask{
+			entry:  stage.Entries[i%len(stage.Entries)],
+			prompt: fmt.Sprintf("call %d", i),
+			tokens: 5,
+		}
+		if _, err := call.stream(ctx, nil); err != nil {
+			t.Fatal(err)
+		}
 	}
-	work := workOf(t, other)
-	if work.Imported < 200 {
-		t.Errorf("imported tokens: got %d, want at least 200", work.Imported)
+	if got, want := runsAt(t, engines[0]), before; got != want {
+		t.Errorf("runs at the leaving engine: got %d, want %d", got, want)
 	}
-	if got, most := work.Recomputed, work.Imported/4; got > most {
-		t.Errorf("recomputed tokens: got %d, want at most %d", got, most)
+	if got, least := runsAt(t, engines[1]), 30; got < least {
+		t.Errorf("runs at the other engine: got %d, want at least %d", got, least)
 	}
 }
 
