Reserve a stage's ports against other stages on the machine

Cause: TestShortFailureRun and TestEntryViewFollowsDeathAndRestart failed now and then while several stages ran on one machine; the logs that failed tests now print showed "listen on 127.0.0.1:16701: address already in use": two stages had chosen one port between its choice and its program's start. Change: a stage holds a socket name for each of its ports until it stops. Ruled out: choosing ports from the range of outgoing connections.

--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -51,6 +51,8 @@
 	processes []*Process
 	portsMu   sync.Mutex
 	ports     map[int]bool
+	// reserved are sockets whose names keep other stages from this one's ports.
+	reserved []net.Listener
 }
 
 // Node is one control or entry process with its settings.
@@ -76,9 +78,12 @@
 	}
 	for {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if s.ports[port] || !s.reserve(port) {
+			continue
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
-		if err != nil || s.ports[port] {
+		if err != nil {
 			continue
 		}
 		_ = listener.Close()
@@ -87,6 +92,18 @@
 	}
 }
 
+// reserve keeps a port from other stages on this machine until this one stops. A
+// port is free between its choice and its program's start; two stages that chose
+// the same one would each lose a process, and a test would wait for it in vain.
+func (s *Stage) reserve(port int) bool {
+	held, err := net.Listen("unix", fmt.Sprintf("@rosecroft-port-%d", port))
+	if err != nil {
+		return false
+	}
+	s.reserved = append(s.reserved, held)
+	return true
+}
+
 // StartFleet starts control and entry processes, spread over the data centres in turn.
 func (s *Stage) StartFleet(controls, entries int, dataCentres []units.DataCentre) error {
 	var addresses []parser.ControlAddress
@@ -253,4 +270,10 @@
 			process.Kill()
 		}
 	}
+	s.portsMu.Lock()
+	defer s.portsMu.Unlock()
+	for _, held := range s.reserved {
+		_ = held.Close()
+	}
+	s.reserved = nil
 }
