Prove anew after each view who must have stopped

The property test withdraws claims at a change of view, as the leader now does; TestAnotherViewWithdrawsTheProof wants the withdrawal itself.

--- a/src/control/distribution.go
+++ b/src/control/distribution.go
@@ -43,9 +43,10 @@
 	// directAt is when the entry last reported without a relay.
 	directAt time.Time
 	// fencedSince is when the entry must have stopped, the zero time where that is
-	// not proved. It stays true until the entry is heard again: no contact renews
-	// a lease with an older version.
+	// not proved. It stays true until the entry is heard again or another view is
+	// committed, whose majority could agree with the entry's version.
 	fencedSince time.Time
+	fencedView  uint64
 }
 
 // Name is the key in snapshots.
@@ -177,11 +178,16 @@
 
 // settle notes an entry that must have stopped, and forgets one that has left.
 func (d *distribution) settle(now time.Time, name units.Instance, e *entryState) {
+	newest := d.views.Newest().GetNumber()
+	if e.fencedView != newest {
+		e.fencedSince = time.Time{}
+	}
 	if e.fencedSince.IsZero() {
 		since, fenced := d.proof.Fenced(now, d.views, e.heartbeat.GetViewNumber())
 		behind := units.Version(e.heartbeat.GetVersionInForce()) < d.state.Version()
 		if fenced && behind {
 			e.fencedSince = since
+			e.fencedView = newest
 		}
 	}
 	silent := now.Sub(e.at) > goneAfter*d.proof.Fence
--- a/src/control/distribution_test.go
+++ b/src/control/distribution_test.go
@@ -139,3 +139,37 @@
 		})
 	}
 }
+
+// An entry is counted as stopped, and then a view is committed in which it could
+// agree with itself alone. The operator must not go on hearing that it has stopped.
+func TestAnotherViewWithdrawsTheProof(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newTestDistribution(now)
+	d.note(now, beat("e1", 1, 5), true)
+	d.note(now, beat("e2", 1, 5), true)
+	d.note(now, beat("e3", 1, 4), true)
+	for range 50 {
+		now = now.Add(observeInterval)
+		d.Lead(now, 1)
+	}
+	status := &messages.Status{}
+	d.report(now, status)
+	if got, want := status.GetInForce(), uint32(3); got != want {
+		t.Fatalf("in force under the first view: got %d, want %d", got, want)
+	}
+	d.views = d.views.With(&messages.EntryView{
+		Number: 2,
+		Members: []*messages.EntryMember{
+			{Entry: "e3", Incarnation: 1},
+		},
+	})
+	for range 100 {
+		now = now.Add(observeInterval)
+		d.Lead(now, 1)
+	}
+	status = &messages.Status{}
+	d.report(now, status)
+	if got, want := status.GetInForce(), uint32(0); got != want {
+		t.Errorf("in force under the second view: got %d, want %d", got, want)
+	}
+}
--- a/src/distributor/lease_test.go
+++ b/src/distributor/lease_test.go
@@ -96,6 +96,8 @@
 		e.lease = Lease{Fence: testFence}
 	case kind < 97:
 		f.changeView(f.sample())
+		// The leader proves anew under another view.
+		clear(f.claimed)
 	default:
 		f.proof.Reset()
 		clear(f.claimed)
