--- a/src/control/control.go
+++ b/src/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Control is one control process; its fields are set before Run.
@@ -36,13 +37,16 @@
 
 // Run serves until ctx ends; an error means that the process must not go on.
 func (c *Control) Run(ctx context.Context) error {
-	kept, state, records, err := keeper.Open(c.Settings.DataFolder)
+	folder, kept, err := keeper.Open(c.Settings.DataFolder, c.Settings.Name)
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w; see that it is on a disk with space that this process may write to", err)
 	}
-	defer func() { _ = kept.Close() }()
+	defer func() { _ = folder.Close() }()
 	out := newOutbox(c.Client, c.Settings)
-	c.coordinator = newCoordinator(c.Settings, c.Log, kept, state, records, out)
+	c.coordinator, err = newCoordinator(c.Settings, c.Log, folder, kept, out)
+	if err != nil {
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	out.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
@@ -52,7 +56,9 @@
 	c.Log.Info().
 		Str("operators", c.Operators.Addr().String()).
 		Str("peers", c.Peers.Addr().String()).
-		Int("records", len(records)).
+		Str("voter", string(kept.ID)).
+		Int("records", len(kept.Records)).
+		Uint64("snapshot", kept.Snapshot.GetIndex()).
 		Msg("started")
 	return group.Wait()
 }
@@ -89,10 +95,10 @@
 
 func (c *Control) onLog(ctx context.Context, peer connector.Peer, message *messages.LogMessage) (*messages.LogMessage, error) {
 	// A vote in another voter's name would let two leaders have a majority.
-	if err := peer.Speaks(certifier.Control, message.GetFrom()); err != nil {
+	if err := peer.Speaks(certifier.Control, string(units.VoterID(message.GetFrom()).Instance())); err != nil {
 		return nil, err
 	}
-	return nil, c.post(ctx, arrived{message: message})
+	return &messages.LogMessage{}, c.post(ctx, arrived{message: message})
 }
 
 func (c *Control) onSubmit(ctx context.Context, _ connector.Peer, submission *messages.Submission) (*messages.SubmissionResult, error) {
--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -27,7 +27,9 @@
 	return nil
 }
 
-func (r *refusing) Finish(context.Context, *Call, *Answer, *Refusal) {}
+func (r *refusing) Finish(_ context.Context, _ *Call, _ *Answer, refusal *Refusal) *Refusal {
+	return refusal
+}
 
 func (r *refusing) Pick(*Call, []units.Upstream) *tracker.Upstream {
 	return &tracker.Upstream{Name: "u", Live: &tracker.Live{}}
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -9,11 +9,16 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+// MadeKeyPrefix begins every key that the system makes for a call without one.
+const MadeKeyPrefix = "rosecroft-"
+
 // Call is one accepted request; it is not changed once dispatched.
 type Call struct {
 	ID units.CallID
-	// Key is the caller's Idempotency-Key, or the call's id where there was none.
-	Key      string
+	// Key is the caller's Idempotency-Key, or one made of the call's id.
+	Key string
+	// KeyGiven says that the caller sent the key.
+	KeyGiven bool
 	Brand    units.Brand
 	Account  *parser.ClientAccount
 	Service  units.Service
@@ -25,6 +30,8 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time
+	// BetweenTokens is the latency target from one token to the next, 0 for none.
+	BetweenTokens time.Duration
 	// Repeatable says that running the call twice does no harm.
 	Repeatable bool
 	Stream     bool
@@ -55,6 +62,12 @@
 	End() error
 }
 
+// Batcher is a Sink that can put several events into one write.
+type Batcher interface {
+	// Hold makes the sink keep events until the first that is not held.
+	Hold(hold bool)
+}
+
 // Executed says whether a refused call ran.
 type Executed string
 
@@ -82,6 +95,7 @@
 	ProblemBadKey      ProblemKind = "bad-key"
 	ProblemNotFound    ProblemKind = "not-found"
 	ProblemTooLarge    ProblemKind = "too-large"
+	ProblemRecord      ProblemKind = "record-unavailable"
 	ProblemForbidden   ProblemKind = "forbidden"
 	ProblemMethod      ProblemKind = "method-not-allowed"
 	ProblemMediaType   ProblemKind = "unsupported-media-type"
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -21,11 +21,9 @@
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
 	"github.com/rosecroft/rosecroft/src/server"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// keepFor is how long an answer is kept for resends.
-const keepFor = 10 * time.Minute
-
 // Entry is one entry process; its fields are set before Run.
 type Entry struct {
 	Settings *parser.Settings
@@ -45,15 +43,16 @@
 	coordinator *coordinator
 	traffic     *traffic
 	shares      *shares
-	incarnation uint64
 	stopping    atomic.Bool
+	incarnation units.Incarnation
+	recorder    *recorder.Recorder
 }
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
+	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
-	e.incarnation = uint64(time.Now().UnixNano())
-	e.shares = newShares(e.Client, e.View, e.Settings.Name, e.incarnation, e.Settings.Timing.Fence)
+	e.shares = newShares(e.Client, e.View, e.Settings.Name, uint64(e.incarnation), e.Settings.Timing.Fence)
 	e.shares.limiter = &limiter.Limiter{
 		Snapshot: &e.snapshot,
 		Shares:   e.shares,
@@ -62,6 +61,8 @@
 	}
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
+	e.recorder = e.newRecorder()
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -71,6 +72,7 @@
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
@@ -96,6 +98,8 @@
 	if err := e.callerServer().Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
+	e.drainRecord(ctx)
+	e.leaveView(ctx)
 	e.Log.Info().Msg("drained")
 	return nil
 }
@@ -103,8 +107,12 @@
 // View returns the newest entry view that control has committed, nil before the first.
 func (e *Entry) View() *messages.EntryView { return e.view.Load() }
 
+// ready says whether the balancer should send calls here. Without the record the
+// entry would refuse every call that may not be repeated, so that callers saw
+// refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil && e.shares.ready() && e.shares.limiter.Ready()
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() &&
+		e.shares.ready() && e.shares.limiter.Ready()
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -115,13 +123,12 @@
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter: e.shares.limiter,
-			Budget:  &limiter.Budget{},
-			Recorder: &recorder.Recorder{
-				KeepFor: keepFor,
-			},
+			Limiter:   e.shares.limiter,
+			Budget:    &limiter.Budget{},
+			Recorder:  e.recorder,
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
+			Observer:  e.traffic.router,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
@@ -136,6 +143,7 @@
 		Traffic:  e.Client.Traffic,
 	}
 	connector.Handle(server, MethodShare, e.shares.onShare)
+	e.recorder.Handle(server)
 	return server
 }
 
@@ -144,7 +152,7 @@
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
-		incarnation: e.incarnation,
+		incarnation: uint64(e.incarnation),
 		confirmed:   e.shares.confirm,
 		view:        &e.view,
 		stopping:    &e.stopping,
@@ -175,7 +183,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
-		return dump, nil
+		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// apply submits a configuration file and waits until it is in force everywhere and the entries take calls.
+// apply submits a configuration file and waits until it is in force and every
+// running entry takes calls.
 func apply(t *testing.T, stage *stager.Stage, file string) {
 	t.Helper()
 	flags, err := stage.Flags(certifier.Identity{
--- a/src/server/intake.go
+++ b/src/server/intake.go
@@ -83,20 +83,22 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if key == "" {
-		key = string(id)
+	given := key != ""
+	if !given {
+		key = dispatcher.MadeKeyPrefix + string(id)
 	}
 	writer.Header().Set(headerKey, key)
 	return snapshot, &dispatcher.Call{
-		ID:      id,
-		Key:     key,
-		Brand:   brand,
-		Account: account,
-		Method:  request.Method,
-		Path:    request.URL.Path,
-		Query:   request.URL.RawQuery,
-		Header:  request.Header,
-		Body:    body,
+		ID:       id,
+		Key:      key,
+		KeyGiven: given,
+		Brand:    brand,
+		Account:  account,
+		Method:   request.Method,
+		Path:     request.URL.Path,
+		Query:    request.URL.RawQuery,
+		Header:   request.Header,
+		Body:     body,
 	}, nil
 }
 
