Explain a recent call, and ask the record before the limits for a resend

Cause: nobody could read why a call went as it did; and a resend of a booking at its account's limit was refused as not run although the first sending had run. Change: a bounded book of trails in each entry, served by the inspector and read by rosecroft explain; the dispatcher asks the record first for calls with a caller's key that may not be repeated. Ruled out: formatting candidates while routing; they are kept as names and numbers.

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -41,6 +41,8 @@
 	MaxOutput units.Tokens
 	// Blocks are chained hashes over the prompt's whole blocks.
 	Blocks []uint64
+	// Trail may be nil.
+	Trail Trail
 }
 
 // Answer is a whole answer.
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -109,16 +109,50 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	release, err := d.Limiter.Admit(ctx, call)
+	// A resend that is refused as not run would be believed, though the first
+	// sending may have run; so the record is asked before the limits. For other
+	// calls the limits come first, since they cost less.
+	if call.KeyGiven && !call.Repeatable {
+		return d.recorded(ctx, call, sink, d.admitted)
+	}
+	release, err := d.admit(ctx, call)
 	if err != nil {
 		return err
 	}
 	defer release()
+	return d.recorded(ctx, call, sink, d.attempted)
+}
+
+// stage is a part of a call's run; a *Refusal as its error goes into the record.
+type stage func(ctx context.Context, call *Call, stream *Stream) (*Answer, error)
+
+func (d *Dispatcher) admit(ctx context.Context, call *Call) (func(), error) {
+	release, err := d.Limiter.Admit(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	call.Note(StepAdmitted, "", "")
+	return release, nil
+}
+
+// admitted runs the attempts within the call's limits.
+func (d *Dispatcher) admitted(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
+	release, err := d.admit(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return d.attempted(ctx, call, stream)
+}
+
+// recorded runs a stage of a call between the begin and the end of its record.
+func (d *Dispatcher) recorded(ctx context.Context, call *Call, sink Sink, run stage) error {
 	earlier, err := d.Recorder.Begin(ctx, call)
 	if err != nil {
 		return err
 	}
 	if earlier != nil {
+		call.Note(StepOutcome, "", "answered from the record of an earlier sending")
 		return sink.Answer(earlier)
 	}
 	running := ctx
@@ -129,7 +163,7 @@
 		defer stop()
 		running = lasting
 	}
-	answer, err := d.attempts(running, call, &Stream{Sink: sink})
+	answer, err := run(running, call, &Stream{Sink: sink})
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -154,7 +188,7 @@
 	fruitless int
 }
 
-func (d *Dispatcher) attempts(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
+func (d *Dispatcher) attempted(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
 	so := &attempts{
 		ran:  ExecutedNo,
 		wait: retryAfter,
@@ -174,7 +208,9 @@
 			return nil, err
 		}
 		before := stream.Offset()
+		call.Note(StepAttempt, upstream.Name, "")
 		result := d.exchange(ctx, call, attempt, upstream, stream)
+		noteResult(call, upstream.Name, result)
 		if result.Kind == Answered {
 			if d.Budget != nil {
 				d.Budget.Earn(call.Service)
--- /dev/null
+++ b/src/dispatcher/trail.go
@@ -0,0 +1,62 @@
+package dispatcher
+
+import (
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Step names a kind of decision about a call.
+type Step string
+
+// The steps of a call, in the order in which they come first.
+const (
+	StepAccepted  Step = "accepted"
+	StepAdmitted  Step = "admitted"
+	StepCandidate Step = "candidate"
+	StepAttempt   Step = "attempt"
+	StepEnded     Step = "attempt-ended"
+	StepOutcome   Step = "outcome"
+)
+
+// Trail takes the decisions about one call, for an operator to read back.
+type Trail interface {
+	Note(step Step, upstream units.Upstream, detail string)
+	Candidate(upstream units.Upstream, score float64)
+}
+
+// Note records a decision where the call has a trail.
+func (c *Call) Note(step Step, upstream units.Upstream, detail string) {
+	if c.Trail != nil {
+		c.Trail.Note(step, upstream, detail)
+	}
+}
+
+// String names the end of an exchange.
+func (k ResultKind) String() string {
+	switch k {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	case Lost:
+		return "lost"
+	case CallerGone:
+		return "caller-gone"
+	case Moved:
+		return "moved"
+	case Broken:
+		return "broken"
+	}
+	return "unknown"
+}
+
+// noteResult records how an attempt ended.
+func noteResult(call *Call, upstream units.Upstream, result Result) {
+	if call.Trail == nil {
+		return
+	}
+	detail := result.Kind.String()
+	if result.Err != nil {
+		detail += ": " + result.Err.Error()
+	}
+	call.Note(StepEnded, upstream, detail)
+}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/explainer"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -46,6 +47,7 @@
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
+	book        explainer.Book
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -122,6 +124,8 @@
 		Log:      e.Log,
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
+
+		Explainer: &e.book,
 		Dispatcher: &dispatcher.Dispatcher{
 			Limiter:   e.shares.limiter,
 			Budget:    &limiter.Budget{},
@@ -172,6 +176,7 @@
 		Listener: e.Operators,
 		TLS:      e.Certificates.Operators(),
 		Dump:     e.dump,
+		Explain:  e.explain,
 		Ready:    e.ready,
 		Metrics:  e.Meter.Handler,
 	}
@@ -188,3 +193,8 @@
 		return nil, ctx.Err()
 	}
 }
+
+func (e *Entry) explain(call units.CallID) (any, bool) {
+	explanation := e.book.Explain(call)
+	return explanation, explanation != nil
+}
--- /dev/null
+++ b/src/explainer/book_test.go
@@ -0,0 +1,50 @@
+package explainer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Calls come without end and one stream moves without end. The book must stay
+// bounded, keep the last calls, and of each how it ended.
+func TestBookIsBounded(t *testing.T) {
+	book := &Book{}
+	for i := range 3 * maxCalls {
+		book.Open(units.CallID(fmt.Sprint(i)))
+	}
+	last := book.Open("last")
+	for range 3 * maxDecisions {
+		last.Candidate("u", 1)
+	}
+	last.Note(dispatcher.StepOutcome, "", "answered")
+	if got, want := len(book.byID), maxCalls; got != want || len(book.ring) != want {
+		t.Errorf("calls kept: got %d and %d, want %d", got, len(book.ring), want)
+	}
+	if got := book.Explain("0"); got != nil {
+		t.Errorf("oldest call: got %v, want it gone", got)
+	}
+	got := book.Explain("last")
+	if got == nil || len(got.Decisions) != maxDecisions || got.LeftOut != 2*maxDecisions+1 {
+		t.Fatalf("last call: got %+v, want %d decisions and the others counted", got, maxDecisions)
+	}
+	if end := got.Decisions[maxDecisions-1]; end.Step != dispatcher.StepOutcome || end.Detail != "answered" {
+		t.Errorf("end: got %+v, want the outcome", end)
+	}
+}
+
+// BenchmarkTrail measures what one call with an attempt among eight candidates costs.
+func BenchmarkTrail(b *testing.B) {
+	book := &Book{}
+	b.ReportAllocs()
+	for b.Loop() {
+		trail := book.Open("call")
+		for range 8 {
+			trail.Candidate("u", 1)
+		}
+		trail.Note(dispatcher.StepAttempt, "u", "")
+		trail.Note(dispatcher.StepOutcome, "", "answered")
+	}
+}
--- a/src/inspector/inspector.go
+++ b/src/inspector/inspector.go
@@ -13,6 +13,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/rosecroft/rosecroft/src/certifier"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 const (
@@ -36,6 +37,9 @@
 	// Ready says whether the balancer should send calls here.
 	Ready   func() bool
 	Metrics http.Handler
+	// Explain returns what was decided about a call, or false where it is not
+	// known; nil for a process without calls.
+	Explain func(call units.CallID) (any, bool)
 	// Services are the routes of the process's own duty.
 	Services []*restful.WebService
 }
@@ -72,6 +76,9 @@
 	own.Route(own.GET("/metrics").To(func(request *restful.Request, response *restful.Response) {
 		i.Metrics.ServeHTTP(response.ResponseWriter, request.Request)
 	}))
+	if i.Explain != nil {
+		own.Route(own.GET("/explain/{call}").To(i.explain))
+	}
 	container.Add(own)
 	for _, service := range i.Services {
 		container.Add(service)
@@ -99,6 +106,20 @@
 		_ = response.WriteError(http.StatusServiceUnavailable, err)
 		return
 	}
+	writeYAML(response, state)
+}
+
+func (i *Inspector) explain(request *restful.Request, response *restful.Response) {
+	explanation, known := i.Explain(units.CallID(request.PathParameter("call")))
+	if !known {
+		_ = response.WriteErrorString(http.StatusNotFound,
+			"this process does not know the call; ask the entry that took it, soon after its end")
+		return
+	}
+	writeYAML(response, explanation)
+}
+
+func writeYAML(response *restful.Response, state any) {
 	content, err := yaml.Marshal(state)
 	if err != nil {
 		_ = response.WriteError(http.StatusInternalServerError, err)
--- a/src/launcher/options.go
+++ b/src/launcher/options.go
@@ -49,6 +49,8 @@
 	Status statusCommand `cmd:"" group:"Operators" help:"Print which version is accepted and where it is in force."`
 	Dump   dumpCommand   `cmd:"" group:"Operators" help:"Print one process's state."`
 
+	Explain explainCommand `cmd:"" group:"Operators" help:"Print what was decided about a recent call."`
+
 	MakeCertificates makeCertificatesCommand `cmd:"" group:"Offline" help:"Make an authority and certificates for a first set-up."`
 
 	Check   checkCommand   `cmd:"" group:"Offline" help:"Check a configuration or settings file."`
--- /dev/null
+++ b/src/router/explain.go
@@ -0,0 +1,19 @@
+package router
+
+import (
+	"math"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+)
+
+// explain records the candidates that were fit, with their scores.
+func (s *subset) explain(call *dispatcher.Call, scores []float64) {
+	if call.Trail == nil {
+		return
+	}
+	for i, score := range scores {
+		if !math.IsInf(score, 1) {
+			call.Trail.Candidate(s.candidates[i].upstream.Name, score)
+		}
+	}
+}
--- a/src/router/router.go
+++ b/src/router/router.go
@@ -126,6 +126,7 @@
 	if math.IsInf(best, 1) {
 		return nil
 	}
+	s.explain(call, scores[:len(s.candidates)])
 	chosen := r.oneOfTwo(scores[:len(s.candidates)], best+nearBest)
 	upstream := s.candidates[chosen].upstream
 	if r.Index != nil {
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/explainer"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -48,6 +49,9 @@
 	BodyTimeout  time.Duration
 	WriteTimeout time.Duration
 
+	// Explainer may be nil.
+	Explainer *explainer.Book
+
 	meters meters
 }
 
@@ -196,6 +200,7 @@
 	call.Deadline = began.Add(service.Deadline)
 	call.BetweenTokens = service.Target.BetweenTokens
 	call.Repeatable = service.Repeatable(call.Method, call.Path)
+	s.open(call)
 	out := s.newSink(writer, call, began)
 	err := s.Dispatcher.Do(request.Context(), call, out)
 	var refusal *dispatcher.Refusal
@@ -208,6 +213,7 @@
 		outcome = "caller-gone"
 	}
 	s.count(call, outcome)
+	s.conclude(call, outcome, err)
 	s.Log.Info().
 		Str("call", string(call.ID)).
 		Str("account", string(call.Account.Name)).
