--- a/src/cmd/failures/main.go
+++ b/src/cmd/failures/main.go
@@ -86,6 +86,9 @@
 	for _, fault := range verdict.Faults {
 		fmt.Println("FAULT", fault)
 	}
+	for _, refused := range verdict.Refused {
+		fmt.Println("refused", refused)
+	}
 	fmt.Printf("failures deployment=%s seed=%d %s\n", chosen.Deployment, chosen.Seed, verdict)
 	if len(verdict.Faults) > 0 {
 		return fmt.Errorf("%d faults", len(verdict.Faults))
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -34,7 +34,9 @@
 	incarnation uint64
 	view        *atomic.Pointer[messages.EntryView]
 	stopping    *atomic.Bool
-	pusher      *distributor.Pusher
+	// confirmed takes the time before which the view was surely not replaced.
+	confirmed func(at time.Time)
+	pusher    *distributor.Pusher
 	// until is when the lease to serve ends.
 	until *atomic.Pointer[time.Time]
 	// news holds one wish for an early heartbeat.
@@ -167,6 +169,9 @@
 
 // renew takes a contact into the lease and publishes its end.
 func (f *follower) renew(event distributor.Event) {
+	if heard, ok := event.(distributor.ControlHeard); ok {
+		f.confirmed(heard.Asked)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	until := f.lease.Step(distributor.Holding{
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -49,8 +49,6 @@
 
 	authority *certifier.Authority
 	processes []*Process
-	portsMu   sync.Mutex
-	ports     map[int]bool
 }
 
 // Node is one control or entry process with its settings.
@@ -67,22 +65,30 @@
 // CallerURL returns an entry's base URL for callers.
 func (n *Node) CallerURL() string { return baseURL(n.Settings.Callers) }
 
-// Address returns a free loopback address.
+// chosen are the ports that this process has handed out, over all its stages.
+var chosen = struct {
+	sync.Mutex
+	ports map[int]bool
+}{
+	ports: make(map[int]bool),
+}
+
+// Address returns a free loopback address, and never one twice.
 func (s *Stage) Address() string {
-	s.portsMu.Lock()
-	defer s.portsMu.Unlock()
-	if s.ports == nil {
-		s.ports = make(map[int]bool)
-	}
+	chosen.Lock()
+	defer chosen.Unlock()
 	for {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if chosen.ports[port] {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
-		if err != nil || s.ports[port] {
+		if err != nil {
 			continue
 		}
 		_ = listener.Close()
-		s.ports[port] = true
+		chosen.ports[port] = true
 		return address
 	}
 }
@@ -187,11 +193,14 @@
 	URL string
 }
 
-// AwaitReady waits until every entry takes calls.
+// AwaitReady waits until every entry that runs takes calls.
 func (s *Stage) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, entry := range s.Entries {
+		if !entry.Running() {
+			continue
+		}
 		if err := s.awaitOK(ctx, entry.CallerURL()+"/readyz"); err != nil {
 			return fmt.Errorf("%s is not ready: %w; see its log in %s", entry.Settings.Name, err, s.Folder)
 		}
--- a/src/wrecker/checker.go
+++ b/src/wrecker/checker.go
@@ -84,6 +84,8 @@
 	// entry that dies or freezes may cut one.
 	Cut    int
 	Faults []string
+	// Refused says what the callers without an answer were told.
+	Refused []string
 }
 
 // Check compares what callers were told with the truth, after a schedule.
@@ -117,8 +119,10 @@
 		v.Answered++
 	case loader.NotRun:
 		v.NotRun++
+		v.refused(outcome)
 	case loader.Unknown:
 		v.Unknown++
+		v.refused(outcome)
 	case loader.Lost:
 		v.Lost++
 		v.fault(outcome, "no final answer: "+outcome.Detail)
@@ -168,6 +172,11 @@
 	}
 }
 
+func (v *Verdict) refused(outcome *loader.Outcome) {
+	v.Refused = append(v.Refused, fmt.Sprintf("%s (%s) after %s and %d sends: %s",
+		outcome.Reference, outcome.Workload, outcome.Took.Round(time.Millisecond), outcome.Sends, outcome.Detail))
+}
+
 func (v *Verdict) fault(outcome *loader.Outcome, what string) {
 	v.Faults = append(v.Faults, fmt.Sprintf("%s (%s, key %s): %s", outcome.Reference, outcome.Workload, outcome.Key, what))
 }
