Let entries agree on placement where all caches are too small

Cause: where the engines' caches together hold fewer prompts than are in use, each entry followed its own belief of what is cached, and all engines computed all prompts; a small difference in waiting moved a prompt and made it worse.

Change: where every candidate is under pressure, the hash of the first block counts for more than what is believed to be cached; waiting near and above the target counts 1.5 and 3 in place of 2 and 20.

--- a/src/router/router.go
+++ b/src/router/router.go
@@ -108,6 +108,8 @@
 		call:   call,
 		now:    now,
 		target: s.service.Target.FirstToken.Seconds(),
+		// The least of all candidates, which score lowers.
+		pressure: 1,
 	}
 	if r.Index != nil {
 		d.found = r.Index.Find(now, call.Blocks, &d.matches)
@@ -135,9 +137,12 @@
 	return upstream
 }
 
-// place makes entries agree on where a prompt goes that nobody has cached.
+// place makes entries agree on where a prompt goes that nobody has cached, and
+// where all caches give up what is in use. Each entry would otherwise bring every
+// prompt to another engine, which evicts one more there, until no call finds its
+// prompt cached anywhere.
 func (s *subset) place(d *decision, scores *[subsetSize]float64) {
-	if d.found > 0 || len(d.call.Blocks) == 0 {
+	if d.found > 0 && d.pressure < settledPressure || len(d.call.Blocks) == 0 {
 		return
 	}
 	place, highest := -1, uint64(0)
@@ -148,7 +153,8 @@
 		}
 	}
 	if place >= 0 {
-		scores[place] -= placeShare * float64(d.call.Prompt) * s.candidates[place].perToken
+		work := float64(d.call.Prompt) * s.candidates[place].perToken
+		scores[place] -= placeShare * work * (1 + placeWeight*d.pressure)
 	}
 }
 
--- a/src/router/router_test.go
+++ b/src/router/router_test.go
@@ -176,6 +176,32 @@
 	}
 }
 
+// The caches of all engines give up what is in use, and each entry believes that
+// another engine has a prompt. If each followed its own belief, all engines would
+// compute all prompts; under pressure they must agree without a message.
+func TestEntriesAgreeUnderPressure(t *testing.T) {
+	chosen := make(map[units.Upstream]bool)
+	for believed := range 3 {
+		f := newFleet(3)
+		for i, engine := range f.engines {
+			var hot []uint64
+			for n := range uint64(8) {
+				hot = append(hot, modelCall(parser.PrefixCost, 100*uint64(i)+n).Blocks...)
+			}
+			f.router.Cached(engine, &messages.CacheEvents{Added: hot})
+			f.router.Cached(engine, &messages.CacheEvents{Removed: hot})
+			engine.Live.InFlight.Store(2)
+		}
+		call := modelCall(parser.PrefixCost, 3)
+		call.Prompt = 8192
+		f.router.Cached(f.engines[believed], &messages.CacheEvents{Added: call.Blocks})
+		chosen[f.router.Pick(call, nil).Name] = true
+	}
+	if got, want := len(chosen), 1; got != want {
+		t.Errorf("engines that three entries choose: got %d, want %d", got, want)
+	}
+}
+
 // An engine gets its notice; others in its data centre are likely to follow. New
 // streams must avoid that data centre for a while although it is as cheap.
 func TestWaveKeepsCallsAway(t *testing.T) {
--- a/src/router/score.go
+++ b/src/router/score.go
@@ -11,23 +11,26 @@
 // and above the target counts, and what the other costs are worth in seconds.
 const (
 	// headroom is the part of the latency target below which waiting is cheap.
-	headroom      = 0.3
-	calmWeight    = 0.2
-	nearWeight    = 2
-	missWeight    = 20
-	workWeight    = 1
-	evictWeight   = 2
-	idlePrice     = 0.25
-	busyPrice     = 0.08
-	fillBonus     = 0.04
-	fullShare     = 0.85
-	fullWeight    = 0.5
-	placeShare    = 0.5
-	disruption    = 2
-	warmSlotShare = 0.1
-	warmWeight    = 0.05
-	typicalOutput = 256
-	blockTokens   = 64
+	headroom    = 0.3
+	calmWeight  = 0.2
+	nearWeight  = 1.5
+	missWeight  = 3
+	workWeight  = 1
+	evictWeight = 2
+	placeWeight = 4
+	// settledPressure is where claims of cached prompts can be believed.
+	settledPressure = 0.1
+	idlePrice       = 0.25
+	busyPrice       = 0.08
+	fillBonus       = 0.04
+	fullShare       = 0.85
+	fullWeight      = 0.5
+	placeShare      = 0.5
+	disruption      = 2
+	warmSlotShare   = 0.1
+	warmWeight      = 0.05
+	typicalOutput   = 256
+	blockTokens     = 64
 )
 
 // warmUp is how long a new engine takes a growing part of the work: its cache is
@@ -41,6 +44,8 @@
 	target  float64
 	matches [locator.MaxMatches]locator.Match
 	found   int
+	// pressure is the least that any candidate is under.
+	pressure float64
 }
 
 // cached returns the prompt tokens that a candidate is likely to have cached.
@@ -65,7 +70,9 @@
 	}
 	// What is computed on an engine that gives up what is in use will make it give
 	// up as much again, which somebody computes once more.
-	weight := workWeight + evictWeight*c.pressure.at(d.now)
+	pressure := c.pressure.at(d.now)
+	d.pressure = min(d.pressure, pressure)
+	weight := workWeight + evictWeight*pressure
 	return d.latency(first) + weight*work + price(c, under) + d.loss(c) + d.warming(c, under)
 }
 
