--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -45,6 +46,12 @@
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
+	// until is when the lease to serve ends.
+	until    atomic.Pointer[time.Time]
+	follower *follower
+	callers  *server.Server
+	// leaving is set once the last call has ended; control then drops this entry.
+	leaving atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -54,14 +61,17 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.callers = e.callerServer()
 	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLasting()
 	group, lasting := errgroup.WithContext(lasting)
+	e.follower = e.newFollower()
+	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
-	group.Go(func() error { return e.follower().run(lasting) })
+	group.Go(func() error { return e.follower.run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.recorder.Run(lasting) })
@@ -86,7 +96,7 @@
 	defer cancel()
 	defer context.AfterFunc(lasting, cancel)()
 	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
-	if err := e.callerServer().Run(ctx); err != nil {
+	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
@@ -102,7 +112,7 @@
 // entry would refuse every call that may not be repeated, so that callers saw
 // refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready()
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() && !fenced(&e.until)
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -119,8 +129,10 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready: e.ready,
-		Drain: e.Settings.Timing.Drain,
+		Ready:   e.ready,
+		Drain:   e.Settings.Timing.Drain,
+		Adopter: e,
+		Records: e.recorder,
 	}
 }
 
@@ -132,17 +144,27 @@
 		Traffic:  e.Client.Traffic,
 	}
 	e.recorder.Handle(server)
+	e.follower.serve(server)
+	e.handleAdoption(server)
 	return server
 }
 
-func (e *Entry) follower() *follower {
+func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
 		incarnation: uint64(e.incarnation),
 		view:        &e.view,
-		stopping:    &e.stopping,
+		stopping:    &e.leaving,
+		pusher: &distributor.Pusher{
+			Client: e.Client,
+		},
+		until: &e.until,
+		news:  make(chan struct{}, 1),
+		lease: distributor.Lease{
+			Fence: e.Settings.Timing.Fence,
+		},
 	}
 }
 
@@ -170,6 +192,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
+		dump.Fenced = fenced(&e.until)
 		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
