Pass on no answer of a version that was not announced

Cause: an engine that changed its version before its announcement came through answered callers with a model that the configuration does not name.

Change: an answer whose version differs from the announced one counts as lost, so that another engine answers.

--- a/src/forwarder/exchange.go
+++ b/src/forwarder/exchange.go
@@ -199,6 +199,12 @@
 	if echoed := response.Header.Get(HeaderCall); echoed != string(e.call.ID) {
 		return lost(fmt.Errorf("the upstream answered call %q", echoed))
 	}
+	// An engine that changed its version since it announced itself answers with
+	// another model than the configuration asks for.
+	version := units.ModelVersion(response.Header.Get(HeaderModelVersion))
+	if announced := e.upstream.ModelVersion; announced != "" && version != "" && version != announced {
+		return lost(fmt.Errorf("the upstream answered with version %q and announced %q", version, announced))
+	}
 	if e.streamed() && response.StatusCode == http.StatusOK {
 		e.fed(e.limits.FirstToken)
 		return e.passStream(response)
--- a/src/forwarder/forwarder_test.go
+++ b/src/forwarder/forwarder_test.go
@@ -349,6 +349,26 @@
 	}
 }
 
+// An engine changes its model version, and its announcement is still under way
+// when a call arrives there. The caller must get nothing of a version that the
+// configuration does not name; another engine answers.
+func TestChangedVersionIsNotPassedOn(t *testing.T) {
+	address, _ := scripted(t, script{"2", events("call-1", 1, 3) + done}, script{"2", events("call-1", 1, 3) + done})
+	sink := &recorded{}
+	f := &Forwarder{
+		Pools: &Pools{},
+	}
+	upstream := upstreamAt(address)
+	upstream.ModelVersion = "1"
+	result := f.Exchange(t.Context(), streamCall(), 1, upstream, &dispatcher.Stream{Sink: sink})
+	if got, want := result.Kind, dispatcher.Lost; got != want {
+		t.Errorf("result: got %v, want %v", got, want)
+	}
+	if got, want := len(sink.events), 0; got != want {
+		t.Errorf("tokens: got %d, want %d", got, want)
+	}
+}
+
 // An engine that names no version dies, and another one that names none takes
 // the stream over. They may hold different weights, so the caller must not get
 // the second half from it.
