Refuse at overload within the time of a short queue

Change: the time is taken at admission; a call waits at most 1/25 of the first token's target, six times as long where its account is owed service; an idle account may catch up 1,000 tokens for its weight.

--- a/src/limiter/limiter.go
+++ b/src/limiter/limiter.go
@@ -22,7 +22,10 @@
 	maxRetry = 30 * time.Second
 	epsilon  = 1e-9
 	// waitPart is the part of the first token's target that a call may wait for a slot.
-	waitPart = 4
+	waitPart = 25
+	// dueWaits is how many times as long the call of an account may wait that has
+	// had less than its weight is due.
+	dueWaits = 6
 )
 
 // Shares tells what this entry may use of a limit now.
@@ -76,8 +79,9 @@
 		l.refund(taken, cost(call))
 		return nil, overloaded(call, wait)
 	}
-	queueing.RecordDuration(time.Since(began))
-	return func() { l.release(line, taken, time.Now()) }, nil
+	served := time.Now()
+	queueing.RecordDuration(served.Sub(began))
+	return func() { l.release(line, taken, served) }, nil
 }
 
 func newItem(call *dispatcher.Call) *item {
@@ -98,22 +102,40 @@
 
 // await waits for the call's turn and reports whether it came.
 func (l *Limiter) await(ctx context.Context, line *queue, next *item) bool {
-	limit := time.NewTimer(2 * line.target)
+	limit := time.NewTimer(line.target)
 	defer limit.Stop()
-	select {
-	case <-next.turn:
-		return true
-	case <-next.dropped:
-		return false
-	case <-limit.C:
-	case <-ctx.Done():
+	for waits := 1; ; waits++ {
+		select {
+		case <-next.turn:
+			return true
+		case <-next.dropped:
+			return false
+		case <-limit.C:
+		case <-ctx.Done():
+		}
+		if waits < dueWaits && ctx.Err() == nil && l.due(line, next) {
+			limit.Reset(line.target)
+			continue
+		}
+		return l.giveUp(line, next)
 	}
+}
+
+// due reports whether the call's account has had less than its weight is due, so
+// that the next slots are its own.
+func (l *Limiter) due(line *queue, next *item) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return line.finish[next.account] <= line.virtual
+}
+
+// giveUp takes a call out of the queue; it reports whether its turn came just before.
+func (l *Limiter) giveUp(line *queue, next *item) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if line.remove(next) {
 		return false
 	}
-	// The turn or the refusal came while the time ran out.
 	select {
 	case <-next.turn:
 		return true
@@ -122,11 +144,11 @@
 	}
 }
 
-func (l *Limiter) release(line *queue, taken []*bucket, began time.Time) {
+func (l *Limiter) release(line *queue, taken []*bucket, served time.Time) {
 	l.give(taken)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if next := line.leave(time.Since(began)); next != nil {
+	if next := line.leave(time.Since(served)); next != nil {
 		close(next.turn)
 	}
 }
--- a/src/limiter/queue.go
+++ b/src/limiter/queue.go
@@ -14,6 +14,8 @@
 	meanWeight = 0.05
 	// firstMean is taken for the time in service until calls have ended.
 	firstMean = time.Second
+	// credit is how many tokens for its weight an idle account may catch up.
+	credit = 1000
 )
 
 // item is one call that waits for a slot of a service.
@@ -72,10 +74,11 @@
 	return waits, victim
 }
 
-// start is an account's place in virtual time; one that was idle has no credit
-// from then.
+// start is an account's place in virtual time. One that was idle has a bounded
+// credit from then: its calls come unevenly, and without credit each that comes
+// a little early would be refused and the time between lost.
 func (q *queue) start(account units.Account) float64 {
-	return max(q.virtual, q.finish[account])
+	return max(q.virtual-credit, q.finish[account])
 }
 
 func (q *queue) serve(next *item) {
@@ -83,8 +86,9 @@
 		q.finish = make(map[units.Account]float64)
 	}
 	q.running++
-	q.virtual = q.start(next.account)
-	q.finish[next.account] = q.virtual + next.cost/next.weight
+	start := q.start(next.account)
+	q.virtual = max(q.virtual, start)
+	q.finish[next.account] = start + next.cost/next.weight
 }
 
 // limit returns how many calls can wait and still get a slot within the target.
