--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -52,6 +52,9 @@
 	// until is when the lease to serve ends.
 	until    atomic.Pointer[time.Time]
 	follower *follower
+	callers  *server.Server
+	// leaving is set once the last call has ended; control then drops this entry.
+	leaving atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -68,6 +71,7 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.callers = e.callerServer()
 	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
@@ -103,7 +107,7 @@
 	defer cancel()
 	defer context.AfterFunc(lasting, cancel)()
 	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
-	if err := e.callerServer().Run(ctx); err != nil {
+	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
@@ -140,8 +144,10 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready: e.ready,
-		Drain: e.Settings.Timing.Drain,
+		Ready:   e.ready,
+		Drain:   e.Settings.Timing.Drain,
+		Adopter: e,
+		Records: e.recorder,
 	}
 }
 
@@ -155,6 +161,7 @@
 	connector.Handle(server, MethodShare, e.shares.onShare)
 	e.recorder.Handle(server)
 	e.follower.serve(server)
+	e.handleAdoption(server)
 	return server
 }
 
@@ -166,11 +173,12 @@
 		incarnation: uint64(e.incarnation),
 		confirmed:   e.shares.confirm,
 		view:        &e.view,
-		stopping:    &e.stopping,
+		stopping:    &e.leaving,
 		pusher: &distributor.Pusher{
 			Client: e.Client,
 		},
 		until: &e.until,
+		news:  make(chan struct{}, 1),
 		lease: distributor.Lease{
 			Fence: e.Settings.Timing.Fence,
 		},
@@ -202,6 +210,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
+		dump.Fenced = fenced(&e.until)
 		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/src/launcher/options.go
+++ b/src/launcher/options.go
@@ -57,6 +57,8 @@
 	MakeKey makeKeyCommand `cmd:"" group:"Offline" help:"Make an API key and the lines that configure it."`
 	Version versionCommand `cmd:"" group:"Offline" help:"Print the version."`
 
+	RecoverControl recoverControlCommand `cmd:"" group:"Offline" help:"Go on with one control instance after a majority of the voters is lost for ever."`
+
 	ShowVersion kong.VersionFlag `name:"version" help:"Print the version."`
 }
 
--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -18,6 +18,9 @@
 // awaitLimit bounds every wait for a state; no test asserts on speed.
 const awaitLimit = 30 * time.Second
 
+// shownLog is how many bytes of each process's log a failed test prints.
+const shownLog = 2000
+
 // programs is the folder of the built programs.
 var programs string
 
@@ -43,7 +46,7 @@
 }
 
 // newStage returns a stage whose processes end with the test.
-func newStage(t *testing.T) *stager.Stage {
+func newStage(t testing.TB) *stager.Stage {
 	t.Helper()
 	stage := &stager.Stage{
 		Folder:  t.TempDir(),
@@ -51,11 +54,25 @@
 		Standin: filepath.Join(programs, "standin"),
 	}
 	t.Cleanup(stage.Stop)
+	t.Cleanup(func() { showLogs(t, stage.Folder) })
 	return stage
 }
 
+// showLogs prints the end of each process's log when the test has failed.
+func showLogs(t testing.TB, folder string) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, file := range files {
+		content, _ := os.ReadFile(file)
+		t.Logf("%s ends with:\n%s", filepath.Base(file), content[max(0, len(content)-shownLog):])
+	}
+}
+
 // startFleet starts a fleet over the data centres and waits until it answers.
-func startFleet(t *testing.T, stage *stager.Stage, controls, entries int) {
+func startFleet(t testing.TB, stage *stager.Stage, controls, entries int) {
 	t.Helper()
 	dataCentres := []units.DataCentre{"dc-a", "dc-b", "dc-c", "dc-d"}
 	if err := stage.StartFleet(controls, entries, dataCentres); err != nil {
@@ -68,7 +85,7 @@
 
 // apply submits a configuration file and waits until it is in force and every
 // running entry takes calls.
-func apply(t *testing.T, stage *stager.Stage, file string) {
+func apply(t testing.TB, stage *stager.Stage, file string) {
 	t.Helper()
 	flags, err := stage.Flags(certifier.Identity{
 		Role: certifier.Operator,
@@ -91,7 +108,7 @@
 }
 
 // await waits until the condition holds.
-func await(t *testing.T, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), awaitLimit)
 	defer cancel()
--- a/src/recorder/session.go
+++ b/src/recorder/session.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -17,6 +19,8 @@
 	// admissionLease is how long a call that may not be repeated can be held
 	// before its intent is stored.
 	admissionLease = 2 * time.Second
+	// answerPatience is how long an answer waits for its owners.
+	answerPatience = time.Second
 )
 
 // session is one call's proposer with what comes back from its owners.
@@ -33,7 +37,7 @@
 		inbox:    make(chan OwnerAnswered, inboxSize),
 	}
 	s.proposer.Fresh = !call.KeyGiven
-	s.proposer.Made = call.KeyGiven && strings.HasPrefix(call.Key, dispatcher.MadeKeyPrefix)
+	s.proposer.Made = call.KeyGiven && !call.Adopted && strings.HasPrefix(call.Key, dispatcher.MadeKeyPrefix)
 	return s
 }
 
@@ -106,6 +110,26 @@
 	return r.earlier(call, concluded)
 }
 
+// Look returns the answer kept for a key, or whether an entry works on its call.
+func (r *Recorder) Look(ctx context.Context, account units.Account, key string) (*dispatcher.Answer, bool, error) {
+	s := &session{
+		proposer: r.newProposer(keyHash(account, key), nil, units.CallID(uuid.NewString())),
+		inbox:    make(chan OwnerAnswered, inboxSize),
+	}
+	if s.proposer.View == nil {
+		return nil, false, errUnreachable
+	}
+	concluded, ended := r.drive(ctx, s, Looked{})
+	switch {
+	case !ended || concluded.Outcome == Unavailable:
+		return nil, false, errUnreachable
+	case concluded.Outcome == Found:
+		return answerOf(concluded.Record), false, nil
+	default:
+		return nil, concluded.Outcome == Running, nil
+	}
+}
+
 // leaseOf returns how long a call may be held before its intent is stored; one
 // that may be repeated stores none and runs under this lease.
 func leaseOf(call *dispatcher.Call) time.Duration {
@@ -194,7 +218,10 @@
 	ended := endOf(call, s, answer, refusal)
 	saysNo := refusal != nil && refusal.Executed == dispatcher.ExecutedNo
 	if !saysNo || !call.KeyGiven || call.Repeatable {
-		r.storeLater(ctx, s, ended)
+		stored := r.storeLater(ctx, s, ended)
+		if answer != nil && !call.Repeatable {
+			await(stored, answerPatience)
+		}
 		return refusal
 	}
 	concluded, done := r.drive(context.WithoutCancel(ctx), s, ended)
@@ -206,10 +233,26 @@
 	return &weaker
 }
 
-func (r *Recorder) storeLater(ctx context.Context, s *session, ended Ended) {
+// storeLater stores the end of a call beside the caller's answer; the channel is
+// closed once it is stored or given up.
+func (r *Recorder) storeLater(ctx context.Context, s *session, ended Ended) <-chan struct{} {
+	stored := make(chan struct{})
 	r.storing.Go(func() {
+		defer close(stored)
 		r.drive(context.WithoutCancel(ctx), s, ended)
 	})
+	return stored
+}
+
+// await holds an answer until it is stored, so that a caller that has it can have
+// it again, but not for long: the caller's answer is worth more than a resend's.
+func await(stored <-chan struct{}, patience time.Duration) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-stored:
+	case <-timer.C:
+	}
 }
 
 func endOf(call *dispatcher.Call, s *session, answer *dispatcher.Answer, refusal *dispatcher.Refusal) Ended {
@@ -237,7 +280,11 @@
 		_, _ = hash.Write([]byte(part))
 		_, _ = hash.Write([]byte{0})
 	}
-	_, _ = hash.Write(call.Body)
+	body := call.Body
+	if call.RecordedBody != nil {
+		body = call.RecordedBody
+	}
+	_, _ = hash.Write(body)
 	return hash.Sum(nil)
 }
 
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -51,8 +51,14 @@
 
 	// Explainer may be nil.
 	Explainer *explainer.Book
+	// Adopter finds another entry for a call that does not end within the
+	// drain; it may be nil.
+	Adopter Adopter
+	// Records tells what became of earlier calls.
+	Records Looker
 
 	meters meters
+	drain  drain
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -74,9 +80,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Drain)
-	defer cancel()
-	return server.Shutdown(drain)
+	return s.stop(context.WithoutCancel(ctx), server)
 }
 
 func (s *Server) handler() http.Handler {
@@ -88,6 +92,7 @@
 	models := new(restful.WebService)
 	models.Path("/v1")
 	models.Route(models.GET("/models").To(s.listModels))
+	models.Route(models.GET("/calls/{id}").To(s.collect))
 	models.Route(models.POST("/chat/completions").To(s.model))
 	models.Route(models.POST("/completions").To(s.model))
 	container.Add(models)
@@ -164,12 +169,7 @@
 		s.refuse(response, call.ID, notFound("model "+string(parsed.Model)+" is not served to this brand"))
 		return
 	}
-	prompt := parsed.promptText()
-	call.Model = parsed.Model
-	call.Stream = parsed.Stream
-	call.Prompt = units.Tokens(len(prompt) / bytesPerToken)
-	call.MaxOutput = parsed.MaxTokens
-	call.Blocks = blockHashes(prompt)
+	fillModel(call, parsed)
 	s.dispatch(request.Request, response.ResponseWriter, service, call)
 }
 
@@ -194,18 +194,25 @@
 
 func (s *Server) dispatch(request *http.Request, writer http.ResponseWriter, service *indexer.Service, call *dispatcher.Call) {
 	began := time.Now()
-	call.Service = service.Name
-	call.Kind = service.Kind
-	call.Policy = service.Policy
-	call.Deadline = began.Add(service.Deadline)
-	call.BetweenTokens = service.Target.BetweenTokens
-	call.Repeatable = service.Repeatable(call.Method, call.Path)
+	fillService(call, service, began)
 	s.open(call)
 	out := s.newSink(writer, call, began)
-	err := s.Dispatcher.Do(request.Context(), call, out)
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	active := &activeCall{
+		call:   call,
+		cancel: cancel,
+		out:    out,
+	}
+	s.drain.enter(active)
+	defer s.drain.leave(active)
+	err := s.Dispatcher.Do(ctx, call, out)
 	var refusal *dispatcher.Refusal
 	outcome := "answered"
 	switch {
+	case err != nil && active.adopted.Load():
+		outcome = "handed-over"
+		out.moved(call)
 	case errors.As(err, &refusal):
 		outcome = string(refusal.Kind)
 		out.refuse(call.ID, refusal)
@@ -223,6 +230,26 @@
 		Msg("call-ended")
 }
 
+// fillService sets what the call's service decides.
+func fillService(call *dispatcher.Call, service *indexer.Service, began time.Time) {
+	call.Service = service.Name
+	call.Kind = service.Kind
+	call.Policy = service.Policy
+	call.Deadline = began.Add(service.Deadline)
+	call.BetweenTokens = service.Target.BetweenTokens
+	call.Repeatable = service.Repeatable(call.Method, call.Path)
+}
+
+// fillModel sets what the call's model request decides.
+func fillModel(call *dispatcher.Call, parsed *modelRequest) {
+	prompt := parsed.promptText()
+	call.Model = parsed.Model
+	call.Stream = parsed.Stream
+	call.Prompt = units.Tokens(len(prompt) / bytesPerToken)
+	call.MaxOutput = parsed.MaxTokens
+	call.Blocks = blockHashes(prompt)
+}
+
 func (s *Server) count(call *dispatcher.Call, outcome string) {
 	s.Scope.Tagged(map[string]string{
 		"service": string(call.Service),
