Let the entry set how long a stop is announced

Cause: each test of the server waited a second for its end. Change: the period is a field that the entry sets.

--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -123,10 +123,11 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready:   e.ready,
-		Drain:   e.Settings.Timing.Drain,
-		Adopter: e,
-		Records: e.recorder,
+		Ready:      e.ready,
+		Drain:      e.Settings.Timing.Drain,
+		UnreadyFor: unreadyFor,
+		Adopter:    e,
+		Records:    e.recorder,
 	}
 }
 
--- a/src/entry/leaver.go
+++ b/src/entry/leaver.go
@@ -10,6 +10,8 @@
 const (
 	// leaveLimit bounds a stop while control cannot commit the next view.
 	leaveLimit = 5 * time.Second
+	// unreadyFor is how long the balancer gets to learn of a stop.
+	unreadyFor = time.Second
 	// handover is how long the new owners get to read this entry's records.
 	handover  = time.Second
 	leavePoll = 20 * time.Millisecond
--- a/src/server/drain.go
+++ b/src/server/drain.go
@@ -13,10 +13,7 @@
 )
 
 const (
-	// unreadyFor is how long a stop lets the balancer learn of it before calls
-	// are refused, a quarter of the drain at most.
-	unreadyFor = time.Second
-	// drainParts is what part of the drain the balancer's notice, and the
+	// drainParts is what part of the drain the balancer's notice at most, and the
 	// handing over, get.
 	drainParts = 4
 	// adoptTimeout bounds the search for an entry that takes a call.
@@ -106,7 +103,7 @@
 func (s *Server) stop(ctx context.Context, server *http.Server) error {
 	end := time.Now().Add(s.Drain)
 	s.drain.phase.Store(int32(leaving))
-	pause(ctx, min(unreadyFor, s.Drain/drainParts))
+	pause(ctx, min(s.UnreadyFor, s.Drain/drainParts))
 	s.drain.phase.Store(int32(refusing))
 	for len(s.drain.calls()) > 0 && time.Until(end) > s.Drain/drainParts {
 		pause(ctx, drainPoll)
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -43,6 +43,9 @@
 	Ready func() bool
 	// Drain is how long a planned stop waits for calls to finish.
 	Drain time.Duration
+	// UnreadyFor is how long a planned stop goes on taking calls while it is not
+	// ready, so that the balancer learns of it; a quarter of Drain at most.
+	UnreadyFor time.Duration
 	// BodyTimeout and WriteTimeout replace the defaults where they are set: the
 	// time for a whole request body, and for each write to a caller.
 	BodyTimeout  time.Duration
