--- /dev/null
+++ b/src/control/recovery.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/keeper"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	logIDBytes   = 8
+	probeTimeout = time.Second
+)
+
+// Recovery makes a stopped instance the only voter of a log that continues its
+// records, after a majority of the voters has been lost for ever. Changes that
+// only the lost voters held are gone. Its fields are set before Run.
+type Recovery struct {
+	Settings *parser.Settings
+	// Log is the id of the log, as a dump of this instance showed it.
+	Log string
+	// Lost names the voters that are lost.
+	Lost []units.Instance
+}
+
+// RecoveryError says why a recovery would do harm.
+type RecoveryError struct {
+	Reason string
+	Remedy string
+}
+
+// Error names the remedy.
+func (e *RecoveryError) Error() string { return e.Reason + "; " + e.Remedy }
+
+// Run rewrites the data folder and returns the id of the new log.
+func (r *Recovery) Run(ctx context.Context) (logID string, err error) {
+	folder, kept, err := keeper.Open(r.Settings.DataFolder, r.Settings.Name)
+	if err != nil {
+		return "", fmt.Errorf("open the data folder: %w", err)
+	}
+	defer func() { err = errors.Join(err, folder.Close()) }()
+	membership := newestMembership(kept)
+	if err := r.check(kept, membership); err != nil {
+		return "", err
+	}
+	if err := r.probe(ctx); err != nil {
+		return "", err
+	}
+	return r.write(folder, kept, membership)
+}
+
+// check refuses a recovery that is not needed or not meant for this log.
+func (r *Recovery) check(kept *keeper.Kept, membership *messages.Membership) error {
+	if kept.Snapshot == nil || kept.Snapshot.GetLogId() != r.Log {
+		return &RecoveryError{
+			Reason: fmt.Sprintf("the folder holds log %q and not %q", kept.Snapshot.GetLogId(), r.Log),
+			Remedy: "read the log's id in a dump of the instance that is to go on",
+		}
+	}
+	var others []units.Instance
+	voters := 0
+	for _, member := range membership.GetMembers() {
+		if member.GetLearner() {
+			continue
+		}
+		voters++
+		if id := units.VoterID(member.GetId()); id != kept.ID {
+			others = append(others, id.Instance())
+		}
+	}
+	for _, lost := range r.Lost {
+		if !slices.Contains(others, lost) {
+			return &RecoveryError{
+				Reason: fmt.Sprintf("%s is no other voter of this log; the others are %v", lost, others),
+				Remedy: "name the voters that are lost for ever",
+			}
+		}
+	}
+	if voters-len(r.Lost) > voters/2 {
+		return &RecoveryError{
+			Reason: fmt.Sprintf("%d of %d voters are left, which is a majority", voters-len(r.Lost), voters),
+			Remedy: "start them; a lost minority is replaced without help",
+		}
+	}
+	return nil
+}
+
+// probe refuses while any other control instance runs: it could be a part of the
+// old log, and two logs would accept changes beside each other.
+func (r *Recovery) probe(ctx context.Context) error {
+	for _, other := range r.Settings.Control {
+		if other.Name == r.Settings.Name {
+			continue
+		}
+		dialer := &net.Dialer{Timeout: probeTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", other.Address)
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		return &RecoveryError{
+			Reason: fmt.Sprintf("%s answers at %s", other.Name, other.Address),
+			Remedy: "stop every control instance first",
+		}
+	}
+	return nil
+}
+
+func (r *Recovery) write(folder *keeper.Keeper, kept *keeper.Kept, membership *messages.Membership) (string, error) {
+	random := make([]byte, logIDBytes)
+	_, _ = rand.Read(random)
+	logID := hex.EncodeToString(random)
+	state := &messages.HardState{
+		Term:    kept.State.GetTerm() + 1,
+		Founded: true,
+	}
+	next := &messages.LogRecord{
+		Term:  state.GetTerm(),
+		Index: kept.Base.GetBaseIndex() + uint64(len(kept.Records)) + 1,
+		Command: &messages.Command{
+			Change: &messages.Command_Membership{
+				Membership: &messages.Membership{
+					Number: membership.GetNumber() + 1,
+					Members: []*messages.Member{{
+						Id:         string(kept.ID),
+						DataCentre: string(r.Settings.DataCentre),
+					}},
+				},
+			},
+		},
+	}
+	kept.Snapshot.LogId = logID
+	err := folder.SaveSnapshot(state, kept.Snapshot, kept.Base, append(kept.Records, next))
+	return logID, err
+}
+
+// newestMembership returns the last membership that the folder holds, committed or not.
+func newestMembership(kept *keeper.Kept) *messages.Membership {
+	membership := kept.Snapshot.GetMembership()
+	for _, record := range kept.Records {
+		if record.GetIndex() <= kept.Snapshot.GetIndex() {
+			continue
+		}
+		if newer := record.GetCommand().GetMembership(); newer != nil {
+			membership = newer
+		}
+	}
+	return membership
+}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -45,7 +46,10 @@
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
-	callers     *server.Server
+	// until is when the lease to serve ends.
+	until    atomic.Pointer[time.Time]
+	follower *follower
+	callers  *server.Server
 	// leaving is set once the last call has ended; control then drops this entry.
 	leaving atomic.Bool
 }
@@ -64,8 +68,10 @@
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLasting()
 	group, lasting := errgroup.WithContext(lasting)
+	e.follower = e.newFollower()
+	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
-	group.Go(func() error { return e.follower().run(lasting) })
+	group.Go(func() error { return e.follower.run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.recorder.Run(lasting) })
@@ -106,7 +112,7 @@
 // entry would refuse every call that may not be repeated, so that callers saw
 // refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready()
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() && !fenced(&e.until)
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -139,11 +145,12 @@
 		Traffic:  e.Client.Traffic,
 	}
 	e.recorder.Handle(server)
+	e.follower.serve(server)
 	e.handleAdoption(server)
 	return server
 }
 
-func (e *Entry) follower() *follower {
+func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
@@ -151,6 +158,14 @@
 		incarnation: uint64(e.incarnation),
 		view:        &e.view,
 		stopping:    &e.leaving,
+		pusher: &distributor.Pusher{
+			Client: e.Client,
+		},
+		until: &e.until,
+		news:  make(chan struct{}, 1),
+		lease: distributor.Lease{
+			Fence: e.Settings.Timing.Fence,
+		},
 	}
 }
 
@@ -178,6 +193,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
+		dump.Fenced = fenced(&e.until)
 		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
