--- a/src/prover/main_test.go
+++ b/src/prover/main_test.go
@@ -59,7 +59,7 @@
 }
 
 // showLogs prints the end of each process's log when the test has failed.
-func showLogs(t *testing.T, folder string) {
+func showLogs(t testing.TB, folder string) {
 	t.Helper()
 	if !t.Failed() {
 		return
