Serve the record's and the hand-over's messages to entries alone

Cause: any valid certificate of the fleet could read records, which hold other accounts' answers. Change: Peer.Plays, checked in the three handlers. Measured: src/connector, src/recorder, src/entry and the TLS and peer tests of src/prover passed.

--- /dev/null
+++ b/src/connector/peer_test.go
@@ -0,0 +1,44 @@
+package connector
+
+import (
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/certifier"
+)
+
+// Someone with an operator's certificate connects to an entry's peer address and
+// asks for call records or hands a call over. The certificate's role must refuse
+// it: records hold other accounts' answers.
+func TestPeerNeedsItsRole(t *testing.T) {
+	cases := map[string]struct {
+		peer Peer
+		want bool
+	}{
+		"entry": {
+			peer: Peer{
+				Secured:  true,
+				Identity: certifier.Identity{Role: certifier.Entry, Name: "e1"},
+			},
+			want: true,
+		},
+		"operator": {
+			peer: Peer{
+				Secured:  true,
+				Identity: certifier.Identity{Role: certifier.Operator, Name: "o"},
+			},
+		},
+		"nobody": {
+			peer: Peer{Secured: true},
+		},
+		"plain loopback": {
+			want: true,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got, want := c.peer.Plays(certifier.Entry) == nil, c.want; got != want {
+				t.Errorf("may act as an entry: got %t, want %t", got, want)
+			}
+		})
+	}
+}
--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -31,6 +31,14 @@
 	Secured bool
 }
 
+// Plays returns an error unless the peer has the role; without TLS every peer passes.
+func (p Peer) Plays(role certifier.Role) error {
+	if !p.Secured {
+		return nil
+	}
+	return p.Identity.Require(role)
+}
+
 // Speaks returns an error unless the peer may send a message in the name of an
 // instance; without TLS there is nothing to tell by, and every name passes.
 func (p Peer) Speaks(role certifier.Role, name string) error {
--- a/src/entry/adopter.go
+++ b/src/entry/adopter.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -63,7 +64,10 @@
 }
 
 func (e *Entry) handleAdoption(server *connector.Server) {
-	connector.Handle(server, methodAdopt, func(ctx context.Context, _ connector.Peer, request *messages.AdoptRequest) (*messages.AdoptResponse, error) {
+	connector.Handle(server, methodAdopt, func(ctx context.Context, peer connector.Peer, request *messages.AdoptRequest) (*messages.AdoptResponse, error) {
+		if err := peer.Plays(certifier.Entry); err != nil {
+			return nil, err
+		}
 		return e.callers.Adopt(ctx, request), nil
 	})
 }
--- a/src/recorder/recorder.go
+++ b/src/recorder/recorder.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
@@ -63,10 +64,16 @@
 // Handle registers the methods that other entries call.
 func (r *Recorder) Handle(server *connector.Server) {
 	r.prepare()
-	connector.Handle(server, MethodAsk, func(ctx context.Context, _ connector.Peer, request *messages.RecordRequest) (*messages.RecordResponse, error) {
+	connector.Handle(server, MethodAsk, func(ctx context.Context, peer connector.Peer, request *messages.RecordRequest) (*messages.RecordResponse, error) {
+		if err := peer.Plays(certifier.Entry); err != nil {
+			return nil, err
+		}
 		return r.askHere(ctx, request)
 	})
-	connector.Handle(server, MethodFill, func(ctx context.Context, _ connector.Peer, request *messages.FillRequest) (*messages.FillResponse, error) {
+	connector.Handle(server, MethodFill, func(ctx context.Context, peer connector.Peer, request *messages.FillRequest) (*messages.FillResponse, error) {
+		if err := peer.Plays(certifier.Entry); err != nil {
+			return nil, err
+		}
 		return post(ctx, r.box, func(reply chan *messages.FillResponse) OwnerEvent {
 			return FillAsked{
 				Token:   reply,
