--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -49,6 +49,10 @@
 
 	authority *certifier.Authority
 	processes []*Process
+	portsMu   sync.Mutex
+	ports     map[int]bool
+	// reserved are sockets whose names keep other stages from this one's ports.
+	reserved []net.Listener
 }
 
 // Node is one control or entry process with its settings.
@@ -65,34 +69,41 @@
 // CallerURL returns an entry's base URL for callers.
 func (n *Node) CallerURL() string { return baseURL(n.Settings.Callers) }
 
-// chosen are the ports that this process has handed out, over all its stages.
-var chosen = struct {
-	sync.Mutex
-	ports map[int]bool
-}{
-	ports: make(map[int]bool),
-}
-
-// Address returns a free loopback address, and never one twice.
+// Address returns a free loopback address.
 func (s *Stage) Address() string {
-	chosen.Lock()
-	defer chosen.Unlock()
+	s.portsMu.Lock()
+	defer s.portsMu.Unlock()
+	if s.ports == nil {
+		s.ports = make(map[int]bool)
+	}
 	for {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if chosen.ports[port] {
+		if s.ports[port] || !s.reserve(port) {
 			continue
 		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		_ = listener.Close()
-		chosen.ports[port] = true
+		s.ports[port] = true
 		return address
 	}
 }
 
+// reserve keeps a port from other stages on this machine until this one stops. A
+// port is free between its choice and its program's start; two stages that chose
+// the same one would each lose a process, and a test would wait for it in vain.
+func (s *Stage) reserve(port int) bool {
+	held, err := net.Listen("unix", fmt.Sprintf("@rosecroft-port-%d", port))
+	if err != nil {
+		return false
+	}
+	s.reserved = append(s.reserved, held)
+	return true
+}
+
 // StartFleet starts control and entry processes, spread over the data centres in turn.
 func (s *Stage) StartFleet(controls, entries int, dataCentres []units.DataCentre) error {
 	var addresses []parser.ControlAddress
@@ -262,4 +273,10 @@
 			process.Kill()
 		}
 	}
+	s.portsMu.Lock()
+	defer s.portsMu.Unlock()
+	for _, held := range s.reserved {
+		_ = held.Close()
+	}
+	s.reserved = nil
 }
