Spread announcements between entries and detect silence with few false alarms

An upstream that announced itself to one entry was known at that one alone, and a silent one simply expired. The tracker now moves an upstream through announced, suspected, leaving and gone; the gossiper, a new pure machine, decides which entry tells which others; the informer joins the two, and the entry sends its messages over the connector (entry/gossip).

News (a new incarnation, a leaving mark, a changed model, a suspicion, an end) goes at once to the entries of the own data centre and to two relays of each other one, signs of life follow within a budget of bytes, and digests repair what was lost. A leaving upstream gets its answer once a second entry knows, so that its mark outlives the first. Suspicion is first asked for at others, then spread; an entry that slept counts silence from its waking and takes nothing for a second, since what waited in its sockets tells nothing of its age. An end is remembered: the same incarnation comes back only by going on for a second, and never after a leaving mark. A live name is refused to another address.

Entries report the upstreams they hear themselves to the control leader (control/report), as differences against what the leader acknowledged.

Tried and dropped: taking suspicion back by a probe alone.

--- a/src/control/control.go
+++ b/src/control/control.go
@@ -66,6 +66,7 @@
 			MethodLog:       {certifier.Control},
 			MethodSubmit:    {certifier.Control},
 			MethodHeartbeat: {certifier.Entry},
+			MethodReport:    {certifier.Entry},
 			MethodStatus:    {certifier.Control},
 		},
 	}
@@ -73,6 +74,7 @@
 	connector.Handle(server, MethodSubmit, c.onSubmit)
 	connector.Handle(server, MethodHeartbeat, c.onHeartbeat)
 	connector.Handle(server, MethodStatus, c.onStatus)
+	connector.Handle(server, MethodReport, c.onReport)
 	return server
 }
 
--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -44,6 +44,7 @@
 	entries  map[units.Instance]*entryState
 	role     replicator.RoleChanged
 	registry *registry
+	fleet    *fleet
 }
 
 type pendingProposal struct {
@@ -68,12 +69,13 @@
 		log: log,
 	}
 	registry := newRegistry(settings.Timing, log)
+	fleet := &fleet{}
 	return &coordinator{
 		settings: settings,
 		state:    configuration,
 		machines: []machine{configuration, registry},
-		duties:   []duty{registry},
-		hearers:  []hearer{registry},
+		duties:   []duty{registry, fleet},
+		hearers:  []hearer{registry, fleet},
 		log:      log,
 		keeper:   kept,
 		node: replicator.New(time.Now(), replicator.Options{
@@ -89,6 +91,7 @@
 		pending:   make(map[units.Index]pendingProposal),
 		entries:   make(map[units.Instance]*entryState),
 		registry:  registry,
+		fleet:     fleet,
 	}
 }
 
@@ -151,6 +154,8 @@
 		e.reply <- c.hear(e.heartbeat)
 	case asked:
 		e.reply <- c.status()
+	case reported:
+		c.report(e)
 	case dumped:
 		e.reply <- c.dump()
 	}
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -17,6 +17,7 @@
 	AcceptedVersion units.Version  `yaml:"accepted-version"`
 	Entries         []EntryDump    `yaml:"entries"`
 	View            ViewDump       `yaml:"view"`
+	Upstreams       []FleetDump    `yaml:"upstreams"`
 }
 
 // EntryDump is what the leader knows of one entry.
@@ -37,6 +38,7 @@
 		LastIndex:       c.node.LastIndex(),
 		AcceptedVersion: c.state.Version(),
 		View:            c.registry.dump(),
+		Upstreams:       c.fleet.dump(time.Now()),
 	}
 	for name, entry := range c.entries {
 		dump.Entries = append(dump.Entries, EntryDump{
--- a/src/entry/announcement.go
+++ b/src/entry/announcement.go
@@ -77,7 +77,7 @@
 		reply:        reply,
 	}
 	if err := <-reply; err != nil {
-		_ = response.WriteError(http.StatusUnprocessableEntity, err)
+		_ = response.WriteError(statusOf(err), err)
 		return
 	}
 	response.WriteHeader(http.StatusNoContent)
@@ -92,3 +92,11 @@
 	}
 	return identity.RequireName(certifier.Upstream, announcement.GetUpstream())
 }
+
+func statusOf(err error) int {
+	var unconfirmed *UnconfirmedError
+	if errors.As(err, &unconfirmed) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusUnprocessableEntity
+}
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/informer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -17,8 +18,6 @@
 const (
 	boxSize      = 1024
 	tickInterval = 50 * time.Millisecond
-	// upstreamExpiry is several announcements long, so that a lost one does no harm.
-	upstreamExpiry = 3 * time.Second
 )
 
 // event is something the coordinator takes from its box.
@@ -46,25 +45,37 @@
 
 // coordinator owns an entry's control state.
 type coordinator struct {
-	settings      *parser.Settings
-	log           zerolog.Logger
-	box           chan event
-	tracker       *tracker.Tracker
+	settings  *parser.Settings
+	log       zerolog.Logger
+	box       chan event
+	tracker   *tracker.Tracker
+	informer  *informer.Informer
+	messenger *messenger
+	view      *atomic.Pointer[messages.EntryView]
+	// leavers are the leaving upstreams that no other entry has confirmed;
+	// confirmed are those that one has.
+	leavers       map[units.Upstream][]leaver
+	confirmed     map[units.Upstream]units.Incarnation
 	configuration *parser.Configuration
 	snapshot      *atomic.Pointer[indexer.Snapshot]
 	inForce       *atomic.Uint64
 }
 
-func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot]) *coordinator {
+func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot],
+	view *atomic.Pointer[messages.EntryView],
+) *coordinator {
+	informer := newInformer(settings)
 	return &coordinator{
-		settings: settings,
-		log:      log,
-		box:      make(chan event, boxSize),
-		tracker: &tracker.Tracker{
-			Expiry: upstreamExpiry,
-		},
-		snapshot: snapshot,
-		inForce:  new(atomic.Uint64),
+		settings:  settings,
+		log:       log,
+		box:       make(chan event, boxSize),
+		tracker:   informer.Tracker,
+		informer:  informer,
+		view:      view,
+		leavers:   make(map[units.Upstream][]leaver),
+		confirmed: make(map[units.Upstream]units.Incarnation),
+		snapshot:  snapshot,
+		inForce:   new(atomic.Uint64),
 	}
 }
 
@@ -77,7 +88,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			_ = c.track(tracker.Ticked{})
+			c.tickMembership()
 		case e := <-c.box:
 			c.take(e)
 		}
@@ -86,37 +97,15 @@
 
 func (c *coordinator) take(e event) {
 	switch e := e.(type) {
-	case announced:
-		e.reply <- c.track(tracker.Announced{Announcement: e.announcement})
 	case configured:
 		c.configure(e.document)
 	case dumped:
 		e.reply <- c.dump()
+	default:
+		c.takeMembership(e)
 	}
 }
 
-func (c *coordinator) track(e tracker.Event) error {
-	changed := false
-	var refused error
-	for _, action := range c.tracker.Step(time.Now(), e) {
-		switch a := action.(type) {
-		case tracker.Changed:
-			changed = true
-		case tracker.Left:
-			c.log.Info().
-				Str("upstream", string(a.Upstream.Name)).
-				Str("reason", a.Reason).
-				Msg("upstream-left")
-		case tracker.Refused:
-			refused = a.Err
-		}
-	}
-	if changed {
-		c.publish()
-	}
-	return refused
-}
-
 func (c *coordinator) configure(document []byte) {
 	configuration, err := parser.ParseConfiguration("accepted", document)
 	if err != nil {
--- a/src/entry/dump.go
+++ b/src/entry/dump.go
@@ -13,6 +13,16 @@
 	// View is the number of the entry view, 0 before the first.
 	View      uint64         `yaml:"view"`
 	Upstreams []UpstreamDump `yaml:"upstreams"`
+	// Patience multiplies the times after which silent upstreams are suspected.
+	Patience int        `yaml:"patience"`
+	Gossip   GossipDump `yaml:"gossip"`
+}
+
+// GossipDump counts the entries that this one tells of its upstreams.
+type GossipDump struct {
+	Keepers    int `yaml:"keepers"`
+	Relays     int `yaml:"relays"`
+	Neighbours int `yaml:"neighbours"`
 }
 
 // UpstreamDump is what the entry knows of one upstream.
@@ -22,15 +32,21 @@
 	DataCentre   units.DataCentre   `yaml:"data-centre"`
 	ModelVersion units.ModelVersion `yaml:"model-version"`
 	Leaving      bool               `yaml:"leaving"`
-	InFlight     int64              `yaml:"in-flight"`
-	Silence      time.Duration      `yaml:"silence"`
+	Suspected    bool               `yaml:"suspected"`
+	// Direct is set where the upstream announces itself to this entry.
+	Direct      bool              `yaml:"direct"`
+	Incarnation units.Incarnation `yaml:"incarnation"`
+	InFlight    int64             `yaml:"in-flight"`
+	Silence     time.Duration     `yaml:"silence"`
 }
 
 func (c *coordinator) dump() *Dump {
 	dump := &Dump{
 		Name:           c.settings.Name,
 		VersionInForce: units.Version(c.inForce.Load()),
+		Patience:       c.tracker.Health(),
 	}
+	dump.Gossip.Keepers, dump.Gossip.Relays, dump.Gossip.Neighbours = c.informer.Gossiper.Counts()
 	for _, upstream := range c.tracker.All() {
 		dump.Upstreams = append(dump.Upstreams, UpstreamDump{
 			Name:         upstream.Name,
@@ -38,6 +54,9 @@
 			DataCentre:   upstream.DataCentre,
 			ModelVersion: upstream.ModelVersion,
 			Leaving:      upstream.Leaving,
+			Suspected:    upstream.Suspected,
+			Direct:       upstream.Direct,
+			Incarnation:  upstream.Incarnation,
 			InFlight:     upstream.Live.InFlight.Load(),
 			Silence:      time.Since(upstream.HeardAt),
 		})
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -50,13 +50,15 @@
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
-	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
+	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLasting()
 	group, lasting := errgroup.WithContext(lasting)
 	group.Go(func() error { return e.coordinator.run(lasting) })
+	group.Go(func() error { return e.coordinator.messenger.run(lasting) })
 	group.Go(func() error { return e.follower().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
@@ -120,21 +122,30 @@
 
 // peerServer answers the other processes of the system.
 func (e *Entry) peerServer() *connector.Server {
-	return &connector.Server{
+	server := &connector.Server{
 		Listener: e.Peers,
 		TLS:      e.Certificates.Peers(),
 		Traffic:  e.Client.Traffic,
 	}
+	connector.Handle(server, MethodGossip, e.onGossip)
+	return server
 }
 
 func (e *Entry) follower() *follower {
+	incarnation := uint64(time.Now().UnixNano())
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
-		incarnation: uint64(time.Now().UnixNano()),
-		view:        &e.view,
-		stopping:    &e.stopping,
+		incarnation: incarnation,
+		reporter: &reporter{
+			client:      e.Client,
+			coordinator: e.coordinator,
+			entry:       e.Settings.Name,
+			incarnation: incarnation,
+		},
+		view:     &e.view,
+		stopping: &e.stopping,
 	}
 }
 
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -24,6 +24,7 @@
 	incarnation uint64
 	view        *atomic.Pointer[messages.EntryView]
 	stopping    *atomic.Bool
+	reporter    *reporter
 	// leader is the address to ask, "" while none is known.
 	leader string
 	next   int
@@ -62,6 +63,7 @@
 		f.coordinator.box <- configured{document: response.GetDocument()}
 	}
 	f.follow(response.GetView())
+	f.reporter.report(ctx, f.address())
 }
 
 // follow publishes a newer view; the number decides, since an answer of an
@@ -69,6 +71,7 @@
 func (f *follower) follow(view *messages.EntryView) {
 	if view.GetNumber() > f.view.Load().GetNumber() {
 		f.view.Store(view)
+		f.coordinator.box <- viewed{view: view}
 	}
 }
 
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -155,9 +155,14 @@
 
 // StartUpstream starts a stand-in that announces itself to every entry; kind is "engine" or "plain".
 func (s *Stage) StartUpstream(kind, name string, arguments ...string) (*Upstream, error) {
+	return s.StartUpstreamAt(s.Entries, kind, name, arguments...)
+}
+
+// StartUpstreamAt starts a stand-in that announces itself to the entries given alone.
+func (s *Stage) StartUpstreamAt(hearers []*Node, kind, name string, arguments ...string) (*Upstream, error) {
 	address := s.Address()
-	entries := make([]string, 0, len(s.Entries))
-	for _, entry := range s.Entries {
+	entries := make([]string, 0, len(hearers))
+	for _, entry := range hearers {
 		entries = append(entries, baseURL(entry.Settings.Upstreams))
 	}
 	all := append([]string{
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -5,98 +5,77 @@
 	"net/url"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// tombstoneFor is how long a leaving mark outlives its upstream, longer than
-// any announcement can be under way.
-const tombstoneFor = 5 * time.Minute
-
-// Event is something that happened to the table.
-type Event interface{ event() }
-
-// Announced says that an upstream's announcement has arrived.
-type Announced struct {
-	Announcement *messages.Announcement
-}
-
-// Ticked says that time has passed.
-type Ticked struct{}
-
-func (Announced) event() {}
-func (Ticked) event()    {}
-
-// Action is something that the caller of Step must carry out.
-type Action interface{ action() }
-
-// Changed says that the set of usable upstreams is new.
-type Changed struct{}
-
-// Left says that an upstream leaves or is gone.
-type Left struct {
-	Upstream *Upstream
-	Reason   string
-}
-
-// Refused says that an announcement changed nothing.
-type Refused struct {
-	Err error
-}
-
-func (Changed) action() {}
-func (Left) action()    {}
-func (Refused) action() {}
-
-// RefusedError says why an announcement was refused.
-type RefusedError struct {
-	Upstream units.Upstream
-	Reason   string
-	Remedy   string
-}
-
-// Error names the remedy.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("announcement of %q refused: %s; %s", e.Upstream, e.Reason, e.Remedy)
-}
-
-// Tracker is the table of announced upstreams.
+// Tracker is the table of announced upstreams; its fields are set before the first Step.
 type Tracker struct {
+	// Suspicion is the silence after which an upstream is suspected; 0 suspects none.
+	Suspicion time.Duration
 	// Expiry is how long an upstream counts as live without an announcement.
 	Expiry time.Duration
+	// Late is the time between two ticks from which this process counts as
+	// having been asleep; 0 never does.
+	Late time.Duration
 
 	upstreams map[units.Upstream]*Upstream
-	gone      map[units.Upstream]tombstone
-}
-
-// tombstone keeps a late announcement from bringing an ended incarnation back.
-type tombstone struct {
-	incarnation units.Incarnation
-	until       time.Time
+	gone      map[units.Upstream]*tombstone
+	health    health
 }
 
 // Step takes one event and returns the actions to carry out, in order.
 func (t *Tracker) Step(now time.Time, event Event) []Action {
 	if t.upstreams == nil {
 		t.upstreams = make(map[units.Upstream]*Upstream)
-		t.gone = make(map[units.Upstream]tombstone)
+		t.gone = make(map[units.Upstream]*tombstone)
 	}
+	t.noteSleep(now)
 	switch e := event.(type) {
 	case Announced:
+		if t.drowsy(now) {
+			return []Action{Refused{Err: drowsy(e.Announcement)}}
+		}
 		return t.announce(now, e.Announcement)
+	case Told:
+		if t.drowsy(now) {
+			return nil
+		}
+		return t.hearRumour(now, e.Rumour)
 	case Ticked:
-		return t.expire(now)
+		return t.tick(now)
 	}
 	return nil
 }
 
-// Usable returns the live upstreams that are not leaving.
+// Usable returns the upstreams that may get new work.
+//
+// Suspected ones are left out, except where more than half of a service is
+// suspected at once: then the fault is more likely on this side, and leaving
+// them out would refuse calls that the upstreams could serve.
 func (t *Tracker) Usable() []*Upstream {
+	live := make(map[units.Service]int)
+	suspected := make(map[units.Service]int)
+	for _, upstream := range t.upstreams {
+		if !upstream.serves() {
+			continue
+		}
+		live[upstream.Service]++
+		if upstream.Suspected {
+			suspected[upstream.Service]++
+		}
+	}
 	usable := make([]*Upstream, 0, len(t.upstreams))
 	for _, upstream := range t.upstreams {
-		if !upstream.Leaving {
-			usable = append(usable, upstream)
+		if !upstream.serves() {
+			continue
 		}
+		if upstream.Suspected && 2*suspected[upstream.Service] <= live[upstream.Service] {
+			continue
+		}
+		usable = append(usable, upstream)
 	}
 	return usable
 }
@@ -110,29 +89,47 @@
 	return all
 }
 
+// Upstream returns what is known of one upstream, nil where it is not known.
+func (t *Tracker) Upstream(name units.Upstream) *Upstream { return t.upstreams[name] }
+
 func (t *Tracker) announce(now time.Time, a *messages.Announcement) []Action {
-	name := units.Upstream(a.GetUpstream())
 	if err := check(a); err != nil {
 		return []Action{Refused{Err: err}}
 	}
 	next := fromAnnouncement(now, a)
-	if stone, buried := t.gone[name]; buried && next.Incarnation <= stone.incarnation {
-		return nil
+	next.Direct = true
+	next.DirectAt = now
+	known := t.upstreams[next.Name]
+	if contests(known, next) {
+		return []Action{Refused{Err: contested(known)}}
 	}
-	known := t.upstreams[name]
-	if known != nil && !newer(known, next) {
+	return t.accept(now, known, next)
+}
+
+// accept takes an announcement that is newer than what is known.
+func (t *Tracker) accept(now time.Time, known, next *Upstream) []Action {
+	if !t.revives(now, next) || (known != nil && !newer(known, next)) {
 		return nil
 	}
 	// A leaving mark is final for its incarnation: a repeated older
 	// announcement would send new work to a machine that is taken back.
-	if known != nil && known.Leaving && known.Incarnation == next.Incarnation {
+	sameLife := known != nil && known.Incarnation == next.Incarnation
+	if sameLife && known.Leaving {
 		return nil
 	}
-	if known != nil && known.Incarnation == next.Incarnation {
-		next.Live = known.Live
+	delete(t.gone, next.Name)
+	urgent := known == nil || news(known, next)
+	if sameLife {
+		next.keep(known)
+	}
+	t.upstreams[next.Name] = next
+	actions := []Action{Changed{}, Spread{
+		Rumour: next.rumour(now),
+		Urgent: urgent,
+	}}
+	if known != nil && known.Suspected {
+		actions = append(actions, Refuted{Upstream: next})
 	}
-	t.upstreams[name] = next
-	actions := []Action{Changed{}}
 	if next.Leaving {
 		actions = append(actions, Left{
 			Upstream: next,
@@ -142,39 +139,70 @@
 	return actions
 }
 
+// news reports whether an announcement is more than a sign of life.
+//
+// An upstream that moved its announcements here is news: the entry that heard
+// it before would else take it for dead.
+func news(known, next *Upstream) bool {
+	moved := next.Direct && !known.Direct
+	return known.Suspected || moved || !sameConstants(known.Announcement, next.Announcement)
+}
+
+// keep takes over what outlasts a single announcement.
+func (u *Upstream) keep(known *Upstream) {
+	u.Live = known.Live
+	u.Direct = u.Direct || known.Direct
+	u.DirectAt = later(u.DirectAt, known.DirectAt)
+	u.HeardAt = later(u.HeardAt, known.HeardAt)
+}
+
+// contests reports whether next takes the name of an upstream that lives elsewhere.
+//
+// Otherwise a misconfigured or hostile instance could draw a live upstream's
+// calls to itself by announcing its name with a higher incarnation. Once the
+// known one leaves or falls silent, the name is free.
+func contests(known, next *Upstream) bool {
+	return known != nil && !known.Leaving && !known.Suspected &&
+		known.Address != next.Address && next.Incarnation > known.Incarnation
+}
+
+func contested(known *Upstream) error {
+	return &RefusedError{
+		Upstream: known.Name,
+		Reason:   fmt.Sprintf("the name belongs to a live upstream at %s", known.Address),
+		Remedy:   "choose another name, or announce again once that one has left",
+	}
+}
+
 func newer(known, next *Upstream) bool {
 	if known.Incarnation != next.Incarnation {
 		return next.Incarnation > known.Incarnation
 	}
+	if next.Leaving && !known.Leaving {
+		return true
+	}
 	return next.Sequence > known.Sequence
 }
 
-func (t *Tracker) expire(now time.Time) []Action {
-	var actions []Action
-	for name, upstream := range t.upstreams {
-		silent := now.Sub(upstream.HeardAt) >= t.Expiry
-		left := upstream.Leaving && !now.Before(upstream.LeavesAt)
-		if !silent && !left {
-			continue
-		}
-		delete(t.upstreams, name)
-		if upstream.Leaving {
-			t.gone[name] = tombstone{
-				incarnation: upstream.Incarnation,
-				until:       now.Add(tombstoneFor),
-			}
-		}
-		actions = append(actions, Changed{}, Left{
-			Upstream: upstream,
-			Reason:   "silent",
-		})
-	}
-	for name, stone := range t.gone {
-		if now.After(stone.until) {
-			delete(t.gone, name)
-		}
+// sameConstants reports whether two announcements differ in their sequence and load alone.
+func sameConstants(a, b *messages.Announcement) bool {
+	a, b = constants(a), constants(b)
+	return proto.Equal(a, b)
+}
+
+func constants(a *messages.Announcement) *messages.Announcement {
+	c := proto.CloneOf(a)
+	c.Sequence = 0
+	c.Load = nil
+	c.LeavingWithinMs = 0
+	return c
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return actions
+	return b
 }
 
 func check(a *messages.Announcement) error {
--- a/src/tracker/tracker_test.go
+++ b/src/tracker/tracker_test.go
@@ -66,6 +66,70 @@
 	}
 }
 
+// An upstream is given up for its silence; then one of its announcements, which
+// waited somewhere on its way, arrives. It must not come back by that one, or
+// calls would go to a dead machine; it must come back if it goes on announcing
+// itself, since the silence may have been a cut.
+func TestGivenUpUpstreamComesBackBySteadyLifeAlone(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := &Tracker{
+		Expiry: testExpiry,
+	}
+	table.Step(now, Announced{Announcement: announcement(1, 1, false)})
+	now = now.Add(2 * testExpiry)
+	table.Step(now, Ticked{})
+	table.Step(now, Announced{Announcement: announcement(1, 2, false)})
+	if got, want := len(table.Usable()), 0; got != want {
+		t.Errorf("usable upstreams after a late announcement: got %d, want %d", got, want)
+	}
+	for sequence := range uint64(8) {
+		now = now.Add(200 * time.Millisecond)
+		table.Step(now, Announced{Announcement: announcement(1, 3+sequence, false)})
+	}
+	if got, want := len(table.Usable()), 1; got != want {
+		t.Errorf("usable upstreams after steady announcements: got %d, want %d", got, want)
+	}
+}
+
+// Half a service's upstreams and more fall silent at once, which is rather a
+// fault on this side. Leaving all of them out would refuse every call; they
+// stay in use until they are given up. A single silent one is left out.
+func TestSuspectedUpstreamsStayInUseWhenTheyAreMost(t *testing.T) {
+	cases := map[string]struct {
+		silent     int
+		wantUsable int
+	}{
+		"one of four":   {silent: 1, wantUsable: 3},
+		"three of four": {silent: 3, wantUsable: 4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			table := &Tracker{
+				Suspicion: testExpiry / 2,
+				Expiry:    testExpiry,
+			}
+			for round := range uint64(2) {
+				for i := range 4 {
+					a := announcement(1, round+1, false)
+					a.Upstream = string(rune('a' + i))
+					if round == 0 || i >= c.silent {
+						table.Step(now, Announced{Announcement: a})
+					}
+				}
+				now = now.Add(testExpiry/2 + 1)
+				if round == 0 {
+					now = now.Add(-2)
+				}
+			}
+			table.Step(now.Add(-testExpiry/2), Ticked{})
+			if got, want := len(table.Usable()), c.wantUsable; got != want {
+				t.Errorf("usable upstreams: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 func announcement(incarnation, sequence uint64, leaving bool) *messages.Announcement {
 	return &messages.Announcement{
 		Upstream:        "ember-1",
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -21,15 +21,27 @@
 	Sequence     uint64
 	Leaving      bool
 	// LeavesAt is when a leaving upstream stops.
-	LeavesAt     time.Time
-	Model        units.Model
-	ModelVersion units.ModelVersion
-	Adapters     []string
-	Slots        int
-	Step         time.Duration
-	Load         Load
-	// HeardAt is when the announcement arrived here.
+	LeavesAt       time.Time
+	Model          units.Model
+	ModelVersion   units.ModelVersion
+	Adapters       []string
+	Slots          int
+	Step           time.Duration
+	Load           Load
+	Role           string
+	LoadingVersion units.ModelVersion
+	ChecksFencing  bool
+	// HeardAt is when the announcement left the upstream, as far as is known here.
 	HeardAt time.Time
+	// Direct is set once the upstream has announced itself to this entry, last at DirectAt.
+	Direct   bool
+	DirectAt time.Time
+	// Suspected is set while the upstream is silent.
+	Suspected bool
+	// Spread is set once the suspicion has been told to others.
+	Spread bool
+	// Announcement is the message as it came; it is not changed.
+	Announcement *messages.Announcement
 	// Live is shared by all announcements of one incarnation.
 	Live *Live
 }
@@ -49,6 +61,11 @@
 	Prefill atomic.Int64
 }
 
+// serves reports whether an upstream would take new work.
+func (u *Upstream) serves() bool {
+	return !u.Leaving && u.LoadingVersion == ""
+}
+
 func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
 	return &Upstream{
 		Name:         units.Upstream(a.GetUpstream()),
@@ -73,7 +90,11 @@
 			QueuedTokens: units.Tokens(a.GetLoad().GetQueuedTokens()),
 			MeasuredAt:   now.Add(-time.Duration(a.GetLoad().GetAgeMs()) * time.Millisecond),
 		},
-		HeardAt: now,
-		Live:    &Live{},
+		Role:           a.GetRole(),
+		LoadingVersion: units.ModelVersion(a.GetLoadingVersion()),
+		ChecksFencing:  a.GetChecksFencing(),
+		HeardAt:        now,
+		Announcement:   a,
+		Live:           &Live{},
 	}
 }
