--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -59,6 +59,8 @@
 	configuration *parser.Configuration
 	snapshot      *atomic.Pointer[indexer.Snapshot]
 	inForce       *atomic.Uint64
+	// departed is told of each upstream that leaves or is gone; it may be nil.
+	departed func(upstream *tracker.Upstream)
 }
 
 func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot],
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,7 +13,6 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
-	"github.com/rosecroft/rosecroft/src/forwarder"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -21,7 +20,6 @@
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
-	"github.com/rosecroft/rosecroft/src/router"
 	"github.com/rosecroft/rosecroft/src/server"
 )
 
@@ -45,6 +43,7 @@
 	snapshot    atomic.Pointer[indexer.Snapshot]
 	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
+	traffic     *traffic
 	stopping    atomic.Bool
 }
 
@@ -52,6 +51,8 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
 	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
+	e.traffic = newTraffic(e)
+	e.coordinator.departed = e.traffic.departed
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
@@ -64,6 +65,7 @@
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
+	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
 		return e.serveCallers(ctx, lasting)
@@ -108,12 +110,8 @@
 			Recorder: &recorder.Recorder{
 				KeepFor: keepFor,
 			},
-			Router: &router.Router{
-				Snapshot: &e.snapshot,
-			},
-			Exchanger: &forwarder.Forwarder{
-				Client: forwarder.NewSecureClient(e.Certificates.ToUpstreams()),
-			},
+			Router:    e.traffic.router,
+			Exchanger: e.traffic.forwarder,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
--- a/src/entry/membership.go
+++ b/src/entry/membership.go
@@ -108,6 +108,11 @@
 	if out.Changed {
 		c.publish()
 	}
+	for _, left := range out.Left {
+		if c.departed != nil {
+			c.departed(left.Upstream)
+		}
+	}
 	for _, send := range out.Sends {
 		c.messenger.post(send)
 	}
--- a/src/loader/loader.go
+++ b/src/loader/loader.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -69,6 +70,7 @@
 			Kind:      next.workload.Kind,
 			Key:       reference,
 			Prompt:    next.prompt,
+			Seed:      strconv.Itoa(next.sequence),
 			Scheduled: next.at,
 		},
 	}
--- a/src/loader/workload.go
+++ b/src/loader/workload.go
@@ -95,8 +95,8 @@
 		return ""
 	case Stream, Whole:
 	}
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"prompt":%q}`,
-		a.workload.Model, a.workload.Kind == Stream, a.workload.OutputTokens, a.prompt)
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"seed":%d,"max_tokens":%d,"prompt":%q}`,
+		a.workload.Model, a.workload.Kind == Stream, a.sequence, a.workload.OutputTokens, a.prompt)
 }
 
 // filler returns size bytes of text that depend on word alone.
--- a/src/prover/fleet_test.go
+++ b/src/prover/fleet_test.go
@@ -102,7 +102,7 @@
 	mark := fmt.Sprintf(`{"upstream":"ember-1","service":"ember-llm","address":%q,"incarnation":"%d",`+
 		`"sequence":"1000000","leaving":true,"leavingWithinMs":"60000"}`, upstream.URL, entryDump(t, stage.Entries[0]).Upstreams[0].Incarnation)
 	await(t, "mark taken", func() bool {
-		return post(t, "http://"+stage.Entries[0].Settings.Upstreams.Listen+"/v1/announcements", mark) == http.StatusNoContent
+		return announceTo(t, "http://"+stage.Entries[0].Settings.Upstreams.Listen+"/v1/announcements", mark) == http.StatusNoContent
 	})
 	stage.Entries[0].Kill()
 	await(t, "mark at every other entry", func() bool {
@@ -152,8 +152,8 @@
 	return count
 }
 
-// post returns the status code of a request with a JSON body, 0 for none.
-func post(t *testing.T, url, body string) int {
+// announceTo returns the status code of a request with a JSON body, 0 for none.
+func announceTo(t *testing.T, url, body string) int {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
--- a/src/standin/text.go
+++ b/src/standin/text.go
@@ -1,17 +1,14 @@
 package standin
 
-import (
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "strings"
 
 // Text returns the first tokens that every engine of a model version generates
-// for a prompt.
-func Text(modelVersion, prompt string, tokens int) string {
-	s := &sequence{
-		seed: xxhash.Sum64String(modelVersion + prompt),
-	}
+// for a prompt and the seed that was sent with it.
+func Text(modelVersion, prompt, seed string, tokens int) string {
+	s := newSequence(modelVersion, Prompt{
+		Text: prompt,
+		Seed: seed,
+	})
 	var text strings.Builder
 	for i := range tokens {
 		text.WriteString(s.token(i))
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -24,6 +24,7 @@
 	upstreams map[units.Upstream]*Upstream
 	gone      map[units.Upstream]*tombstone
 	health    health
+	numbered  uint32
 }
 
 // Step takes one event and returns the actions to carry out, in order.
@@ -121,6 +122,9 @@
 	urgent := known == nil || news(known, next)
 	if sameLife {
 		next.keep(known)
+	} else {
+		t.numbered++
+		next.Live.Number = t.numbered
 	}
 	t.upstreams[next.Name] = next
 	actions := []Action{Changed{}, Spread{
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -21,12 +21,15 @@
 	Sequence     uint64
 	Leaving      bool
 	// LeavesAt is when a leaving upstream stops.
-	LeavesAt       time.Time
-	Model          units.Model
-	ModelVersion   units.ModelVersion
-	Adapters       []string
-	Slots          int
-	Step           time.Duration
+	LeavesAt     time.Time
+	Model        units.Model
+	ModelVersion units.ModelVersion
+	Adapters     []string
+	Slots        int
+	Step         time.Duration
+	// PrefillPerStep is how many prompt tokens a step computes, 0 where unknown.
+	PrefillPerStep units.Tokens
+	KV             KV
 	Load           Load
 	Role           string
 	LoadingVersion units.ModelVersion
@@ -54,11 +57,23 @@
 	MeasuredAt   time.Time
 }
 
+// KV is what the export of an engine's KV cache costs; zeros mean that it exports none.
+type KV struct {
+	BytesPerToken  int64
+	BytesPerSecond int64
+}
+
 // Live counts what this entry has under way at an upstream; traffic changes it.
 type Live struct {
 	InFlight atomic.Int64
 	// Prefill counts prompt tokens sent and not yet answered by a first token.
 	Prefill atomic.Int64
+	// Number identifies the incarnation within this process, from 1.
+	Number uint32
+	// Since is when the incarnation was first heard of.
+	Since time.Time
+	// EjectedUntil is in nanoseconds of Unix time, 0 where it is not ejected.
+	EjectedUntil atomic.Int64
 }
 
 // serves reports whether an upstream would take new work.
@@ -95,6 +110,13 @@
 		ChecksFencing:  a.GetChecksFencing(),
 		HeardAt:        now,
 		Announcement:   a,
-		Live:           &Live{},
+		PrefillPerStep: units.Tokens(a.GetPrefillPerStep()),
+		KV: KV{
+			BytesPerToken:  int64(a.GetKvBytesPerToken()),
+			BytesPerSecond: int64(a.GetKvBytesPerSecond()),
+		},
+		Live: &Live{
+			Since: now,
+		},
 	}
 }
