Add the machine that gives orders to upstreams

Upstreams were never told what to load. The orderer, a pure machine, compares what the configuration wants with what upstreams announce and orders one change after another: never below a service's floor, never more loads at once than the weight store takes, and no load before the store has passed on the last one's bytes. The leader's term is the fencing number. Nothing that changes an upstream is sent before the earlier lease, the drift, an order's time under way and the time of an announcement have passed; upstreams that check the number are first told of it, so that a frozen leader's late order is refused there.

The configuration gains `next-version` (both versions are in service during a change), a service's `fleet` (orders, adapters, role, floor, capacity) and the platform's offers. Ruled out: leaving the version before in use without naming it, since an entry that restarts during the change would not know it.

The machine is not wired to the process yet.

--- a/src/indexer/snapshot.go
+++ b/src/indexer/snapshot.go
@@ -107,7 +107,7 @@
 	if len(rule.MachineClasses) > 0 && !slices.Contains(rule.MachineClasses, upstream.MachineClass) {
 		return false
 	}
-	if service.ModelVersion != "" && upstream.ModelVersion != service.ModelVersion {
+	if !service.Accepts(upstream.ModelVersion) {
 		return false
 	}
 	return len(rule.Names) == 0 || slices.ContainsFunc(rule.Names, func(pattern string) bool {
--- a/src/parser/configuration.go
+++ b/src/parser/configuration.go
@@ -35,6 +35,7 @@
 	ClientAccounts []ClientAccount `yaml:"client-accounts"`
 	Services       []Service       `yaml:"services"`
 	Record         Record          `yaml:"record"`
+	Fleet          Fleet           `yaml:"fleet"`
 }
 
 // Brand is one name that the service is resold under.
@@ -79,6 +80,9 @@
 	Models []units.Model `yaml:"models"`
 	// ModelVersion is the version that engines must serve; empty takes any.
 	ModelVersion units.ModelVersion `yaml:"model-version"`
+	// NextVersion is loaded step by step while both are in service.
+	NextVersion units.ModelVersion `yaml:"next-version"`
+	Fleet       ServiceFleet       `yaml:"fleet"`
 	// Route is the path prefix of a plain service.
 	Route     string        `yaml:"route"`
 	Upstreams UpstreamRule  `yaml:"upstreams"`
@@ -141,6 +145,7 @@
 }
 
 func (c *Configuration) fillDefaults() {
+	c.Fleet.WeightStore.LoadsAtOnce = orDefault(c.Fleet.WeightStore.LoadsAtOnce, defaultLoadsAtOnce)
 	c.Record.KeepFor = orDefault(c.Record.KeepFor, defaultKeepFor)
 	c.Record.KeepBytes = orDefault(c.Record.KeepBytes, defaultKeepBytes)
 	for i := range c.ClientAccounts {
--- a/src/parser/validator.go
+++ b/src/parser/validator.go
@@ -32,6 +32,7 @@
 	brands := d.validateBrands(c.Brands)
 	d.validateAccounts(c.ClientAccounts, brands)
 	d.validateServices(c.Services, brands)
+	d.validateFleet(c)
 }
 
 func (d *document) validateBrands(list []Brand) map[units.Brand]bool {
