Give orders from the control leader and take them at the stand-in engine

The orderer was a machine without a process. The leader now steps it with the accepted configuration and the entries' reports, and sends its orders over HTTP (POST /v1/orders) from a bounded queue that is emptied when it leads no more. The stand-in engine takes orders, with or without the check of the fencing number, drains, loads through a weight store or a fixed time, and announces what it is loading. Each order and its reason is logged and dumped.

--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -39,16 +39,19 @@
 
 type engineCommand struct {
 	common
-	Model        string        `help:"Model to serve." required:""`
-	ModelVersion string        `help:"Version of the model." default:"1"`
-	Slots        int           `help:"Sequences that run at once." default:"16"`
-	Step         time.Duration `help:"Time of one step." default:"2ms"`
-	Prefill      int           `help:"Prompt tokens computed in a step." default:"128"`
-	CacheBlocks  int           `help:"Blocks that the prefix cache holds." default:"512"`
-	KVBytes      int           `help:"Bytes of KV cache for each token." default:"4096"`
-	KVRate       int           `help:"Bytes of KV cache exported in a second; 0 exports none." default:"100000000"`
-	LoadLag      time.Duration `help:"Age of the load that is announced." default:"100ms"`
-	EventGaps    float64       `help:"Share of cache events that is never sent." default:"0.1"`
+	Model         string        `help:"Model to serve." required:""`
+	ModelVersion  string        `help:"Version of the model." default:"1"`
+	Slots         int           `help:"Sequences that run at once." default:"16"`
+	Step          time.Duration `help:"Time of one step." default:"2ms"`
+	Prefill       int           `help:"Prompt tokens computed in a step." default:"128"`
+	CacheBlocks   int           `help:"Blocks that the prefix cache holds." default:"512"`
+	ChecksFencing bool          `help:"Refuse orders with an old fencing number."`
+	Store         string        `help:"Base URL of the weight store; without it a load takes the load time."`
+	LoadTime      time.Duration `help:"Time of a load without a weight store." default:"500ms"`
+	KVBytes       int           `help:"Bytes of KV cache for each token." default:"4096"`
+	KVRate        int           `help:"Bytes of KV cache exported in a second; 0 exports none." default:"100000000"`
+	LoadLag       time.Duration `help:"Age of the load that is announced." default:"100ms"`
+	EventGaps     float64       `help:"Share of cache events that is never sent." default:"0.1"`
 }
 
 type plainCommand struct {
@@ -96,7 +99,15 @@
 	host.About.ModelVersion = c.ModelVersion
 	host.About.Slots = uint32(c.Slots)
 	host.About.StepMs = float64(c.Step) / float64(time.Millisecond)
-	host.Services = server.Services()
+	orders := &standin.Orders{
+		Server:   server,
+		About:    host.About,
+		Checks:   c.ChecksFencing,
+		Store:    c.Store,
+		LoadTime: c.LoadTime,
+	}
+	host.Services = append(server.Services(), orders.Services()...)
+	host.Describe = orders.Describe
 	if host.Source != nil {
 		server.Client = &http.Client{
 			Transport: &http.Transport{
--- a/src/control/control.go
+++ b/src/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -45,6 +46,10 @@
 	c.coordinator = newCoordinator(c.Settings, c.Log, kept, state, records, out)
 	group, ctx := errgroup.WithContext(ctx)
 	out.run(ctx)
+	c.coordinator.orders.client.Transport = &http.Transport{
+		TLSClientConfig: c.Certificates.ToUpstreams(),
+	}
+	c.coordinator.orders.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
 	group.Go(func() error { return c.Certificates.Run(ctx) })
 	group.Go(func() error { return c.peerServer().Run(ctx) })
--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -45,6 +45,7 @@
 	role     replicator.RoleChanged
 	registry *registry
 	fleet    *fleet
+	orders   *orderDesk
 }
 
 type pendingProposal struct {
@@ -70,11 +71,13 @@
 	}
 	registry := newRegistry(settings.Timing, log)
 	fleet := &fleet{}
+	box := make(chan event, boxSize)
+	orders := newOrderDesk(settings, log, configuration, fleet, box)
 	return &coordinator{
 		settings: settings,
 		state:    configuration,
 		machines: []machine{configuration, registry},
-		duties:   []duty{registry, fleet},
+		duties:   []duty{registry, fleet, orders},
 		hearers:  []hearer{registry, fleet},
 		log:      log,
 		keeper:   kept,
@@ -85,7 +88,8 @@
 			Election:  settings.Timing.Election,
 			Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		}, state, records),
-		box:       make(chan event, boxSize),
+		box:       box,
+		orders:    orders,
 		outbox:    out,
 		proposals: make(map[uint64]chan<- submitReply),
 		pending:   make(map[units.Index]pendingProposal),
@@ -156,6 +160,8 @@
 		e.reply <- c.status()
 	case reported:
 		c.report(e)
+	case orderAnswered:
+		c.orders.answer(e)
 	case dumped:
 		e.reply <- c.dump()
 	}
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -18,6 +18,7 @@
 	Entries         []EntryDump    `yaml:"entries"`
 	View            ViewDump       `yaml:"view"`
 	Upstreams       []FleetDump    `yaml:"upstreams"`
+	Orders          []OrderDump    `yaml:"orders"`
 }
 
 // EntryDump is what the leader knows of one entry.
@@ -39,6 +40,7 @@
 		AcceptedVersion: c.state.Version(),
 		View:            c.registry.dump(),
 		Upstreams:       c.fleet.dump(time.Now()),
+		Orders:          c.orders.recent,
 	}
 	for name, entry := range c.entries {
 		dump.Entries = append(dump.Entries, EntryDump{
--- /dev/null
+++ b/src/control/orders.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/orderer"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	orderTick    = 200 * time.Millisecond
+	orderTimeout = time.Second
+	// clockDrift is by how much two clocks may differ over one lease.
+	clockDrift     = 200 * time.Millisecond
+	orderObserve   = 2 * time.Second
+	orderResend    = 2 * time.Second
+	mostResend     = 30 * time.Second
+	ordersQueued   = 256
+	ordersAtOnce   = 16
+	ordersRetained = 32
+	maxOrderResult = 64 << 10
+)
+
+// orderAnswered is an upstream's answer to an order.
+type orderAnswered struct {
+	send   orderer.Send
+	result *messages.OrderResult
+}
+
+func (orderAnswered) event() {}
+
+// orderDesk is the leader's duty to give orders.
+type orderDesk struct {
+	log     zerolog.Logger
+	state   *configurationMachine
+	fleet   *fleet
+	orderer *orderer.Orderer
+	queue   chan orderer.Send
+	box     chan<- event
+	client  *http.Client
+
+	leading  bool
+	tickedAt time.Time
+	parsed   *parser.Configuration
+	recent   []OrderDump
+}
+
+// OrderDump is one order that this leader gave.
+type OrderDump struct {
+	Upstream units.Upstream     `yaml:"upstream"`
+	Fencing  units.Term         `yaml:"fencing"`
+	Version  units.ModelVersion `yaml:"version"`
+	Reason   string             `yaml:"reason"`
+}
+
+func newOrderDesk(settings *parser.Settings, log zerolog.Logger, state *configurationMachine, fleet *fleet, box chan<- event) *orderDesk {
+	return &orderDesk{
+		log:    log,
+		state:  state,
+		fleet:  fleet,
+		box:    box,
+		queue:  make(chan orderer.Send, ordersQueued),
+		client: &http.Client{},
+		orderer: &orderer.Orderer{
+			Options: orderer.Options{
+				Lease:      settings.Timing.Election,
+				Drift:      clockDrift,
+				Timeout:    orderTimeout,
+				Observe:    orderObserve,
+				Resend:     orderResend,
+				MostResend: mostResend,
+			},
+		},
+	}
+}
+
+// Lead gives the orders that are due; they are no commands of the log.
+func (d *orderDesk) Lead(now time.Time, term units.Term) []*messages.Command {
+	if !d.leading {
+		d.leading = true
+		d.orderer.Step(now, orderer.Led{Term: term})
+	}
+	if now.Sub(d.tickedAt) < orderTick {
+		return nil
+	}
+	d.tickedAt = now
+	configuration := d.configuration()
+	if configuration == nil {
+		return nil
+	}
+	sends := d.orderer.Step(now, orderer.Ticked{
+		Services:  wantedServices(configuration),
+		Upstreams: orderable(d.fleet.upstreams(now)),
+		Store: orderer.Store{
+			BytesPerSecond: configuration.Fleet.WeightStore.BytesPerSecond,
+			LoadsAtOnce:    configuration.Fleet.WeightStore.LoadsAtOnce,
+		},
+	})
+	for _, send := range sends {
+		d.post(send)
+	}
+	return nil
+}
+
+// Rest ends the leadership; what waits in the queue is not sent any more.
+func (d *orderDesk) Rest() {
+	d.leading = false
+	d.orderer.Step(time.Time{}, orderer.Lost{})
+	for {
+		select {
+		case <-d.queue:
+		default:
+			return
+		}
+	}
+}
+
+// configuration returns the accepted configuration, parsed once for each version.
+func (d *orderDesk) configuration() *parser.Configuration {
+	if d.state.Version() == 0 {
+		return nil
+	}
+	if d.parsed != nil && d.parsed.Version == d.state.Version() {
+		return d.parsed
+	}
+	parsed, err := parser.ParseConfiguration("accepted", d.state.Document())
+	if err != nil {
+		d.log.Error().Err(err).Msg("configuration-unreadable")
+		return nil
+	}
+	d.parsed = parsed
+	return parsed
+}
+
+func wantedServices(c *parser.Configuration) []orderer.Service {
+	var services []orderer.Service
+	for i := range c.Services {
+		s := &c.Services[i]
+		if !s.Fleet.Orders {
+			continue
+		}
+		service := orderer.Service{
+			Name:     s.Name,
+			Versions: []units.ModelVersion{s.ModelVersion},
+			Floor:    s.Fleet.Floor,
+			Bytes:    c.Fleet.Bytes(s.WantedVersion()),
+			Wanted: &messages.Wanted{
+				Model:        string(s.Models[0]),
+				ModelVersion: string(s.WantedVersion()),
+				Adapters:     s.Fleet.Adapters,
+				Role:         s.Fleet.Role,
+			},
+		}
+		if s.NextVersion != "" {
+			service.Versions = append(service.Versions, s.NextVersion)
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+func orderable(rumours map[units.Upstream]*messages.Rumour) []orderer.Upstream {
+	upstreams := make([]orderer.Upstream, 0, len(rumours))
+	for name, rumour := range rumours {
+		a := rumour.GetAnnouncement()
+		upstreams = append(upstreams, orderer.Upstream{
+			Name:          name,
+			Service:       units.Service(a.GetService()),
+			Address:       a.GetAddress(),
+			Incarnation:   units.Incarnation(a.GetIncarnation()),
+			Model:         a.GetModel(),
+			Version:       units.ModelVersion(a.GetModelVersion()),
+			Adapters:      a.GetAdapters(),
+			Role:          a.GetRole(),
+			Loading:       units.ModelVersion(a.GetLoadingVersion()),
+			ChecksFencing: a.GetChecksFencing(),
+			Fencing:       units.Term(a.GetFencing()),
+			Live:          rumour.GetState() == messages.UpstreamState_UPSTREAM_STATE_ANNOUNCED,
+		})
+	}
+	return upstreams
+}
+
+func (d *orderDesk) post(send orderer.Send) {
+	d.recent = append(d.recent, OrderDump{
+		Upstream: units.Upstream(send.Order.GetUpstream()),
+		Fencing:  units.Term(send.Order.GetFencing()),
+		Version:  units.ModelVersion(send.Order.GetWanted().GetModelVersion()),
+		Reason:   send.Reason,
+	})
+	d.recent = d.recent[max(0, len(d.recent)-ordersRetained):]
+	d.log.Info().
+		Str("upstream", send.Order.GetUpstream()).
+		Uint64("fencing", send.Order.GetFencing()).
+		Str("version", send.Order.GetWanted().GetModelVersion()).
+		Str("reason", send.Reason).
+		Msg("order-given")
+	select {
+	case d.queue <- send:
+	default:
+	}
+}
+
+// run sends orders until ctx ends.
+func (d *orderDesk) run(ctx context.Context) {
+	for range ordersAtOnce {
+		go d.work(ctx)
+	}
+}
+
+func (d *orderDesk) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case send := <-d.queue:
+			result, err := d.send(ctx, send)
+			if err != nil {
+				d.log.Warn().Err(err).Str("upstream", send.Order.GetUpstream()).Msg("order-unanswered")
+			}
+			select {
+			case d.box <- orderAnswered{send: send, result: result}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (d *orderDesk) send(ctx context.Context, send orderer.Send) (*messages.OrderResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	content, err := protojson.Marshal(send.Order)
+	if err != nil {
+		return nil, fmt.Errorf("form an order: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, send.Address+"/v1/orders", bytes.NewReader(content))
+	if err != nil {
+		return nil, fmt.Errorf("form an order: %w", err)
+	}
+	request.Header.Set("Content-Type", jsonType)
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("send an order: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxOrderResult))
+	if err != nil {
+		return nil, fmt.Errorf("read the answer to an order: %w", err)
+	}
+	result := &messages.OrderResult{}
+	if err := protojson.Unmarshal(answer, result); err != nil {
+		return nil, fmt.Errorf("read the answer to an order (%s): %w; let the upstream take orders or turn them off", response.Status, err)
+	}
+	return result, nil
+}
+
+func (d *orderDesk) answer(e orderAnswered) {
+	name := units.Upstream(e.send.Order.GetUpstream())
+	d.orderer.Step(time.Now(), orderer.Answered{
+		Upstream: name,
+		Order:    e.send.Order,
+		Result:   e.result,
+	})
+	switch e.result.GetOutcome() {
+	case messages.OrderOutcome_ORDER_OUTCOME_OLD_FENCING, messages.OrderOutcome_ORDER_OUTCOME_REFUSED:
+		d.log.Warn().
+			Str("upstream", string(name)).
+			Stringer("outcome", e.result.GetOutcome()).
+			Str("detail", e.result.GetDetail()).
+			Msg("order-refused")
+	}
+}
--- a/src/entry/dump.go
+++ b/src/entry/dump.go
@@ -28,9 +28,11 @@
 // UpstreamDump is what the entry knows of one upstream.
 type UpstreamDump struct {
 	Name         units.Upstream     `yaml:"name"`
+	Address      string             `yaml:"address"`
 	Service      units.Service      `yaml:"service"`
 	DataCentre   units.DataCentre   `yaml:"data-centre"`
 	ModelVersion units.ModelVersion `yaml:"model-version"`
+	Loading      units.ModelVersion `yaml:"loading"`
 	Leaving      bool               `yaml:"leaving"`
 	Suspected    bool               `yaml:"suspected"`
 	// Direct is set where the upstream announces itself to this entry.
@@ -50,9 +52,11 @@
 	for _, upstream := range c.tracker.All() {
 		dump.Upstreams = append(dump.Upstreams, UpstreamDump{
 			Name:         upstream.Name,
+			Address:      upstream.Address,
 			Service:      upstream.Service,
 			DataCentre:   upstream.DataCentre,
 			ModelVersion: upstream.ModelVersion,
+			Loading:      upstream.LoadingVersion,
 			Leaving:      upstream.Leaving,
 			Suspected:    upstream.Suspected,
 			Direct:       upstream.Direct,
--- /dev/null
+++ b/src/prover/fleet_orders_test.go
@@ -0,0 +1,120 @@
+package prover
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/control"
+	"github.com/rosecroft/rosecroft/src/stager"
+	"github.com/rosecroft/rosecroft/src/standin"
+)
+
+// ordered is what the configuration of a fleet under orders adds to the example.
+const ordered = `
+    next-version: "%s"
+    fleet: {orders: true, floor: 3, most: %d, slots: %d}
+`
+
+// Four engines get a new version while three must stay in service, and the
+// leader is killed in the middle. Its successor must go on without taking a
+// second engine out, and no engine may carry out an order of the old leader
+// after one of the new.
+func TestChangeOfVersionSurvivesItsLeader(t *testing.T) {
+	stage := newStage(t)
+	startFleet(t, stage, 3, 2)
+	for i := range 4 {
+		_, err := stage.StartUpstream("engine", fmt.Sprintf("ember-%d", i+1), "--service", "ember-llm",
+			"--model", "ember-1", "--data-centre", "dc-a", "--checks-fencing")
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	await(t, "four engines known", func() bool { return len(entryDump(t, stage.Entries[0]).Upstreams) == 4 })
+	apply(t, stage, orderedConfiguration(t, "2", 0, 0, ""))
+	least, killed := 4, false
+	await(t, "four engines with the new version", func() bool {
+		inService, changed := 0, 0
+		for _, upstream := range entryDump(t, stage.Entries[0]).Upstreams {
+			if upstream.Loading == "" {
+				inService++
+			}
+			if upstream.ModelVersion == "2" {
+				changed++
+			}
+		}
+		least = min(least, inService)
+		if changed > 0 && !killed {
+			leader(t, stage).Kill()
+			killed = true
+		}
+		return changed == 4
+	})
+	if got, want := least, 3; got < want {
+		t.Errorf("engines in service at the worst moment: got %d, want at least %d", got, want)
+	}
+	for _, upstream := range entryDump(t, stage.Entries[0]).Upstreams {
+		log := &standin.OrderLog{}
+		getJSON(t, upstream.Address+"/v1/orders", log)
+		if got, want := len(log.Taken), 1; got != want {
+			t.Errorf("loads of %s: got %d, want %d", upstream.Name, got, want)
+		}
+	}
+}
+
+// leader returns the control instance that leads.
+func leader(t *testing.T, stage *stager.Stage) *stager.Node {
+	t.Helper()
+	var found *stager.Node
+	await(t, "a leader", func() bool {
+		for _, node := range stage.Controls {
+			dump := &control.Dump{}
+			if !node.Running() {
+				continue
+			}
+			readDump(t, node, dump)
+			if dump.Role == "leader" {
+				found = node
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// orderedConfiguration writes the example with orders for its engines.
+func orderedConfiguration(t *testing.T, next string, most, slots int, fleet string) string {
+	t.Helper()
+	content, err := os.ReadFile("../../examples/hearthline.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	document := strings.Replace(string(content), "  - name: ember-llm\n",
+		"  - name: ember-llm"+fmt.Sprintf(ordered, next, most, slots), 1) + fleet
+	path := filepath.Join(t.TempDir(), "ordered.yaml")
+	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// getJSON fills answer from a URL.
+func getJSON(t *testing.T, url string, answer any) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		t.Fatalf("read %s: %v", url, err)
+	}
+}
--- a/src/standin/host.go
+++ b/src/standin/host.go
@@ -40,6 +40,8 @@
 	Faults   *Faults
 	// CacheEvents returns what to tell entries of the prefix cache; it may be nil.
 	CacheEvents func() *messages.CacheEvents
+	// Describe adds what changes to the announcement; it may be nil.
+	Describe func(*messages.Announcement)
 	// Load returns the load to announce; it may be nil.
 	Load func() *messages.Load
 	// Leave makes the upstream refuse new calls.
@@ -145,6 +147,9 @@
 	next := proto.CloneOf(h.About)
 	next.Sequence = h.sequence
 	next.Leaving = leaving
+	if h.Describe != nil {
+		h.Describe(next)
+	}
 	if leaving && h.leavesAt.IsZero() {
 		h.leavesAt = time.Now().Add(h.Notice)
 	}
--- a/src/standin/model.go
+++ b/src/standin/model.go
@@ -37,6 +37,8 @@
 	Client *http.Client
 	// Leaving makes the server refuse new calls.
 	Leaving atomic.Bool
+	// Loading makes the server refuse calls until a model is loaded.
+	Loading atomic.Bool
 }
 
 type completionRequest struct {
@@ -120,7 +122,7 @@
 	m.Faults.hush(ctx)
 	m.Faults.delay(ctx)
 	response.AddHeader(headerCall, m.Faults.answerID(call))
-	response.AddHeader(headerModelVersion, m.Engine.Options.ModelVersion)
+	response.AddHeader(headerModelVersion, m.Engine.Version())
 	if m.Faults.Current().Refuse {
 		refuse(response, "this engine was told to refuse")
 		return
@@ -136,7 +138,7 @@
 		return
 	}
 	// A call that runs here already may be read again while the engine leaves.
-	if m.Leaving.Load() && !m.Engine.Runs(call) {
+	if (m.Leaving.Load() || m.Loading.Load()) && !m.Engine.Runs(call) {
 		refuse(response, "this engine is leaving")
 		return
 	}
@@ -181,7 +183,7 @@
 	if last == "" {
 		return prompt, nil
 	}
-	if request.HeaderParameter(headerModelVersion) != m.Engine.Options.ModelVersion {
+	if request.HeaderParameter(headerModelVersion) != m.Engine.Version() {
 		return prompt, errors.New("the stream began with another model version")
 	}
 	offset, err := strconv.Atoi(last)
