--- a/src/entry/announcement.go
+++ b/src/entry/announcement.go
@@ -11,10 +11,8 @@
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/rosecroft/rosecroft/src/certifier"
-	"github.com/rosecroft/rosecroft/src/messages"
 )
 
 const (
@@ -36,6 +34,7 @@
 	service := new(restful.WebService)
 	service.Path("/v1")
 	service.Route(service.POST("/announcements").Consumes("application/json").To(r.announce))
+	service.Route(service.POST("/cache-events").Consumes("application/json").To(r.tellCache))
 	container.Add(service)
 	server := &http.Server{
 		Handler:           container,
@@ -62,8 +61,8 @@
 		_ = response.WriteError(http.StatusRequestEntityTooLarge, err)
 		return
 	}
-	announcement := &messages.Announcement{}
-	if err := protojson.Unmarshal(content, announcement); err != nil {
+	announcement, err := parseAnnouncement(content)
+	if err != nil {
 		_ = response.WriteError(http.StatusBadRequest, err)
 		return
 	}
@@ -85,7 +84,7 @@
 
 // authorize refuses an announcement in another upstream's name: it would draw
 // that one's calls to itself, or take it out of use by a leaving mark.
-func (r *receptionist) authorize(request *http.Request, announcement *messages.Announcement) error {
+func (r *receptionist) authorize(request *http.Request, announcement interface{ GetUpstream() string }) error {
 	identity, err := certifier.RequireRequest(request, r.tls != nil, certifier.Upstream)
 	if err != nil || r.tls == nil {
 		return err
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/informer"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -31,7 +32,7 @@
 
 // configured is a configuration that control has accepted.
 type configured struct {
-	document []byte
+	update *messages.ConfigurationUpdate
 }
 
 // dumped wants the process's state.
@@ -57,10 +58,21 @@
 	leavers       map[units.Upstream][]leaver
 	confirmed     map[units.Upstream]units.Incarnation
 	configuration *parser.Configuration
-	snapshot      *atomic.Pointer[indexer.Snapshot]
-	inForce       *atomic.Uint64
+	// document is the configuration as it was written.
+	document []byte
+	// source serves the document to other entries.
+	source *atomic.Pointer[distributor.Source]
+	// changed is told of a new version in force; it may be nil.
+	changed  func()
+	snapshot *atomic.Pointer[indexer.Snapshot]
+	inForce  *atomic.Uint64
 	// departed is told of each upstream that leaves or is gone; it may be nil.
 	departed func(upstream *tracker.Upstream)
+	// cacheChanged is told of cache events; it may be nil.
+	cacheChanged func(upstream *tracker.Upstream, events *messages.CacheEvents)
+	// published is when the snapshot was last built, stale whether it has to be again.
+	published time.Time
+	stale     bool
 }
 
 func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot],
@@ -78,6 +90,7 @@
 		confirmed: make(map[units.Upstream]units.Incarnation),
 		snapshot:  snapshot,
 		inForce:   new(atomic.Uint64),
+		source:    new(atomic.Pointer[distributor.Source]),
 	}
 }
 
@@ -99,8 +112,10 @@
 
 func (c *coordinator) take(e event) {
 	switch e := e.(type) {
+	case cached:
+		c.cache(e.events)
 	case configured:
-		c.configure(e.document)
+		c.configure(e.update)
 	case dumped:
 		e.reply <- c.dump()
 	default:
@@ -108,20 +123,41 @@
 	}
 }
 
-func (c *coordinator) configure(document []byte) {
-	configuration, err := parser.ParseConfiguration("accepted", document)
-	if err != nil {
-		c.log.Error().Err(err).Msg("configuration-unreadable")
-		return
+// refresh publishes what has changed.
+//
+// Announcements only refresh what is known, many times a second each; a
+// snapshot for each of them would cost more the more engines there are. What
+// left must get no new call, and does not wait.
+func (c *coordinator) refresh(left bool) {
+	if left || c.stale && time.Since(c.published) >= tickInterval {
+		c.publish()
 	}
+}
+
+func (c *coordinator) configure(update *messages.ConfigurationUpdate) {
 	// Answers of control can overtake each other; without this check an older
 	// one would undo a change that the operator was told is in force.
-	if configuration.Version <= units.Version(c.inForce.Load()) {
+	if update.GetVersion() <= c.inForce.Load() {
+		return
+	}
+	document, err := distributor.Apply(units.Version(c.inForce.Load()), c.document, update)
+	if err != nil {
+		c.log.Warn().Err(err).Msg("update-refused")
+		return
+	}
+	configuration, err := parser.ParseConfiguration("accepted", document)
+	if err != nil {
+		c.log.Error().Err(err).Msg("configuration-unreadable")
 		return
 	}
 	c.configuration = configuration
+	c.document = document
 	c.publish()
 	c.inForce.Store(uint64(configuration.Version))
+	c.source.Store(c.source.Load().With(configuration.Version, document))
+	if c.changed != nil {
+		c.changed()
+	}
 	c.log.Info().
 		Uint64("version", uint64(configuration.Version)).
 		Msg("configuration-in-force")
@@ -131,5 +167,7 @@
 	if c.configuration == nil {
 		return
 	}
+	c.published = time.Now()
+	c.stale = false
 	c.snapshot.Store(indexer.Build(c.configuration, c.tracker.Usable()))
 }
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/rosecroft/rosecroft/src/certifier"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -21,11 +22,9 @@
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/recorder"
 	"github.com/rosecroft/rosecroft/src/server"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// keepFor is how long an answer is kept for resends.
-const keepFor = 10 * time.Minute
-
 // Entry is one entry process; its fields are set before Run.
 type Entry struct {
 	Settings *parser.Settings
@@ -45,24 +44,36 @@
 	coordinator *coordinator
 	traffic     *traffic
 	stopping    atomic.Bool
+	incarnation units.Incarnation
+	recorder    *recorder.Recorder
+	// until is when the lease to serve ends.
+	until    atomic.Pointer[time.Time]
+	follower *follower
 }
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
+	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
 	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
+	e.recorder = e.newRecorder()
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
 	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLasting()
 	group, lasting := errgroup.WithContext(lasting)
+	e.follower = e.newFollower()
+	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
 	group.Go(func() error { return e.coordinator.messenger.run(lasting) })
-	group.Go(func() error { return e.follower().run(lasting) })
+	group.Go(func() error { return e.follower.run(lasting) })
+	group.Go(func() error { return e.reporter().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
+	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
@@ -87,6 +98,8 @@
 	if err := e.callerServer().Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
+	e.drainRecord(ctx)
+	e.leaveView(ctx)
 	e.Log.Info().Msg("drained")
 	return nil
 }
@@ -94,8 +107,11 @@
 // View returns the newest entry view that control has committed, nil before the first.
 func (e *Entry) View() *messages.EntryView { return e.view.Load() }
 
+// ready says whether the balancer should send calls here. Without the record the
+// entry would refuse every call that may not be repeated, so that callers saw
+// refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() && !fenced(&e.until)
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -106,12 +122,11 @@
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter: &limiter.Limiter{},
-			Recorder: &recorder.Recorder{
-				KeepFor: keepFor,
-			},
+			Limiter:   &limiter.Limiter{},
+			Recorder:  e.recorder,
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
+			Observer:  e.traffic.router,
 		},
 		Ready: e.ready,
 		Drain: e.Settings.Timing.Drain,
@@ -126,24 +141,37 @@
 		Traffic:  e.Client.Traffic,
 	}
 	connector.Handle(server, MethodGossip, e.onGossip)
+	e.recorder.Handle(server)
+	e.follower.serve(server)
 	return server
 }
 
-func (e *Entry) follower() *follower {
-	incarnation := uint64(time.Now().UnixNano())
+// reporter tells control of the upstreams that this entry hears.
+func (e *Entry) reporter() *reporter {
+	return &reporter{
+		client:      e.Client,
+		coordinator: e.coordinator,
+		entry:       e.Settings.Name,
+		incarnation: uint64(e.incarnation),
+		controls:    e.Settings.Control,
+	}
+}
+
+func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
-		incarnation: incarnation,
-		reporter: &reporter{
-			client:      e.Client,
-			coordinator: e.coordinator,
-			entry:       e.Settings.Name,
-			incarnation: incarnation,
+		incarnation: uint64(e.incarnation),
+		view:        &e.view,
+		stopping:    &e.stopping,
+		pusher: &distributor.Pusher{
+			Client: e.Client,
+		},
+		until: &e.until,
+		lease: distributor.Lease{
+			Fence: e.Settings.Timing.Fence,
 		},
-		view:     &e.view,
-		stopping: &e.stopping,
 	}
 }
 
@@ -171,7 +199,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
-		return dump, nil
+		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/src/entry/membership.go
+++ b/src/entry/membership.go
@@ -105,9 +105,8 @@
 // inform brings an event to the informer and carries out what it leads to.
 func (c *coordinator) inform(e informer.Event) informer.Outcome {
 	out := c.informer.Step(time.Now(), e)
-	if out.Changed {
-		c.publish()
-	}
+	c.stale = c.stale || out.Changed
+	c.refresh(len(out.Left)+len(out.Suspected) > 0)
 	for _, left := range out.Left {
 		if c.departed != nil {
 			c.departed(left.Upstream)
--- a/src/entry/reporter.go
+++ b/src/entry/reporter.go
@@ -9,11 +9,16 @@
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/control"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// loadEvery is how often control learns of the load; other changes go at once.
-const loadEvery = time.Second
+const (
+	// loadEvery is how often control learns of the load; other changes go at once.
+	loadEvery = time.Second
+	// reportEvery is the time between two reports without news.
+	reportEvery = time.Second
+)
 
 // reporter tells the control leader of the upstreams that announce themselves here.
 type reporter struct {
@@ -22,36 +27,64 @@
 	entry       units.Instance
 	incarnation uint64
 
-	// told is what the leader at address has acknowledged.
-	told     map[string]*messages.Rumour
-	address  string
-	number   uint64
-	loadedAt time.Time
+	controls []parser.ControlAddress
+
+	// told is what the leader has acknowledged, nil where it has to be told all.
+	told       map[string]*messages.Rumour
+	next       int
+	number     uint64
+	loadedAt   time.Time
+	reportedAt time.Time
+}
+
+// run reports until ctx ends.
+func (r *reporter) run(ctx context.Context) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.report(ctx)
+		}
+	}
 }
 
 // report sends what is new; it sends everything to a leader that is new.
-func (r *reporter) report(ctx context.Context, address string) {
+func (r *reporter) report(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
 	list, err := r.list(ctx)
 	if err != nil {
 		return
 	}
-	whole := r.told == nil || address != r.address
+	whole := r.told == nil
 	if whole {
 		r.told = make(map[string]*messages.Rumour)
 	}
 	report := r.difference(list)
 	report.Whole = whole
-	if !whole && len(report.GetChanged()) == 0 && len(report.GetRemoved()) == 0 {
+	// Without news a report goes now and then all the same: a new leader has
+	// heard nothing and asks for everything in its answer.
+	quiet := len(report.GetChanged()) == 0 && len(report.GetRemoved()) == 0
+	if !whole && quiet && time.Since(r.reportedAt) < reportEvery {
 		return
 	}
 	response := &messages.FleetReportResponse{}
+	address := r.controls[r.next%len(r.controls)].Address
 	err = r.client.Call(ctx, address, control.MethodReport, report, response)
-	if err != nil || !response.GetIsLeader() || response.GetWantWhole() {
+	if err != nil || !response.GetIsLeader() {
+		r.told = nil
+		r.next++
+		return
+	}
+	if response.GetWantWhole() {
 		r.told = nil
 		return
 	}
-	r.address = address
 	r.number = report.GetNumber()
+	r.reportedAt = time.Now()
 	r.acknowledge(report)
 }
 
--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -1,28 +1,21 @@
 package forwarder
 
 import (
-	"bufio"
-	"bytes"
-	"errors"
 	"fmt"
+	"io"
 	"net/http"
-	"strconv"
+	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
 const (
-	doneMarker   = "[DONE]"
-	maxEventLine = 1 << 20
-	lineBuffer   = 2 << 10
-)
-
-var (
-	errCut     = errors.New("the stream ended before its final marker")
-	idField    = []byte("id: ")
-	dataField  = []byte("data: ")
-	eventField = []byte("event: ")
+	doneMarker = "[DONE]"
+	// maxPace and paceShare bound how long tokens wait for others: the latter is
+	// a part of the service's target between tokens.
+	maxPace   = 12 * time.Millisecond
+	paceShare = 2
 )
 
 // passStream hands a stream's events on, each after a check, until its final marker.
@@ -38,46 +31,47 @@
 	if !same {
 		return lost(fmt.Errorf("the upstream serves version %q, the stream began with %q", version, e.stream.Version()))
 	}
-	lines := bufio.NewScanner(response.Body)
-	lines.Buffer(make([]byte, 0, lineBuffer), maxEventLine)
+	batch, _ := e.stream.Sink.(dispatcher.Batcher)
+	return e.passEvents(response, newLineReader(response.Body), batch)
+}
+
+// passEvents hands events on in as few writes as come in reads.
+func (e *exchange) passEvents(response *http.Response, lines *lineReader, batch dispatcher.Batcher) dispatcher.Result {
 	reader := newEventReader(e.call.ID)
-	var offset units.Tokens
-	for lines.Scan() {
-		line := lines.Bytes()
-		if id, found := bytes.CutPrefix(line, idField); found {
-			offset, err = parseOffset(id)
-			if err != nil {
-				return lost(err)
-			}
-			continue
-		}
-		// The upstream ends a stream that it cannot finish with an event of its own kind.
-		if bytes.HasPrefix(line, eventField) {
-			return lost(fmt.Errorf("the upstream ended the stream with %q", line))
-		}
-		data, found := bytes.CutPrefix(line, dataField)
-		if !found {
-			continue
+	for {
+		offset, data, err := lines.event()
+		if err != nil {
+			return lost(err)
 		}
 		if string(data) == doneMarker {
-			return e.endStream()
+			result := e.endStream()
+			e.drain(response)
+			return result
+		}
+		more := lines.ready()
+		if batch != nil {
+			batch.Hold(more)
 		}
 		if result, ok := e.passEvent(reader, offset, data); !ok {
 			return result
 		}
+		if !more {
+			e.pause()
+		}
 	}
-	if err := lines.Err(); err != nil {
-		return lost(err)
-	}
-	return lost(errCut)
 }
 
-func parseOffset(id []byte) (units.Tokens, error) {
-	number, err := strconv.ParseInt(string(id), 10, 64)
-	if err != nil {
-		return 0, fmt.Errorf("an event's id is no token offset: %w", err)
+// pause lets a few tokens come together before the next read. Waking up, reading
+// and writing for each token by itself is most of what a stream costs, and
+// callers see no later than their target allows. All streams of a pace go on at
+// the same moments, so that one wake-up serves many of them.
+func (e *exchange) pause() {
+	pace := min(maxPace, e.call.BetweenTokens/paceShare)
+	if pace <= 0 || e.stream.Offset() == 0 {
+		return
 	}
-	return units.Tokens(number), nil
+	now := time.Now()
+	time.Sleep(now.Truncate(pace).Add(pace).Sub(now))
 }
 
 func (e *exchange) passEvent(reader *eventReader, offset units.Tokens, data []byte) (dispatcher.Result, bool) {
@@ -100,6 +94,13 @@
 	return dispatcher.Result{}, true
 }
 
+// drain reads the end of the exchange behind the final marker, without which
+// the connection could not be used again.
+func (e *exchange) drain(response *http.Response) {
+	e.fed(e.limits.BetweenTokens)
+	_, _ = io.CopyN(io.Discard, response.Body, lineBuffer)
+}
+
 // endStream ends the caller's stream, or puts the whole answer together.
 func (e *exchange) endStream() dispatcher.Result {
 	if e.plan.collected {
--- a/src/tracker/silence.go
+++ b/src/tracker/silence.go
@@ -61,6 +61,7 @@
 	t.noteSilence(now)
 	var actions []Action
 	for _, upstream := range t.upstreams {
+		upstream.Live.sample(now)
 		if upstream.Direct && now.Sub(upstream.DirectAt) >= t.Expiry && upstream.DirectAt.Before(upstream.HeardAt) {
 			upstream = t.change(upstream, func(next *Upstream) { next.Direct = false })
 		}
--- a/src/tracker/tracker.go
+++ b/src/tracker/tracker.go
@@ -81,6 +81,11 @@
 	return usable
 }
 
+// Find returns an upstream by name, or nil.
+func (t *Tracker) Find(name units.Upstream) *Upstream {
+	return t.upstreams[name]
+}
+
 // All returns every known upstream, the leaving ones included.
 func (t *Tracker) All() []*Upstream {
 	all := make([]*Upstream, 0, len(t.upstreams))
@@ -126,6 +131,7 @@
 		t.numbered++
 		next.Live.Number = t.numbered
 	}
+	next.Load.correct(next.Live)
 	t.upstreams[next.Name] = next
 	actions := []Action{Changed{}, Spread{
 		Rumour: next.rumour(now),
