--- /dev/null
+++ b/src/buyer/ledger.go
@@ -0,0 +1,18 @@
+package buyer
+
+import "github.com/rosecroft/rosecroft/src/messages"
+
+// Follows reports whether a purchase's next state may replace the known one,
+// nil for none.
+//
+// States only go forward: a proposal of an earlier leader that is committed
+// late must not make an instance that was given back count again.
+func Follows(known, next *messages.Purchase) bool {
+	if known == nil {
+		return next.GetState() == messages.PurchaseState_PURCHASE_STATE_PLANNED
+	}
+	if known.GetState() >= messages.PurchaseState_PURCHASE_STATE_REFUSED {
+		return false
+	}
+	return next.GetState() > known.GetState()
+}
