Buy instances from the control leader and play the platform's cloud

The buyer was a machine without a process. The cloud stand-in sells instances by data centre and class, refuses, takes data centres back, runs an engine without a model on each instance in its own process, and holds the rate-limited weight store. New instances come without a model; orders load it, so that one place keeps the store's limits.

A repeated request that the platform grants after the first was refused left an instance that nobody knew; the buyer gives back what the platform lists for an ended purchase. It does not touch tokens that the ledger never held: a control that lost all its disks would else give the whole fleet back.

--- a/src/buyer/buyer.go
+++ b/src/buyer/buyer.go
@@ -192,6 +192,8 @@
 			b.askedAt[p.GetToken()] = now
 			return []Action{Launch{Purchase: p}}
 		}
+	case messages.PurchaseState_PURCHASE_STATE_REFUSED, messages.PurchaseState_PURCHASE_STATE_ENDED:
+		return b.releaseStray(now, p)
 	case messages.PurchaseState_PURCHASE_STATE_LAUNCHED:
 		if !listed && b.listed.At.After(time.UnixMilli(p.GetAtMs())) {
 			return b.propose(now, p, messages.PurchaseState_PURCHASE_STATE_ENDED, p.GetInstance(), "the platform lists it no more")
@@ -211,6 +213,24 @@
 	return nil
 }
 
+// releaseStray gives back an instance whose purchase has ended.
+//
+// A repeated request can reach the platform after the first was refused and be
+// granted then; without this nobody would know of its instance, and it would be
+// paid for until someone reads the bill.
+func (b *Buyer) releaseStray(now time.Time, p *messages.Purchase) []Action {
+	for _, i := range b.listed.Instances {
+		if i.Token != p.GetToken() || i.Noticed || now.Sub(b.askedAt[i.Token]) < b.Options.Retry {
+			continue
+		}
+		b.askedAt[i.Token] = now
+		stray := proto.CloneOf(p)
+		stray.Instance = i.ID
+		return []Action{Release{Purchase: stray}}
+	}
+	return nil
+}
+
 func (b *Buyer) isListed(p *messages.Purchase) bool {
 	return slices.ContainsFunc(b.listed.Instances, func(i Instance) bool { return i.Token == p.GetToken() })
 }
@@ -239,7 +259,7 @@
 func (b *Buyer) buy(now time.Time, service units.Service, offer Offer, reason string) []Action {
 	b.bought++
 	p := &messages.Purchase{
-		Token:        fmt.Sprintf("%d-%d", b.term, b.bought),
+		Token:        fmt.Sprintf("rosecroft-%d-%d", b.term, b.bought),
 		Service:      string(service),
 		DataCentre:   string(offer.DataCentre),
 		MachineClass: string(offer.Class),
--- a/src/buyer/buyer_test.go
+++ b/src/buyer/buyer_test.go
@@ -118,7 +118,7 @@
 		}
 		for _, i := range w.instances {
 			p := w.ledger[i.token]
-			if got, want := p.GetState(), messages.PurchaseState_PURCHASE_STATE_LAUNCHED; !i.ended && got != want {
+			if got, want := p.GetState(), messages.PurchaseState_PURCHASE_STATE_LAUNCHED; i.endsAt.IsZero() && got != want {
 				t.Fatalf("state of the purchase of a running instance: got %s, want %s", got, want)
 			}
 		}
@@ -241,6 +241,7 @@
 	refused   int
 	released  int
 	problem   string
+	late      []*messages.Purchase
 }
 
 type instance struct {
@@ -319,6 +320,12 @@
 		w.commit(w.inLog[0])
 		w.inLog = w.inLog[1:]
 	}
+	// A request that was under way for long reaches the platform after others.
+	if len(w.late) > 0 && w.random.IntN(20) == 0 {
+		late := w.late[0]
+		w.late = w.late[1:]
+		w.launch(late)
+	}
 	listed := Listed{At: w.now}
 	t := Ticked{
 		Offers:   w.offers,
@@ -374,6 +381,9 @@
 }
 
 func (w *world) launch(p *messages.Purchase) {
+	if w.random.Float64() < w.loss {
+		w.late = append(w.late, p)
+	}
 	if w.ledger[p.GetToken()] == nil {
 		w.problem = "a request before its purchase was committed"
 	}
--- a/src/buyer/capacity.go
+++ b/src/buyer/capacity.go
@@ -87,8 +87,7 @@
 		if p.GetInstance() != "" {
 			own[p.GetInstance()] = true
 		}
-		live := p.GetState() == messages.PurchaseState_PURCHASE_STATE_PLANNED || p.GetState() == messages.PurchaseState_PURCHASE_STATE_LAUNCHED
-		if p.GetService() != string(service) || !live {
+		if p.GetService() != string(service) || !counts(p) {
 			continue
 		}
 		s.count++
@@ -110,6 +109,15 @@
 	return s
 }
 
+// counts reports whether a purchase is an instance that is to stay.
+func counts(p *messages.Purchase) bool {
+	switch p.GetState() {
+	case messages.PurchaseState_PURCHASE_STATE_PLANNED, messages.PurchaseState_PURCHASE_STATE_LAUNCHED:
+		return true
+	}
+	return false
+}
+
 func (s *stock) add(dataCentre units.DataCentre, slots int, onDemand bool) {
 	s.capacity[dataCentre] += slots
 	if onDemand {
--- a/src/cmd/standin/main.go
+++ b/src/cmd/standin/main.go
@@ -62,6 +62,7 @@
 type options struct {
 	Engine engineCommand `cmd:"" help:"Play a model engine."`
 	Plain  plainCommand  `cmd:"" help:"Play a plain service."`
+	Cloud  cloudCommand  `cmd:"" help:"Play the platform's cloud API and weight store."`
 }
 
 func main() {
--- a/src/control/control.go
+++ b/src/control/control.go
@@ -54,6 +54,7 @@
 		TLSClientConfig: c.Certificates.ToUpstreams(),
 	}
 	c.coordinator.orders.run(ctx)
+	c.coordinator.purchases.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
 	group.Go(func() error { return c.Certificates.Run(ctx) })
 	group.Go(func() error { return c.peerServer().Run(ctx) })
--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -52,6 +52,7 @@
 	registry     *registry
 	fleet        *fleet
 	orders       *orderDesk
+	purchases    *purchaseDesk
 }
 
 type pendingProposal struct {
@@ -79,17 +80,20 @@
 	fleet := &fleet{}
 	box := make(chan event, boxSize)
 	orders := newOrderDesk(settings, log, configuration, fleet, box)
+	ledger := &purchaseLedger{}
+	purchases := newPurchaseDesk(log, ledger, orders, box)
 	c := &coordinator{
 		settings:     settings,
 		log:          log,
 		keeper:       folder,
 		state:        configuration,
-		machines:     []machine{configuration, registry, places},
-		duties:       []duty{registry, places, fleet, orders},
+		machines:     []machine{configuration, registry, places, ledger},
+		duties:       []duty{registry, places, fleet, orders, purchases},
 		hearers:      []hearer{registry, fleet},
 		box:          box,
 		fleet:        fleet,
 		orders:       orders,
+		purchases:    purchases,
 		outbox:       out,
 		proposals:    make(map[uint64]chan<- submitReply),
 		pending:      make(map[units.Index]pendingProposal),
@@ -171,10 +175,17 @@
 		return nil
 	}
 	for _, d := range c.duties {
-		for _, command := range d.Lead(now, c.node.Term()) {
-			if err := c.step(replicator.Proposed{Command: command}); err != nil {
-				return err
-			}
+		if err := c.proposeAll(d.Lead(now, c.node.Term())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *coordinator) proposeAll(commands []*messages.Command) error {
+	for _, command := range commands {
+		if err := c.step(replicator.Proposed{Command: command}); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -194,6 +205,8 @@
 		c.report(e)
 	case orderAnswered:
 		c.orders.answer(e)
+	case cloudAnswered:
+		return c.proposeAll(c.purchases.answer(e))
 	case dumped:
 		e.reply <- c.dump()
 	}
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -24,6 +24,7 @@
 	View            ViewDump       `yaml:"view"`
 	Upstreams       []FleetDump    `yaml:"upstreams"`
 	Orders          []OrderDump    `yaml:"orders"`
+	Purchases       []PurchaseDump `yaml:"purchases"`
 }
 
 // MemberDump is one voter or learner of the log.
@@ -57,6 +58,7 @@
 		View:            c.registry.dump(),
 		Upstreams:       c.fleet.dump(time.Now()),
 		Orders:          c.orders.recent,
+		Purchases:       c.purchases.recent,
 	}
 	for _, member := range c.node.Membership().GetMembers() {
 		dump.Members = append(dump.Members, MemberDump{
--- /dev/null
+++ b/src/prover/fleet_purchases_test.go
@@ -0,0 +1,92 @@
+package prover
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/entry"
+	"github.com/rosecroft/rosecroft/src/stager"
+	"github.com/rosecroft/rosecroft/src/standin"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// bought is a platform with three data centres at different prices; 32 slots
+// must be left without the largest, which takes three instances of 16.
+const bought = `
+fleet:
+  cloud: %s
+  weight-store: {bytes-per-second: 2000000, loads-at-once: 2}
+  machine-classes: [{name: small, slots: 16}]
+  model-versions: [{version: "2", bytes: 1000000}]
+  data-centres:
+    - {name: dc-a, region: r, offers: [{class: small, price: 0.3, reclaims-per-hour: 0.1}]}
+    - {name: dc-b, region: r, offers: [{class: small, price: 0.4, reclaims-per-hour: 0.1}]}
+    - {name: dc-c, region: r, offers: [{class: small, price: 0.5, reclaims-per-hour: 0.1}]}
+`
+
+// The fleet is bought while its leader is killed, then a data centre is taken
+// back while another refuses replacements. Each purchase must be made once; the
+// replacements must come from what is left, and the weight store must never
+// refuse a load.
+func TestPurchasesSurviveTheirLeaderAndAReclaim(t *testing.T) {
+	stage := newStage(t)
+	startFleet(t, stage, 3, 2)
+	cloud, err := stage.StartCloud("--notice", "8s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the platform", func() bool { return get(t.Context(), cloud.URL+"/faults/counts") == http.StatusOK })
+	apply(t, stage, orderedConfiguration(t, "2", 8, 32, fmt.Sprintf(bought, cloud.URL)))
+	await(t, "the first launch", func() bool { return counts(t, cloud).Launched > 0 })
+	leader(t, stage).Kill()
+	await(t, "three engines in service", func() bool { return len(inService(t, stage)) == 3 })
+	if got, want := counts(t, cloud).Launched, 3; got != want {
+		t.Errorf("instances launched over two leaders: got %d, want %d", got, want)
+	}
+	put(t, cloud.URL+"/faults/refusals?data-centre=dc-a")
+	put(t, cloud.URL+"/faults/reclaims?data-centre=dc-a")
+	await(t, "capacity without the data centre that was taken back", func() bool {
+		serving := inService(t, stage)
+		return serving["dc-a"] == 0 && serving["dc-b"] >= 2 && serving["dc-c"] >= 2
+	})
+	if got, want := counts(t, cloud).LoadsRefused, 0; got != want {
+		t.Errorf("loads that the weight store refused: got %d, want %d", got, want)
+	}
+}
+
+// inService counts the engines with a model by their data centre.
+func inService(t *testing.T, stage *stager.Stage) map[units.DataCentre]int {
+	t.Helper()
+	serving := make(map[units.DataCentre]int)
+	for _, upstream := range entryDump(t, stage.Entries[0]).Upstreams {
+		if serves(upstream) {
+			serving[upstream.DataCentre]++
+		}
+	}
+	return serving
+}
+
+func serves(u entry.UpstreamDump) bool {
+	return u.ModelVersion != "" && u.Loading == "" && !u.Leaving
+}
+
+func counts(t *testing.T, cloud *stager.Upstream) *standin.CloudCounts {
+	t.Helper()
+	answer := &standin.CloudCounts{}
+	getJSON(t, cloud.URL+"/faults/counts", answer)
+	return answer
+}
+
+func put(t *testing.T, url string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -186,6 +186,11 @@
 	}, nil
 }
 
+// StartCloud starts the platform's stand-in, whose instances announce themselves to every entry.
+func (s *Stage) StartCloud(arguments ...string) (*Upstream, error) {
+	return s.StartUpstreamAt(s.Entries, "cloud", "cloud", arguments...)
+}
+
 // Upstream is one stand-in process.
 type Upstream struct {
 	*Process
