--- a/src/control/control.go
+++ b/src/control/control.go
@@ -63,6 +63,7 @@
 		Str("operators", c.Operators.Addr().String()).
 		Str("peers", c.Peers.Addr().String()).
 		Str("voter", string(kept.ID)).
+		Str("log", kept.Snapshot.GetLogId()).
 		Int("records", len(kept.Records)).
 		Uint64("snapshot", kept.Snapshot.GetIndex()).
 		Msg("started")
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -49,6 +49,9 @@
 	// until is when the lease to serve ends.
 	until    atomic.Pointer[time.Time]
 	follower *follower
+	callers  *server.Server
+	// leaving is set once the last call has ended; control then drops this entry.
+	leaving atomic.Bool
 }
 
 // Run serves until ctx ends and the calls under way have finished.
@@ -59,6 +62,7 @@
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
+	e.callers = e.callerServer()
 	e.coordinator.cacheChanged = e.traffic.router.Cached
 	// The parts below serve until the last call has its answer, which is after
 	// ctx has ended.
@@ -95,7 +99,7 @@
 	defer cancel()
 	defer context.AfterFunc(lasting, cancel)()
 	defer context.AfterFunc(ctx, func() { e.stopping.Store(true) })()
-	if err := e.callerServer().Run(ctx); err != nil {
+	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	e.drainRecord(ctx)
@@ -128,8 +132,10 @@
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready: e.ready,
-		Drain: e.Settings.Timing.Drain,
+		Ready:   e.ready,
+		Drain:   e.Settings.Timing.Drain,
+		Adopter: e,
+		Records: e.recorder,
 	}
 }
 
@@ -143,6 +149,7 @@
 	connector.Handle(server, MethodGossip, e.onGossip)
 	e.recorder.Handle(server)
 	e.follower.serve(server)
+	e.handleAdoption(server)
 	return server
 }
 
@@ -164,11 +171,12 @@
 		coordinator: e.coordinator,
 		incarnation: uint64(e.incarnation),
 		view:        &e.view,
-		stopping:    &e.stopping,
+		stopping:    &e.leaving,
 		pusher: &distributor.Pusher{
 			Client: e.Client,
 		},
 		until: &e.until,
+		news:  make(chan struct{}, 1),
 		lease: distributor.Lease{
 			Fence: e.Settings.Timing.Fence,
 		},
@@ -199,6 +207,7 @@
 	select {
 	case dump := <-reply:
 		dump.View = e.View().GetNumber()
+		dump.Fenced = fenced(&e.until)
 		return e.dumpRecord(ctx, dump)
 	case <-ctx.Done():
 		return nil, ctx.Err()
