--- a/src/control/orders.go
+++ b/src/control/orders.go
@@ -98,8 +98,12 @@
 	if configuration == nil {
 		return nil
 	}
+	services := wantedServices(configuration)
+	if len(services) == 0 {
+		return nil
+	}
 	sends := d.orderer.Step(now, orderer.Ticked{
-		Services:  wantedServices(configuration),
+		Services:  services,
 		Upstreams: orderable(d.fleet.upstreams(now)),
 		Store: orderer.Store{
 			BytesPerSecond: configuration.Fleet.WeightStore.BytesPerSecond,
