--- a/src/control/coordinator.go
+++ b/src/control/coordinator.go
@@ -50,6 +50,9 @@
 	distribution *distribution
 	role         replicator.RoleChanged
 	registry     *registry
+	fleet        *fleet
+	orders       *orderDesk
+	purchases    *purchaseDesk
 }
 
 type pendingProposal struct {
@@ -74,15 +77,23 @@
 		},
 		entries: make(map[units.Instance]*entryState),
 	}
+	fleet := &fleet{}
+	box := make(chan event, boxSize)
+	orders := newOrderDesk(settings, log, configuration, fleet, box)
+	ledger := &purchaseLedger{}
+	purchases := newPurchaseDesk(log, ledger, orders, box)
 	c := &coordinator{
 		settings:     settings,
 		log:          log,
 		keeper:       folder,
 		state:        configuration,
-		machines:     []machine{configuration, registry, places},
-		duties:       []duty{registry, places},
-		hearers:      []hearer{registry},
-		box:          make(chan event, boxSize),
+		machines:     []machine{configuration, registry, places, ledger},
+		duties:       []duty{registry, places, fleet, orders, purchases},
+		hearers:      []hearer{registry, fleet},
+		box:          box,
+		fleet:        fleet,
+		orders:       orders,
+		purchases:    purchases,
 		outbox:       out,
 		proposals:    make(map[uint64]chan<- submitReply),
 		pending:      make(map[units.Index]pendingProposal),
@@ -164,10 +175,17 @@
 		return nil
 	}
 	for _, d := range c.duties {
-		for _, command := range d.Lead(now, c.node.Term()) {
-			if err := c.step(replicator.Proposed{Command: command}); err != nil {
-				return err
-			}
+		if err := c.proposeAll(d.Lead(now, c.node.Term())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *coordinator) proposeAll(commands []*messages.Command) error {
+	for _, command := range commands {
+		if err := c.step(replicator.Proposed{Command: command}); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -183,6 +201,12 @@
 		e.reply <- c.hear(e.heartbeat)
 	case asked:
 		e.reply <- c.status()
+	case reported:
+		c.report(e)
+	case orderAnswered:
+		c.orders.answer(e)
+	case cloudAnswered:
+		return c.proposeAll(c.purchases.answer(e))
 	case dumped:
 		e.reply <- c.dump()
 	}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -60,7 +60,8 @@
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
 	e.incarnation = units.Incarnation(time.Now().UnixNano())
-	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
+	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
 	e.shares = newShares(e.Client, e.View, e.Settings.Name, uint64(e.incarnation), e.Settings.Timing.Fence)
 	e.shares.limiter = &limiter.Limiter{
 		Snapshot: &e.snapshot,
@@ -81,7 +82,9 @@
 	e.follower = e.newFollower()
 	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
+	group.Go(func() error { return e.coordinator.messenger.run(lasting) })
 	group.Go(func() error { return e.follower.run(lasting) })
+	group.Go(func() error { return e.reporter().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.recorder.Run(lasting) })
@@ -159,6 +162,7 @@
 		TLS:      e.Certificates.Peers(),
 		Traffic:  e.Client.Traffic,
 	}
+	connector.Handle(server, MethodGossip, e.onGossip)
 	connector.Handle(server, MethodShare, e.shares.onShare)
 	e.recorder.Handle(server)
 	e.follower.serve(server)
@@ -166,6 +170,17 @@
 	return server
 }
 
+// reporter tells control of the upstreams that this entry hears.
+func (e *Entry) reporter() *reporter {
+	return &reporter{
+		client:      e.Client,
+		coordinator: e.coordinator,
+		entry:       e.Settings.Name,
+		incarnation: uint64(e.incarnation),
+		controls:    e.Settings.Control,
+	}
+}
+
 func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
--- a/src/entry/follower.go
+++ b/src/entry/follower.go
@@ -144,7 +144,11 @@
 func (f *follower) follow(view *messages.EntryView) {
 	for {
 		held := f.view.Load()
-		if view.GetNumber() <= held.GetNumber() || f.view.CompareAndSwap(held, view) {
+		if view.GetNumber() <= held.GetNumber() {
+			return
+		}
+		if f.view.CompareAndSwap(held, view) {
+			f.coordinator.box <- viewed{view: view}
 			return
 		}
 	}
