--- /dev/null
+++ b/src/control/cloud.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/buyer"
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+const (
+	cloudTimeout   = 2 * time.Second
+	cloudRequests  = 256
+	cloudAtOnce    = 8
+	maxCloudAnswer = 8 << 20
+)
+
+// cloudAnswered is the platform's answer to a launch or its list of instances.
+type cloudAnswered struct {
+	answer buyer.Event
+}
+
+func (cloudAnswered) event() {}
+
+// cloudRequest is one request to the platform.
+type cloudRequest struct {
+	method   string
+	address  string
+	body     *launchRequest
+	purchase *messages.Purchase
+}
+
+// launchRequest and cloudInstance follow the platform's protocol, docs/PLATFORM.md.
+type launchRequest struct {
+	Token        string  `json:"token"`
+	DataCentre   string  `json:"data_centre"`
+	MachineClass string  `json:"machine_class"`
+	OnDemand     bool    `json:"on_demand"`
+	Price        float64 `json:"price"`
+	Service      string  `json:"service"`
+	Model        string  `json:"model"`
+}
+
+type cloudInstance struct {
+	ID      string `json:"id"`
+	Token   string `json:"token"`
+	Noticed bool   `json:"noticed"`
+}
+
+// post queues a request; where the queue is full the buyer asks again later.
+func (d *purchaseDesk) post(request cloudRequest) {
+	select {
+	case d.queue <- request:
+	default:
+	}
+}
+
+// run makes requests until ctx ends.
+func (d *purchaseDesk) run(ctx context.Context) {
+	for range cloudAtOnce {
+		go d.work(ctx)
+	}
+}
+
+func (d *purchaseDesk) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case request := <-d.queue:
+			answer, err := d.request(ctx, request)
+			if err != nil {
+				d.log.Warn().Err(err).Msg("cloud-unanswered")
+				continue
+			}
+			select {
+			case d.box <- cloudAnswered{answer: answer}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// request makes one request; an error means that its outcome is not known.
+func (d *purchaseDesk) request(ctx context.Context, r cloudRequest) (buyer.Event, error) {
+	// The list tells of the moment before the request at the latest.
+	asked := time.Now()
+	content, err := json.Marshal(r.body)
+	if err != nil {
+		return nil, fmt.Errorf("form a request to the cloud: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, r.method, r.address, bytes.NewReader(content))
+	if err != nil {
+		return nil, fmt.Errorf("form a request to the cloud: %w", err)
+	}
+	request.Header.Set("Content-Type", jsonType)
+	response, err := d.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("ask the cloud: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxCloudAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("read the cloud's answer: %w", err)
+	}
+	switch r.method {
+	case http.MethodGet:
+		return listed(asked, response.StatusCode, answer)
+	case http.MethodPost:
+		return launched(r.purchase.GetToken(), response.StatusCode, answer)
+	}
+	return nil, nil
+}
+
+func listed(asked time.Time, status int, answer []byte) (buyer.Event, error) {
+	list := struct {
+		Instances []cloudInstance `json:"instances"`
+	}{}
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("the cloud lists no instances (status %d); check fleet.cloud", status)
+	}
+	if err := json.Unmarshal(answer, &list); err != nil {
+		return nil, fmt.Errorf("read the cloud's instances: %w; check fleet.cloud", err)
+	}
+	event := buyer.Listed{
+		At: asked,
+	}
+	for _, instance := range list.Instances {
+		event.Instances = append(event.Instances, buyer.Instance{
+			ID:      instance.ID,
+			Token:   instance.Token,
+			Noticed: instance.Noticed,
+		})
+	}
+	return event, nil
+}
+
+// launched reads the answer to a launch. Only a definite refusal is one; after
+// any other failure the instance may have been launched, and is asked for again.
+func launched(token string, status int, answer []byte) (buyer.Event, error) {
+	if status == http.StatusConflict {
+		return buyer.Answered{
+			Token:  token,
+			Reason: string(answer),
+		}, nil
+	}
+	instance := cloudInstance{}
+	if err := json.Unmarshal(answer, &instance); err != nil {
+		return nil, fmt.Errorf("read the cloud's answer to a launch: %w; check fleet.cloud", err)
+	}
+	if instance.ID == "" {
+		return nil, fmt.Errorf("the cloud names no instance (status %d); check fleet.cloud", status)
+	}
+	return buyer.Answered{
+		Token:    token,
+		Instance: instance.ID,
+	}, nil
+}
--- a/src/control/purchases.go
+++ b/src/control/purchases.go
@@ -1,18 +1,10 @@
 package control
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/rosecroft/rosecroft/src/buyer"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -22,7 +14,6 @@
 
 const (
 	purchaseTick    = 200 * time.Millisecond
-	cloudTimeout    = 2 * time.Second
 	purchaseSettle  = 3 * time.Second
 	purchaseRetry   = 2 * time.Second
 	refusalBackoff  = 5 * time.Second
@@ -32,119 +23,9 @@
 	// bootTime is what an instance takes besides its weights.
 	bootTime = time.Minute
 	// startingPerLoad bounds the instances that wait for the weight store.
-	startingPerLoad   = 4
-	purchasesRetained = 1024
-	cloudRequests     = 256
-	cloudAtOnce       = 8
-	maxCloudAnswer    = 8 << 20
+	startingPerLoad = 4
 )
 
-// purchaseLedger is the replicated state of all purchases.
-type purchaseLedger struct {
-	purchases map[string]*messages.Purchase
-	// finished are tokens in the order of their end; the oldest are forgotten.
-	finished []string
-}
-
-// Name is the ledger's key in snapshots.
-func (l *purchaseLedger) Name() string { return "purchases" }
-
-// Apply takes one purchase's next state where it follows the one known.
-func (l *purchaseLedger) Apply(_ units.Index, command *messages.Command) proto.Message {
-	p := command.GetPurchase()
-	if p == nil || !buyer.Follows(l.purchases[p.GetToken()], p) {
-		return nil
-	}
-	l.put(p)
-	return nil
-}
-
-func (l *purchaseLedger) put(p *messages.Purchase) {
-	if l.purchases == nil {
-		l.purchases = make(map[string]*messages.Purchase)
-	}
-	l.purchases[p.GetToken()] = p
-	if p.GetState() < messages.PurchaseState_PURCHASE_STATE_REFUSED {
-		return
-	}
-	l.finished = append(l.finished, p.GetToken())
-	if len(l.finished) > purchasesRetained {
-		delete(l.purchases, l.finished[0])
-		l.finished = l.finished[1:]
-	}
-}
-
-// list returns all purchases, the finished ones first and in their order.
-func (l *purchaseLedger) list() []*messages.Purchase {
-	list := make([]*messages.Purchase, 0, len(l.purchases))
-	for _, token := range l.finished {
-		list = append(list, l.purchases[token])
-	}
-	return append(list, l.open()...)
-}
-
-// open returns the purchases that have not ended.
-func (l *purchaseLedger) open() []*messages.Purchase {
-	var open []*messages.Purchase
-	for _, token := range slices.Sorted(maps.Keys(l.purchases)) {
-		if l.purchases[token].GetState() < messages.PurchaseState_PURCHASE_STATE_REFUSED {
-			open = append(open, l.purchases[token])
-		}
-	}
-	return open
-}
-
-// Snapshot returns all purchases.
-func (l *purchaseLedger) Snapshot() ([]byte, error) {
-	return proto.MarshalOptions{Deterministic: true}.Marshal(&messages.PurchaseLedger{Purchases: l.list()})
-}
-
-// Restore replaces all purchases.
-func (l *purchaseLedger) Restore(content []byte) error {
-	ledger := &messages.PurchaseLedger{}
-	if err := proto.Unmarshal(content, ledger); err != nil {
-		return fmt.Errorf("read the purchases of a snapshot: %w", err)
-	}
-	l.purchases = nil
-	l.finished = nil
-	for _, p := range ledger.GetPurchases() {
-		l.put(p)
-	}
-	return nil
-}
-
-// cloudAnswered is the platform's answer to a launch or its list of instances.
-type cloudAnswered struct {
-	answer buyer.Event
-}
-
-func (cloudAnswered) event() {}
-
-// cloudRequest is one request to the platform.
-type cloudRequest struct {
-	method   string
-	address  string
-	body     *launchRequest
-	purchase *messages.Purchase
-}
-
-// launchRequest and cloudInstance follow the platform's protocol, docs/PLATFORM.md.
-type launchRequest struct {
-	Token        string  `json:"token"`
-	DataCentre   string  `json:"data_centre"`
-	MachineClass string  `json:"machine_class"`
-	OnDemand     bool    `json:"on_demand"`
-	Price        float64 `json:"price"`
-	Service      string  `json:"service"`
-	Model        string  `json:"model"`
-}
-
-type cloudInstance struct {
-	ID      string `json:"id"`
-	Token   string `json:"token"`
-	Noticed bool   `json:"noticed"`
-}
-
 // purchaseDesk is the leader's duty to buy instances and give them back.
 type purchaseDesk struct {
 	log    zerolog.Logger
@@ -354,14 +235,6 @@
 		Msg("purchase-proposed")
 }
 
-// post queues a request; where the queue is full the buyer asks again later.
-func (d *purchaseDesk) post(request cloudRequest) {
-	select {
-	case d.queue <- request:
-	default:
-	}
-}
-
 // answer brings the platform's answer to the buyer and returns what to commit.
 func (d *purchaseDesk) answer(e cloudAnswered) []*messages.Command {
 	if !d.leading {
@@ -369,106 +242,3 @@
 	}
 	return d.carryOut(d.orders.parsed, d.buyer.Step(time.Now(), e.answer))
 }
-
-// run makes requests until ctx ends.
-func (d *purchaseDesk) run(ctx context.Context) {
-	for range cloudAtOnce {
-		go d.work(ctx)
-	}
-}
-
-func (d *purchaseDesk) work(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case request := <-d.queue:
-			answer, err := d.request(ctx, request)
-			if err != nil {
-				d.log.Warn().Err(err).Msg("cloud-unanswered")
-				continue
-			}
-			select {
-			case d.box <- cloudAnswered{answer: answer}:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-}
-
-// request makes one request; an error means that its outcome is not known.
-func (d *purchaseDesk) request(ctx context.Context, r cloudRequest) (buyer.Event, error) {
-	// The list tells of the moment before the request at the latest.
-	asked := time.Now()
-	content, err := json.Marshal(r.body)
-	if err != nil {
-		return nil, fmt.Errorf("form a request to the cloud: %w", err)
-	}
-	request, err := http.NewRequestWithContext(ctx, r.method, r.address, bytes.NewReader(content))
-	if err != nil {
-		return nil, fmt.Errorf("form a request to the cloud: %w", err)
-	}
-	request.Header.Set("Content-Type", jsonType)
-	response, err := d.client.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("ask the cloud: %w", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxCloudAnswer))
-	if err != nil {
-		return nil, fmt.Errorf("read the cloud's answer: %w", err)
-	}
-	switch r.method {
-	case http.MethodGet:
-		return listed(asked, response.StatusCode, answer)
-	case http.MethodPost:
-		return launched(r.purchase.GetToken(), response.StatusCode, answer)
-	}
-	return nil, nil
-}
-
-func listed(asked time.Time, status int, answer []byte) (buyer.Event, error) {
-	list := struct {
-		Instances []cloudInstance `json:"instances"`
-	}{}
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("the cloud lists no instances (status %d); check fleet.cloud", status)
-	}
-	if err := json.Unmarshal(answer, &list); err != nil {
-		return nil, fmt.Errorf("read the cloud's instances: %w; check fleet.cloud", err)
-	}
-	event := buyer.Listed{
-		At: asked,
-	}
-	for _, instance := range list.Instances {
-		event.Instances = append(event.Instances, buyer.Instance{
-			ID:      instance.ID,
-			Token:   instance.Token,
-			Noticed: instance.Noticed,
-		})
-	}
-	return event, nil
-}
-
-// launched reads the answer to a launch. Only a definite refusal is one; after
-// any other failure the instance may have been launched, and is asked for again.
-func launched(token string, status int, answer []byte) (buyer.Event, error) {
-	if status == http.StatusConflict {
-		return buyer.Answered{
-			Token:  token,
-			Reason: string(answer),
-		}, nil
-	}
-	instance := cloudInstance{}
-	if err := json.Unmarshal(answer, &instance); err != nil {
-		return nil, fmt.Errorf("read the cloud's answer to a launch: %w; check fleet.cloud", err)
-	}
-	if instance.ID == "" {
-		return nil, fmt.Errorf("the cloud names no instance (status %d); check fleet.cloud", status)
-	}
-	return buyer.Answered{
-		Token:    token,
-		Instance: instance.ID,
-	}, nil
-}
