--- a/src/prover/limit_test.go
+++ b/src/prover/limit_test.go
@@ -14,22 +14,21 @@
 )
 
 // flood sends plain calls to the entries in turn from several callers until ctx
-// ends, and counts the answered ones.
-func flood(ctx context.Context, stage *stager.Stage, callers int) *atomic.Int64 {
-	answered := &atomic.Int64{}
-	var running sync.WaitGroup
+// ends, and counts the answered ones; wait returns once the callers have ended.
+func flood(ctx context.Context, entries []*stager.Node, callers int) (answered *atomic.Int64, wait func()) {
+	answered = &atomic.Int64{}
+	running := &sync.WaitGroup{}
 	for i := range callers {
 		running.Go(func() {
 			for round := i; ctx.Err() == nil; round++ {
-				entry := stage.Entries[round%len(stage.Entries)]
+				entry := entries[round%len(entries)]
 				if callDiary(ctx, entry) == http.StatusOK {
 					answered.Add(1)
 				}
 			}
 		})
 	}
-	context.AfterFunc(ctx, running.Wait)
-	return answered
+	return answered, running.Wait
 }
 
 func callDiary(ctx context.Context, entry *stager.Node) int {
@@ -66,13 +65,13 @@
 	all := stage.Entries
 	for name, entries := range map[string][]*stager.Node{"three entries": all, "one entry": all[:1]} {
 		t.Run(name, func(t *testing.T) {
-			stage.Entries = entries
 			began := time.Now()
 			ctx, stop := context.WithCancel(t.Context())
 			defer stop()
-			answered := flood(ctx, stage, 3)
+			answered, wait := flood(ctx, entries, 3)
 			await(t, "enough answers", func() bool { return answered.Load() >= 4*rate })
 			stop()
+			wait()
 			elapsed := time.Since(began)
 			// The burst is two seconds' worth and one call for each entry.
 			want := rate*(elapsed.Seconds()+2) + float64(len(all))
