--- a/src/control/control.go
+++ b/src/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/emicklei/go-restful/v3"
@@ -49,6 +50,11 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	out.run(ctx)
+	c.coordinator.orders.client.Transport = &http.Transport{
+		TLSClientConfig: c.Certificates.ToUpstreams(),
+	}
+	c.coordinator.orders.run(ctx)
+	c.coordinator.purchases.run(ctx)
 	group.Go(func() error { return c.coordinator.run(ctx) })
 	group.Go(func() error { return c.Certificates.Run(ctx) })
 	group.Go(func() error { return c.peerServer().Run(ctx) })
@@ -73,6 +79,7 @@
 			MethodLog:       {certifier.Control},
 			MethodSubmit:    {certifier.Control},
 			MethodHeartbeat: {certifier.Entry},
+			MethodReport:    {certifier.Entry},
 			MethodStatus:    {certifier.Control},
 		},
 	}
@@ -80,6 +87,7 @@
 	connector.Handle(server, MethodSubmit, c.onSubmit)
 	connector.Handle(server, MethodHeartbeat, c.onHeartbeat)
 	connector.Handle(server, MethodStatus, c.onStatus)
+	connector.Handle(server, MethodReport, c.onReport)
 	return server
 }
 
--- a/src/control/dump.go
+++ b/src/control/dump.go
@@ -22,6 +22,9 @@
 	AcceptedVersion units.Version  `yaml:"accepted-version"`
 	Entries         []EntryDump    `yaml:"entries"`
 	View            ViewDump       `yaml:"view"`
+	Upstreams       []FleetDump    `yaml:"upstreams"`
+	Orders          []OrderDump    `yaml:"orders"`
+	Purchases       []PurchaseDump `yaml:"purchases"`
 }
 
 // MemberDump is one voter or learner of the log.
@@ -55,6 +58,9 @@
 		Membership:      c.node.Membership().GetNumber(),
 		AcceptedVersion: c.state.Version(),
 		View:            c.registry.dump(),
+		Upstreams:       c.fleet.dump(time.Now()),
+		Orders:          c.orders.recent,
+		Purchases:       c.purchases.recent,
 	}
 	for _, member := range c.node.Membership().GetMembers() {
 		dump.Members = append(dump.Members, MemberDump{
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosecroft/rosecroft/src/distributor"
 	"github.com/rosecroft/rosecroft/src/indexer"
+	"github.com/rosecroft/rosecroft/src/informer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -18,8 +19,6 @@
 const (
 	boxSize      = 1024
 	tickInterval = 50 * time.Millisecond
-	// upstreamExpiry is several announcements long, so that a lost one does no harm.
-	upstreamExpiry = 3 * time.Second
 )
 
 // event is something the coordinator takes from its box.
@@ -47,10 +46,17 @@
 
 // coordinator owns an entry's control state.
 type coordinator struct {
-	settings      *parser.Settings
-	log           zerolog.Logger
-	box           chan event
-	tracker       *tracker.Tracker
+	settings  *parser.Settings
+	log       zerolog.Logger
+	box       chan event
+	tracker   *tracker.Tracker
+	informer  *informer.Informer
+	messenger *messenger
+	view      *atomic.Pointer[messages.EntryView]
+	// leavers are the leaving upstreams that no other entry has confirmed;
+	// confirmed are those that one has.
+	leavers       map[units.Upstream][]leaver
+	confirmed     map[units.Upstream]units.Incarnation
 	configuration *parser.Configuration
 	// document is the configuration as it was written.
 	document []byte
@@ -69,17 +75,22 @@
 	stale     bool
 }
 
-func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot]) *coordinator {
+func newCoordinator(settings *parser.Settings, log zerolog.Logger, snapshot *atomic.Pointer[indexer.Snapshot],
+	view *atomic.Pointer[messages.EntryView],
+) *coordinator {
+	informer := newInformer(settings)
 	return &coordinator{
-		settings: settings,
-		log:      log,
-		box:      make(chan event, boxSize),
-		tracker: &tracker.Tracker{
-			Expiry: upstreamExpiry,
-		},
-		source:   new(atomic.Pointer[distributor.Source]),
-		snapshot: snapshot,
-		inForce:  new(atomic.Uint64),
+		settings:  settings,
+		log:       log,
+		box:       make(chan event, boxSize),
+		tracker:   informer.Tracker,
+		informer:  informer,
+		view:      view,
+		leavers:   make(map[units.Upstream][]leaver),
+		confirmed: make(map[units.Upstream]units.Incarnation),
+		snapshot:  snapshot,
+		inForce:   new(atomic.Uint64),
+		source:    new(atomic.Pointer[distributor.Source]),
 	}
 }
 
@@ -92,7 +103,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			_ = c.track(tracker.Ticked{})
+			c.tickMembership()
 		case e := <-c.box:
 			c.take(e)
 		}
@@ -101,44 +112,26 @@
 
 func (c *coordinator) take(e event) {
 	switch e := e.(type) {
-	case announced:
-		e.reply <- c.track(tracker.Announced{Announcement: e.announcement})
 	case cached:
 		c.cache(e.events)
 	case configured:
 		c.configure(e.update)
 	case dumped:
 		e.reply <- c.dump()
+	default:
+		c.takeMembership(e)
 	}
 }
 
-func (c *coordinator) track(e tracker.Event) error {
-	left := false
-	var refused error
-	for _, action := range c.tracker.Step(time.Now(), e) {
-		switch a := action.(type) {
-		case tracker.Changed:
-			c.stale = true
-		case tracker.Left:
-			left = true
-			c.log.Info().
-				Str("upstream", string(a.Upstream.Name)).
-				Str("reason", a.Reason).
-				Msg("upstream-left")
-			if c.departed != nil {
-				c.departed(a.Upstream)
-			}
-		case tracker.Refused:
-			refused = a.Err
-		}
-	}
-	// Announcements only refresh what is known, many times a second each; a
-	// snapshot for each of them would cost more the more engines there are. What
-	// left must get no new call, and does not wait.
+// refresh publishes what has changed.
+//
+// Announcements only refresh what is known, many times a second each; a
+// snapshot for each of them would cost more the more engines there are. What
+// left must get no new call, and does not wait.
+func (c *coordinator) refresh(left bool) {
 	if left || c.stale && time.Since(c.published) >= tickInterval {
 		c.publish()
 	}
-	return refused
 }
 
 func (c *coordinator) configure(update *messages.ConfigurationUpdate) {
