--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/distributor"
+	"github.com/rosecroft/rosecroft/src/explainer"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/limiter"
@@ -43,9 +44,11 @@
 	view        atomic.Pointer[messages.EntryView]
 	coordinator *coordinator
 	traffic     *traffic
+	shares      *shares
 	stopping    atomic.Bool
 	incarnation units.Incarnation
 	recorder    *recorder.Recorder
+	book        explainer.Book
 	// until is when the lease to serve ends.
 	until    atomic.Pointer[time.Time]
 	follower *follower
@@ -57,7 +60,15 @@
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
 	e.incarnation = units.Incarnation(time.Now().UnixNano())
-	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot)
+	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
+	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
+	e.shares = newShares(e.Client, e.View, e.Settings.Name, uint64(e.incarnation), e.Settings.Timing.Fence)
+	e.shares.limiter = &limiter.Limiter{
+		Snapshot: &e.snapshot,
+		Shares:   e.shares,
+		Entries:  func() int { return len(e.View().GetMembers()) },
+		Scope:    e.Meter.Scope,
+	}
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
 	e.recorder = e.newRecorder()
@@ -71,13 +82,16 @@
 	e.follower = e.newFollower()
 	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
 	group.Go(func() error { return e.coordinator.run(lasting) })
+	group.Go(func() error { return e.coordinator.messenger.run(lasting) })
 	group.Go(func() error { return e.follower.run(lasting) })
+	group.Go(func() error { return e.reporter().run(lasting) })
 	group.Go(func() error { return e.receptionist().run(lasting) })
 	group.Go(func() error { return e.operatorServer().Run(lasting) })
 	group.Go(func() error { return e.recorder.Run(lasting) })
 	group.Go(func() error { return e.Certificates.Run(lasting) })
 	group.Go(func() error { return e.peerServer().Run(lasting) })
 	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
+	group.Go(func() error { return e.shares.run(lasting) })
 	group.Go(func() error {
 		defer stopLasting()
 		return e.serveCallers(ctx, lasting)
@@ -112,7 +126,8 @@
 // entry would refuse every call that may not be repeated, so that callers saw
 // refusals just after each start.
 func (e *Entry) ready() bool {
-	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() && !fenced(&e.until)
+	return !e.stopping.Load() && e.snapshot.Load() != nil && e.recorder.Ready() && !fenced(&e.until) &&
+		e.shares.ready() && e.shares.limiter.Ready()
 }
 
 func (e *Entry) callerServer() *server.Server {
@@ -122,17 +137,21 @@
 		Log:      e.Log,
 		Scope:    e.Meter.Scope,
 		Snapshot: &e.snapshot,
+
+		Explainer: &e.book,
 		Dispatcher: &dispatcher.Dispatcher{
-			Limiter:   &limiter.Limiter{},
+			Limiter:   e.shares.limiter,
+			Budget:    &limiter.Budget{},
 			Recorder:  e.recorder,
 			Router:    e.traffic.router,
 			Exchanger: e.traffic.forwarder,
 			Observer:  e.traffic.router,
 		},
-		Ready:   e.ready,
-		Drain:   e.Settings.Timing.Drain,
-		Adopter: e,
-		Records: e.recorder,
+		Ready:      e.ready,
+		Drain:      e.Settings.Timing.Drain,
+		UnreadyFor: unreadyFor,
+		Adopter:    e,
+		Records:    e.recorder,
 	}
 }
 
@@ -143,18 +162,32 @@
 		TLS:      e.Certificates.Peers(),
 		Traffic:  e.Client.Traffic,
 	}
+	connector.Handle(server, MethodGossip, e.onGossip)
+	connector.Handle(server, MethodShare, e.shares.onShare)
 	e.recorder.Handle(server)
 	e.follower.serve(server)
 	e.handleAdoption(server)
 	return server
 }
 
+// reporter tells control of the upstreams that this entry hears.
+func (e *Entry) reporter() *reporter {
+	return &reporter{
+		client:      e.Client,
+		coordinator: e.coordinator,
+		entry:       e.Settings.Name,
+		incarnation: uint64(e.incarnation),
+		controls:    e.Settings.Control,
+	}
+}
+
 func (e *Entry) newFollower() *follower {
 	return &follower{
 		settings:    e.Settings,
 		client:      e.Client,
 		coordinator: e.coordinator,
 		incarnation: uint64(e.incarnation),
+		confirmed:   e.shares.confirm,
 		view:        &e.view,
 		stopping:    &e.leaving,
 		pusher: &distributor.Pusher{
@@ -181,6 +214,7 @@
 		Listener: e.Operators,
 		TLS:      e.Certificates.Operators(),
 		Dump:     e.dump,
+		Explain:  e.explain,
 		Ready:    e.ready,
 		Metrics:  e.Meter.Handler,
 	}
@@ -198,3 +232,8 @@
 		return nil, ctx.Err()
 	}
 }
+
+func (e *Entry) explain(call units.CallID) (any, bool) {
+	explanation := e.book.Explain(call)
+	return explanation, explanation != nil
+}
--- a/src/server/server.go
+++ b/src/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/explainer"
 	"github.com/rosecroft/rosecroft/src/indexer"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -43,6 +44,9 @@
 	Ready func() bool
 	// Drain is how long a planned stop waits for calls to finish.
 	Drain time.Duration
+	// UnreadyFor is how long a planned stop goes on taking calls while it is not
+	// ready, so that the balancer learns of it; a quarter of Drain at most.
+	UnreadyFor time.Duration
 	// BodyTimeout and WriteTimeout replace the defaults where they are set: the
 	// time for a whole request body, and for each write to a caller.
 	BodyTimeout  time.Duration
@@ -53,6 +57,8 @@
 	Adopter Adopter
 	// Records tells what became of earlier calls.
 	Records Looker
+	// Explainer may be nil.
+	Explainer *explainer.Book
 
 	meters meters
 	drain  drain
@@ -192,6 +198,7 @@
 func (s *Server) dispatch(request *http.Request, writer http.ResponseWriter, service *indexer.Service, call *dispatcher.Call) {
 	began := time.Now()
 	fillService(call, service, began)
+	s.open(call)
 	out := s.newSink(writer, call, began)
 	ctx, cancel := context.WithCancel(request.Context())
 	defer cancel()
@@ -216,6 +223,7 @@
 		outcome = "caller-gone"
 	}
 	s.count(call, outcome)
+	s.conclude(call, outcome, err)
 	s.Log.Info().
 		Str("call", string(call.ID)).
 		Str("account", string(call.Account.Name)).
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -31,8 +31,20 @@
 	PrefillPerStep units.Tokens
 	KV             KV
 	Load           Load
-	// HeardAt is when the announcement arrived here.
+	Role           string
+	LoadingVersion units.ModelVersion
+	ChecksFencing  bool
+	// HeardAt is when the announcement left the upstream, as far as is known here.
 	HeardAt time.Time
+	// Direct is set once the upstream has announced itself to this entry, last at DirectAt.
+	Direct   bool
+	DirectAt time.Time
+	// Suspected is set while the upstream is silent.
+	Suspected bool
+	// Spread is set once the suspicion has been told to others.
+	Spread bool
+	// Announcement is the message as it came; it is not changed.
+	Announcement *messages.Announcement
 	// Live is shared by all announcements of one incarnation.
 	Live *Live
 }
@@ -105,6 +117,11 @@
 	l.Others = max(0, l.Running+l.Queued-int(own))
 }
 
+// serves reports whether an upstream would take new work.
+func (u *Upstream) serves() bool {
+	return !u.Leaving && u.LoadingVersion == ""
+}
+
 func fromAnnouncement(now time.Time, a *messages.Announcement) *Upstream {
 	return &Upstream{
 		Name:         units.Upstream(a.GetUpstream()),
@@ -129,12 +146,16 @@
 			QueuedTokens: units.Tokens(a.GetLoad().GetQueuedTokens()),
 			MeasuredAt:   now.Add(-time.Duration(a.GetLoad().GetAgeMs()) * time.Millisecond),
 		},
+		Role:           a.GetRole(),
+		LoadingVersion: units.ModelVersion(a.GetLoadingVersion()),
+		ChecksFencing:  a.GetChecksFencing(),
+		HeardAt:        now,
+		Announcement:   a,
 		PrefillPerStep: units.Tokens(a.GetPrefillPerStep()),
 		KV: KV{
 			BytesPerToken:  int64(a.GetKvBytesPerToken()),
 			BytesPerSecond: int64(a.GetKvBytesPerSecond()),
 		},
-		HeardAt: now,
 		Live: &Live{
 			Since: now,
 		},
