Guard the list of a stage's processes

Cause: the failure run starts programs from several goroutines, and the race detector failed five tests that ran beside TestShortFailureRun. Change: a lock.

--- a/src/stager/process.go
+++ b/src/stager/process.go
@@ -49,6 +49,8 @@
 		_ = log.Close()
 		close(p.ended)
 	}()
+	s.processesMu.Lock()
+	defer s.processesMu.Unlock()
 	s.processes = append(s.processes, p)
 	return p, nil
 }
--- a/src/stager/stage.go
+++ b/src/stager/stage.go
@@ -48,9 +48,11 @@
 	Entries  []*Node
 
 	authority *certifier.Authority
-	processes []*Process
-	portsMu   sync.Mutex
-	ports     map[int]bool
+	// processesMu guards processes, since several goroutines start programs.
+	processesMu sync.Mutex
+	processes   []*Process
+	portsMu     sync.Mutex
+	ports       map[int]bool
 	// reserved are sockets whose names keep other stages from this one's ports.
 	reserved []net.Listener
 }
