Say 'unknown' to a resend that was refused before its record was read

Cause: an unready entry, and a limit before the record, refused a request under an Idempotency-Key with executed: no, though the first sending may have run elsewhere; its caller would have sent a charge again under a new key. Ruled out: reading the record at an unready entry, which may be cut off from the owners. Change: with a key both say unknown, with Retry-After; the load program asks again whenever it is told to.

--- a/src/cmd/measure/main.go
+++ b/src/cmd/measure/main.go
@@ -81,6 +81,7 @@
 		{name: "changes", run: bench.Changes},
 		{name: "repair", run: bench.Repair},
 		{name: "slopes", run: bench.Slopes},
+		{name: "upstreams", run: bench.Upstreams},
 		{name: "failures", run: bench.Failures},
 		{name: "cost-hearthline", run: func(ctx context.Context) (*measurer.Result, error) {
 			return bench.Cost(ctx, "hearthline")
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -112,7 +112,7 @@
 	}
 	release, err := d.admit(ctx, call)
 	if err != nil {
-		return err
+		return perhapsResent(call, err)
 	}
 	defer release()
 	return d.recorded(ctx, call, sink, d.attempted)
@@ -130,6 +130,18 @@
 	return release, nil
 }
 
+// perhapsResent keeps a limit from denying an earlier sending under the same key,
+// of which it knows nothing.
+func perhapsResent(call *Call, err error) error {
+	var refusal *Refusal
+	if !call.KeyGiven || !errors.As(err, &refusal) {
+		return err
+	}
+	corrected := *refusal
+	corrected.Executed = ExecutedUnknown
+	return &corrected
+}
+
 // admitted runs the attempts within the call's limits.
 func (d *Dispatcher) admitted(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
 	release, err := d.admit(ctx, call)
--- a/src/dispatcher/resend_test.go
+++ b/src/dispatcher/resend_test.go
@@ -86,3 +86,29 @@
 		t.Errorf("resend: got %v, want the first sending's answer", err)
 	}
 }
+
+// A call that may be repeated is sent again under its key while its account is at
+// its limit, which is asked before the record. Whether the first sending ran, the
+// limit does not know; it may say "not run" only of a call without a key.
+func TestLimitDeniesNoEarlierSending(t *testing.T) {
+	for name, c := range map[string]struct {
+		given bool
+		want  Executed
+	}{
+		"with a key":    {given: true, want: ExecutedUnknown},
+		"without a key": {want: ExecutedNo},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake := &kept{}
+			d := &Dispatcher{Limiter: fake, Recorder: fake, Router: fake, Exchanger: fake}
+			err := d.Do(t.Context(), &Call{Repeatable: true, KeyGiven: c.given, Deadline: time.Now().Add(time.Minute)}, noSink{})
+			var refusal *Refusal
+			if !errors.As(err, &refusal) {
+				t.Fatalf("error: got %v, want a refusal", err)
+			}
+			if got := refusal.Executed; got != c.want {
+				t.Errorf("executed: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -59,6 +59,30 @@
 
 // Run serves until ctx ends and the calls under way have finished.
 func (e *Entry) Run(ctx context.Context) error {
+	e.build()
+	// The parts serve until the last call has its answer, which is after ctx has
+	// ended.
+	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLasting()
+	group, lasting := errgroup.WithContext(lasting)
+	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
+	for _, part := range e.parts() {
+		group.Go(func() error { return part(lasting) })
+	}
+	group.Go(func() error {
+		defer stopLasting()
+		return e.serveCallers(ctx, lasting)
+	})
+	e.Log.Info().
+		Str("callers", e.Callers.Addr().String()).
+		Str("upstreams", e.Upstreams.Addr().String()).
+		Str("operators", e.Operators.Addr().String()).
+		Msg("started")
+	return group.Wait()
+}
+
+// build makes the parts and ties them together.
+func (e *Entry) build() {
 	e.incarnation = units.Incarnation(time.Now().UnixNano())
 	e.coordinator = newCoordinator(e.Settings, e.Log, &e.snapshot, &e.view)
 	e.coordinator.messenger = newMessenger(e.Client, e.coordinator.box, e.Meter.Scope)
@@ -71,37 +95,27 @@
 	}
 	e.traffic = newTraffic(e)
 	e.coordinator.departed = e.traffic.departed
+	e.coordinator.cacheChanged = e.traffic.router.Cached
 	e.recorder = e.newRecorder()
 	e.callers = e.callerServer()
-	e.coordinator.cacheChanged = e.traffic.router.Cached
-	// The parts below serve until the last call has its answer, which is after
-	// ctx has ended.
-	lasting, stopLasting := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopLasting()
-	group, lasting := errgroup.WithContext(lasting)
 	e.follower = e.newFollower()
-	e.coordinator.changed = func() { e.follower.pushDown(lasting) }
-	group.Go(func() error { return e.coordinator.run(lasting) })
-	group.Go(func() error { return e.coordinator.messenger.run(lasting) })
-	group.Go(func() error { return e.follower.run(lasting) })
-	group.Go(func() error { return e.reporter().run(lasting) })
-	group.Go(func() error { return e.receptionist().run(lasting) })
-	group.Go(func() error { return e.operatorServer().Run(lasting) })
-	group.Go(func() error { return e.recorder.Run(lasting) })
-	group.Go(func() error { return e.Certificates.Run(lasting) })
-	group.Go(func() error { return e.peerServer().Run(lasting) })
-	group.Go(func() error { return e.traffic.reclaimer.Run(lasting) })
-	group.Go(func() error { return e.shares.run(lasting) })
-	group.Go(func() error {
-		defer stopLasting()
-		return e.serveCallers(ctx, lasting)
-	})
-	e.Log.Info().
-		Str("callers", e.Callers.Addr().String()).
-		Str("upstreams", e.Upstreams.Addr().String()).
-		Str("operators", e.Operators.Addr().String()).
-		Msg("started")
-	return group.Wait()
+}
+
+// parts returns the loops that run beside the calls, each until its context ends.
+func (e *Entry) parts() []func(context.Context) error {
+	return []func(context.Context) error{
+		e.coordinator.run,
+		e.coordinator.messenger.run,
+		e.follower.run,
+		e.reporter().run,
+		e.receptionist().run,
+		e.operatorServer().Run,
+		e.peerServer().Run,
+		e.recorder.Run,
+		e.Certificates.Run,
+		e.traffic.reclaimer.Run,
+		e.shares.run,
+	}
 }
 
 // serveCallers serves until the planned stop or the failure of another part.
@@ -132,12 +146,11 @@
 
 func (e *Entry) callerServer() *server.Server {
 	return &server.Server{
-		Listener: e.Callers,
-		TLS:      e.Certificates.Callers(),
-		Log:      e.Log,
-		Scope:    e.Meter.Scope,
-		Snapshot: &e.snapshot,
-
+		Listener:  e.Callers,
+		TLS:       e.Certificates.Callers(),
+		Log:       e.Log,
+		Scope:     e.Meter.Scope,
+		Snapshot:  &e.snapshot,
 		Explainer: &e.book,
 		Dispatcher: &dispatcher.Dispatcher{
 			Limiter:   e.shares.limiter,
--- a/src/loader/caller.go
+++ b/src/loader/caller.go
@@ -146,18 +146,16 @@
 	_ = json.Unmarshal(content, &problem)
 	c.outcome.Detail = problem.Title + ": " + problem.Detail
 	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	// Asking again under the same key is how a caller learns what became of a
+	// call; an answer without Retry-After is the last.
 	end := reply{
 		result: Unknown,
-		again:  err == nil && problem.Executed == "no",
+		again:  err == nil,
 		pause:  min(max(resendPause, time.Duration(seconds)*time.Second), maxPause),
 	}
 	if problem.Executed == "no" {
 		end.result = NotRun
 	}
-	// Asking again under the same key is how a caller learns what became of a call.
-	if problem.Executed == "unknown" && err == nil && c.workload.Kind != Once {
-		end.again = true
-	}
 	return end
 }
 
--- a/src/measurer/repair.go
+++ b/src/measurer/repair.go
@@ -30,29 +30,40 @@
 // for good, and how a process catches up that restarts 500 changes behind.
 func (b *Bench) Repair(ctx context.Context) (*Result, error) {
 	result := b.result("repair", fmt.Sprintf("A voter of %d is killed and its disk removed; a spare takes its place after timing.repair (%s here). Then processes that restart %d changes behind.", repairVoters, repairAfter, behindChanges))
+	if err := b.withFleet(ctx, repairControls, func(o *operator) error {
+		return b.repairs(ctx, result, o)
+	}); err != nil {
+		return nil, err
+	}
+	// Without spares nobody takes the place of the one that is behind.
+	err := b.withFleet(ctx, repairVoters, func(o *operator) error {
+		return b.behind(ctx, result, o)
+	})
+	return result, err
+}
+
+// withFleet runs a part of the experiment on a small fleet of its own.
+func (b *Bench) withFleet(ctx context.Context, controls int, part func(*operator) error) error {
 	stage, remove, err := b.stage()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer remove()
 	stage.Voters = repairVoters
 	stage.Timing.Repair = repairAfter
 	d := b.deployment("hearthline")
-	d.Controls = repairControls
+	d.Controls = controls
 	d.Entries = 2
 	d.Pools[0].Count = 1
 	d.Pools[1].Count = 1
 	if _, err := d.Start(ctx, stage); err != nil {
-		return nil, err
+		return err
 	}
 	o, err := newOperator(d, stage)
 	if err != nil {
-		return nil, err
-	}
-	if err := b.repairs(ctx, result, o); err != nil {
-		return nil, err
+		return err
 	}
-	return result, b.behind(ctx, result, o)
+	return part(o)
 }
 
 func (b *Bench) repairs(ctx context.Context, result *Result, o *operator) error {
--- a/src/server/intake.go
+++ b/src/server/intake.go
@@ -43,13 +43,7 @@
 func (s *Server) identify(request *http.Request) (*indexer.Snapshot, units.Brand, *parser.ClientAccount, *dispatcher.Refusal) {
 	snapshot := s.Snapshot.Load()
 	if snapshot == nil || !s.takes() {
-		return nil, "", nil, &dispatcher.Refusal{
-			Status:     http.StatusServiceUnavailable,
-			Kind:       dispatcher.ProblemUnready,
-			Detail:     "this entry takes no calls now",
-			Executed:   dispatcher.ExecutedNo,
-			RetryAfter: unreadyRetry,
-		}
+		return nil, "", nil, unready(request)
 	}
 	brand, known := snapshot.Brand(request.Host)
 	if !known {
@@ -69,6 +63,18 @@
 	return snapshot, brand, account, nil
 }
 
+// unready refuses a request that this entry does not look at. One that bears an
+// Idempotency-Key may be a resend: its caller takes "not run" for the call's end,
+// and would be wrong where the first sending ran elsewhere.
+func unready(request *http.Request) *dispatcher.Refusal {
+	refusal := refusalOf(http.StatusServiceUnavailable, dispatcher.ProblemUnready, "this entry takes no calls now")
+	refusal.RetryAfter = unreadyRetry
+	if request.Header.Get(headerKey) != "" {
+		refusal.Executed = dispatcher.ExecutedUnknown
+	}
+	return refusal
+}
+
 // accept identifies the caller and reads the whole request.
 func (s *Server) accept(id units.CallID, request *http.Request, writer http.ResponseWriter) (*indexer.Snapshot, *dispatcher.Call, *dispatcher.Refusal) {
 	snapshot, brand, account, refusal := s.identify(request)
--- a/src/server/server_test.go
+++ b/src/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -100,6 +101,7 @@
 		want                                                    int
 		kind                                                    dispatcher.ProblemKind
 		again                                                   bool
+		executed                                                dispatcher.Executed
 	}{
 		"bad JSON":          {body: "{", want: 400, kind: dispatcher.ProblemBadRequest},
 		"no body":           {body: "", want: 400, kind: dispatcher.ProblemBadRequest},
@@ -123,6 +125,10 @@
 		"not JSON":      {contentType: "text/plain", body: okBody, want: 415, kind: dispatcher.ProblemMediaType},
 		"unknown brand": {host: "x.example", body: okBody, want: 421, kind: dispatcher.ProblemUnknownHost},
 		"unready":       {unready: true, body: okBody, want: 503, kind: dispatcher.ProblemUnready, again: true},
+		"unready, may be a resend": {
+			unready: true, idempotency: "k", body: okBody, want: 503, kind: dispatcher.ProblemUnready, again: true,
+			executed: dispatcher.ExecutedUnknown,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -155,8 +161,9 @@
 			if response.StatusCode != c.want || got.Status != c.want || got.Title != string(c.kind) {
 				t.Errorf("problem: got %d %+v, want %d %s", response.StatusCode, got, c.want, c.kind)
 			}
-			if got.Executed != dispatcher.ExecutedNo || ran.Load() {
-				t.Errorf("executed: got %q and ran %t, want no and not run", got.Executed, ran.Load())
+			wantExecuted := cmp.Or(c.executed, dispatcher.ExecutedNo)
+			if got.Executed != wantExecuted || ran.Load() {
+				t.Errorf("executed: got %q and ran %t, want %q and not run", got.Executed, ran.Load(), wantExecuted)
 			}
 			if id := response.Header.Get(headerCallID); id == "" || id != got.Instance {
 				t.Errorf("call id: got %q in the header and %q in the body, want the same", id, got.Instance)
