Renew the shares of idle limits once a second

Cause: with up to 32 entries each asks the lenders of all limits four times a second, calls or not; the slopes showed 102 messages a second for an entry of 16 and 54 for one of 64, which asks for limits in use alone.

--- a/src/entry/shares.go
+++ b/src/entry/shares.go
@@ -24,6 +24,9 @@
 	// smallView is the size up to which entries ask for all limits, so that each
 	// has an equal share of an idle one; in a larger view they ask as calls come.
 	smallView = 32
+	// idleRenewal is how many renewals apart a limit without calls takes part; its
+	// lease lasts for twice as long.
+	idleRenewal = 4
 )
 
 // shares lends and borrows shares of limits; one lock guards both machines.
@@ -31,6 +34,8 @@
 	client  *connector.Client
 	view    func() *messages.EntryView
 	limiter *limiter.Limiter
+	// renewals counts the rounds of renewal.
+	renewals int
 
 	mu       sync.Mutex
 	lender   *lender.Lender
@@ -71,9 +76,10 @@
 
 func (s *shares) renew(ctx context.Context) {
 	wanted := make(map[string]borrower.Demand)
-	small := len(s.view().GetMembers()) <= smallView
+	s.renewals++
+	idleToo := len(s.view().GetMembers()) <= smallView && s.renewals%idleRenewal == 0
 	for limit, demand := range s.limiter.Renew(time.Now()) {
-		if !small && demand == (limiter.Demand{}) {
+		if !idleToo && demand == (limiter.Demand{}) {
 			continue
 		}
 		wanted[limit] = borrower.Demand{
