--- a/src/cmd/measure/main.go
+++ b/src/cmd/measure/main.go
@@ -22,6 +22,7 @@
 	Root    string   `help:"Folder of the repository." default:"."`
 	Seed    uint64   `help:"Seed of the load." default:"1"`
 	Quick   bool     `help:"Run short trials and keep no figures."`
+	Render  bool     `help:"Run nothing and write the page of the kept figures anew."`
 }
 
 // experiment is one named measurement.
@@ -44,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if chosen.Render {
+		return measurer.Render(root)
+	}
 	bench := &measurer.Bench{
 		Root:    root,
 		Program: chosen.Program,
--- a/src/measurer/policy.go
+++ b/src/measurer/policy.go
@@ -34,6 +34,9 @@
 	waveNotice       = 3 * time.Second
 )
 
+// waveNote says what one wave cannot show.
+const waveNote = "One wave with few streams is a small sample. Each entry's round-robin begins at the same engine, and with so few calls it hardly reaches the engines that leave, so that its count is no baseline here; compare with least-loaded."
+
 var policies = []parser.Policy{parser.PrefixCost, parser.RoundRobin, parser.LeastLoaded}
 
 // trial is one run of one policy on one size of fleet.
@@ -98,6 +101,7 @@
 // policy on the full fleet.
 func (b *Bench) Wave(ctx context.Context, name string) (*Result, error) {
 	result := b.result("wave-"+name, fmt.Sprintf("A wave takes a data centre's engines back on a notice of %s, %s: streams of %d tokens with long shared prompts, on the full fleet. One run for each policy, in which a few streams are on the engines that leave.", waveNotice, name, waveOutputTokens))
+	result.Note = waveNote
 	rate, engines := fullLoad(name)
 	var waves []*trial
 	for _, policy := range policies {
