Write the record's refusals through one constructor

Cause: seven literals of one shape stood in one file. Change: refuse and comeBack. Measured: src/recorder and the record's tests of src/prover passed with -race.

--- a/src/recorder/refusal.go
+++ b/src/recorder/refusal.go
@@ -13,71 +13,57 @@
 var errUnreachable = errors.New("the record of calls cannot be reached; ask again or ask another entry")
 
 func conflict() *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:   http.StatusUnprocessableEntity,
-		Kind:     dispatcher.ProblemConflict,
-		Detail:   "another request was sent under this Idempotency-Key; use a new key for a new request",
-		Executed: dispatcher.ExecutedNo,
-	}
+	return refuse(http.StatusUnprocessableEntity, dispatcher.ProblemConflict, dispatcher.ExecutedNo,
+		"another request was sent under this Idempotency-Key; use a new key for a new request")
 }
 
 func unknown() *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:   http.StatusBadGateway,
-		Kind:     dispatcher.ProblemLost,
-		Detail:   "a call with this Idempotency-Key may have run and its answer is lost; ask the service what became of it before you send it under a new key",
-		Executed: dispatcher.ExecutedUnknown,
-	}
+	return refuse(http.StatusBadGateway, dispatcher.ProblemLost, dispatcher.ExecutedUnknown,
+		"a call with this Idempotency-Key may have run and its answer is lost; ask the service what became of it before you send it under a new key")
 }
 
 func forgotten() *dispatcher.Refusal {
-	refusal := unknown()
-	refusal.Detail = "the call with this Idempotency-Key has run and its answer is no longer kept; raise record.keep-bytes to keep more"
-	return refusal
+	return refuse(http.StatusBadGateway, dispatcher.ProblemLost, dispatcher.ExecutedUnknown,
+		"the call with this Idempotency-Key has run and its answer is no longer kept; raise record.keep-bytes to keep more")
 }
 
 func stillRuns() *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:     http.StatusGatewayTimeout,
-		Kind:       dispatcher.ProblemDeadline,
-		Detail:     "an earlier call with this key still runs; send it again to get its answer",
-		Executed:   dispatcher.ExecutedUnknown,
-		RetryAfter: retryAfter,
-	}
+	return comeBack(refuse(http.StatusGatewayTimeout, dispatcher.ProblemDeadline, dispatcher.ExecutedUnknown,
+		"an earlier call with this key still runs; send it again to get its answer"))
 }
 
 func overtaken() *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Kind:       dispatcher.ProblemLost,
-		Detail:     "another entry took this Idempotency-Key over; send the call again to get its answer",
-		Executed:   dispatcher.ExecutedUnknown,
-		RetryAfter: retryAfter,
-	}
+	return comeBack(refuse(http.StatusServiceUnavailable, dispatcher.ProblemLost, dispatcher.ExecutedUnknown,
+		"another entry took this Idempotency-Key over; send the call again to get its answer"))
 }
 
 func lateRefusal() *dispatcher.Refusal {
-	return &dispatcher.Refusal{
-		Status:     http.StatusGatewayTimeout,
-		Kind:       dispatcher.ProblemDeadline,
-		Detail:     "the time to dispatch the call passed before an upstream got it",
-		Executed:   dispatcher.ExecutedNo,
-		RetryAfter: retryAfter,
-	}
+	return comeBack(refuse(http.StatusGatewayTimeout, dispatcher.ProblemDeadline, dispatcher.ExecutedNo,
+		"the time to dispatch the call passed before an upstream got it"))
 }
 
 // withoutRecord refuses a call whose record cannot be reached. This entry did not
 // run it; whether another did under the same key, nobody can say without the record.
 func withoutRecord(call *dispatcher.Call) *dispatcher.Refusal {
-	refusal := &dispatcher.Refusal{
-		Status:     http.StatusServiceUnavailable,
-		Kind:       dispatcher.ProblemRecord,
-		Detail:     "the record of calls cannot be reached; send the call again under the same Idempotency-Key",
-		Executed:   dispatcher.ExecutedNo,
-		RetryAfter: retryAfter,
-	}
+	executed := dispatcher.ExecutedNo
 	if call.KeyGiven {
-		refusal.Executed = dispatcher.ExecutedUnknown
+		executed = dispatcher.ExecutedUnknown
 	}
+	return comeBack(refuse(http.StatusServiceUnavailable, dispatcher.ProblemRecord, executed,
+		"the record of calls cannot be reached; send the call again under the same Idempotency-Key"))
+}
+
+func refuse(status int, kind dispatcher.ProblemKind, executed dispatcher.Executed, detail string) *dispatcher.Refusal {
+	return &dispatcher.Refusal{
+		Status:   status,
+		Kind:     kind,
+		Detail:   detail,
+		Executed: executed,
+	}
+}
+
+// comeBack tells the caller when to send the call again.
+func comeBack(refusal *dispatcher.Refusal) *dispatcher.Refusal {
+	refusal.RetryAfter = retryAfter
 	return refusal
 }
