Say that round-robin's 0 in a wave is not explained

Change: the notes name it as a possibility only. Ruled out: nothing yet; the next step is a wave that lists each engine's streams at its stop.

--- a/src/measurer/policy.go
+++ b/src/measurer/policy.go
@@ -35,7 +35,7 @@
 )
 
 // waveNote says what one wave cannot show.
-const waveNote = "One wave with few streams is a small sample. Each entry's round-robin begins at the same engine, and with so few calls it hardly reaches the engines that leave, so that its count is no baseline here; compare with least-loaded."
+const waveNote = "One wave with few streams is a small sample. Round-robin's 0 is not explained: each entry's turn begins at the same engine, so that few of its calls may have reached the engines that left, but no run has shown that this is the cause."
 
 var policies = []parser.Policy{parser.PrefixCost, parser.RoundRobin, parser.LeastLoaded}
 
