--- /dev/null
+++ b/src/apportioner/apportioner_test.go
@@ -0,0 +1,180 @@
+package apportioner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	window = Window{Length: 8 * time.Second, Overage: 0.1, Slack: 140_000}
+)
+
+// fleet is a few entries that poll one divider.
+type fleet struct {
+	account *matcher.Account
+	divider *Divider
+	meters  []*Meter
+	ran     []run
+}
+
+type run struct {
+	at   time.Time
+	size float64
+}
+
+func newFleet(entries int) *fleet {
+	f := &fleet{
+		account: &matcher.Account{Name: "hot", ByTokens: true, Rate: 200_000, Burst: 200_000},
+		divider: &Divider{Lease: 4 * time.Second, Since: start.Add(-time.Hour)},
+	}
+	for range entries {
+		f.meters = append(f.meters, &Meter{Window: window})
+	}
+	return f
+}
+
+func (f *fleet) poll(now time.Time, i int) {
+	name := units.Instance(fmt.Sprint(i))
+	f.divider.Hear(now, name, f.meters[i].Demand(now))
+	if part, known := f.divider.Part(now, name, f.account.Name); known {
+		f.meters[i].SetPart(now, f.account, part, 1/float64(f.divider.Entries(now)))
+	}
+}
+
+func (f *fleet) call(now time.Time, i int, size float64) bool {
+	_, admitted := f.meters[i].Admit(now, f.account, size)
+	if admitted {
+		f.ran = append(f.ran, run{at: now, size: size})
+	}
+	return admitted
+}
+
+// most returns the most that ran in any window.
+func (f *fleet) most() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, r := range f.ran {
+		sum += r.size
+		for r.at.Sub(f.ran[first].at) > window.Length {
+			sum -= f.ran[first].size
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func (f *fleet) allowed() float64 {
+	return (f.account.Rate*window.Length.Seconds()+f.account.Burst)*(1+window.Overage) + window.Slack
+}
+
+// One account sends several times its limit through a few entries, and the
+// entries change. Over all entries together no window may run more than the limit
+// allows, and most of the limit must be usable.
+func TestHotAccountIsHeldToItsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 9).Draw(t, "entries"))
+		times := rapid.Float64Range(1.5, 8).Draw(t, "times")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		weights := make([]float64, len(f.meters))
+		for i := range weights {
+			weights[i] = random.Float64() * random.Float64()
+		}
+		const step = 10 * time.Millisecond
+		const mean = 3000.0
+		now := start
+		for n := range 3000 {
+			now = now.Add(step)
+			if n%20 == 0 {
+				for i := range f.meters {
+					f.poll(now, i)
+				}
+			}
+			if n == 1500 {
+				weights[0], weights[1] = weights[1], weights[0]
+			}
+			total := 0.0
+			for _, w := range weights {
+				total += w
+			}
+			for i, w := range weights {
+				expected := times * f.account.Rate * step.Seconds() * w / total / mean
+				for random.Float64() < expected {
+					expected--
+					f.call(now, i, mean*2*random.Float64())
+				}
+			}
+		}
+		if got, want := f.most(), f.allowed(); got > want {
+			t.Fatalf("ran in one window: got %.0f tokens, want at most %.0f", got, want)
+		}
+		ran := 0.0
+		for _, r := range f.ran {
+			ran += r.size
+		}
+		if got, want := ran, 0.85*f.account.Rate*30; got < want {
+			t.Fatalf("ran in all: got %.0f tokens, want at least %.0f", got, want)
+		}
+	})
+}
+
+// An account well within its limit comes in clumps at one entry after the other.
+// Nothing of it may be refused for long.
+func TestClumpsWithinTheLimitRun(t *testing.T) {
+	f := newFleet(9)
+	random := rand.New(rand.NewPCG(7, 7))
+	now := start
+	asked, refused := 0, 0
+	for n := range 4000 {
+		now = now.Add(10 * time.Millisecond)
+		if n%20 == 0 {
+			for i := range f.meters {
+				f.poll(now, i)
+			}
+		}
+		// Half of the limit on average, in clumps of three.
+		if random.Float64() < 0.11 {
+			i := random.IntN(len(f.meters))
+			for range 3 {
+				asked++
+				if !f.call(now, i, 3000) {
+					refused++
+				}
+			}
+		}
+	}
+	if got, want := refused, asked/50; got > want {
+		t.Errorf("refused: got %d of %d, want at most %d", got, asked, want)
+	}
+}
+
+// A call that is larger than an entry's whole part must run at some time.
+func TestLargeCallIsNotStarved(t *testing.T) {
+	m := &Meter{Window: window}
+	account := &matcher.Account{Name: "a", Rate: 1000, Burst: 1000}
+	if _, admitted := m.Admit(start, account, 1e9); !admitted {
+		t.Error("large call at a full bucket: got refused, want admitted")
+	}
+	if wait, admitted := m.Admit(start, account, 10); admitted || wait <= 0 {
+		t.Errorf("call behind it: got admitted %t after %v, want refused with a wait", admitted, wait)
+	}
+}
+
+func TestNewLeaderLeavesPartsAlone(t *testing.T) {
+	d := &Divider{Lease: time.Second, Since: start}
+	d.Hear(start, "e1", map[units.Account]float64{"a": 1})
+	if _, known := d.Part(start.Add(time.Second), "e1", "a"); known {
+		t.Error("part soon after the election: got one, want none")
+	}
+	d.Hear(start.Add(2*time.Second), "e1", map[units.Account]float64{"a": 1})
+	if got, known := d.Part(start.Add(2*time.Second), "e1", "a"); !known || got != 1 {
+		t.Errorf("part: got %v %t, want 1", got, known)
+	}
+}
--- a/src/dispatcher/backoff.go
+++ b/src/dispatcher/backoff.go
@@ -28,7 +28,14 @@
 // Without the budget, upstreams that refuse under load would get each call
 // several times over and refuse more.
 func (d *Dispatcher) mayRetry(ctx context.Context, call *Call, stream *Stream, so *attempts) bool {
-	if so.fruitless == 0 || so.next != nil || stream.Offset() > 0 {
+	if stream.Offset() > call.From {
+		if d.Budget != nil && so.used > 0 && so.next == nil {
+			// It counts, so that calls without an answer leave room for it.
+			_ = d.Budget.Spend(call.Service)
+		}
+		return true
+	}
+	if so.fruitless == 0 || so.next != nil {
 		return true
 	}
 	if d.Budget != nil && !d.Budget.Spend(call.Service) {
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -27,10 +27,12 @@
 	Kind    parser.ServiceKind
 	Policy  parser.Policy
 	Method  string
-	Path    string
-	Query   string
-	Header  http.Header
-	Body    []byte
+	// Host is the host that the caller asked for, where it matters to the upstream.
+	Host   string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
 	// RecordedBody is the body that the caller sent, where it differs from Body.
 	RecordedBody []byte
 	Deadline     time.Time
@@ -45,10 +47,33 @@
 	MaxOutput units.Tokens
 	// Blocks are chained hashes over the prompt's whole blocks.
 	Blocks []uint64
+	// Parts are the parts of the prompt in order, where the caller names them.
+	Parts []Part
+	// From is how much of the stream the caller has from an earlier call.
+	From units.Tokens
+	// MaxAttempts bounds the upstreams that the call may be sent to, 0 for no bound.
+	MaxAttempts int
+	// Target is the time to the answer or its first event that callers want, 0 for none.
+	Target time.Duration
+	// Urgency ranks the call, 0 first.
+	Urgency int
+	// Credential is the key that the caller showed, "" for none.
+	Credential string
+	// Expires is the deadline on the clock that goes on while the instance is
+	// suspended, zero where only Deadline counts.
+	Expires time.Time
+	// Size is what the call counts for against its account's limit.
+	Size float64
 	// Trail may be nil.
 	Trail Trail
 }
 
+// Part is one part of a prompt; calls share all but the last.
+type Part struct {
+	ID     uint64
+	Tokens units.Tokens
+}
+
 // Answer is a whole answer.
 type Answer struct {
 	Status int
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -35,6 +35,9 @@
 	Moved
 	// Broken means that the stream is lost and can go on nowhere.
 	Broken
+	// Failed means that the upstream ran the call and answered with a failure of
+	// its own, which Answer holds.
+	Failed
 )
 
 // Result is the end of one exchange.
@@ -163,14 +166,18 @@
 		return sink.Answer(earlier)
 	}
 	running := ctx
-	if !call.Repeatable {
+	if !call.Repeatable && (!call.Stream || call.KeyGiven) {
 		// A charge that runs is not undone by a caller who hangs up; the answer
-		// is kept for the resend instead.
+		// is kept for the resend instead. A stream without a key can be collected
+		// by nobody, and its upstream would go on for nobody.
 		lasting, stop := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
 		defer stop()
 		running = lasting
 	}
-	answer, err := run(running, call, &Stream{Sink: sink})
+	answer, err := run(running, call, &Stream{
+		Sink:   sink,
+		offset: call.From,
+	})
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -193,6 +200,26 @@
 	// next is the upstream that a planned move leads to.
 	next      *tracker.Upstream
 	fruitless int
+	// used is how many attempts may have run.
+	used int
+	// failure is an upstream's own failure, which is a better answer than a
+	// refusal where no later attempt brings a success.
+	failure *Answer
+}
+
+// mostResumes is how often a stream under way goes on elsewhere beyond the
+// attempts of its call: the upstreams that it loses have ended, and its caller
+// has half an answer.
+const mostResumes = 3
+
+// exhausted reports whether the call may run at no further upstream; those that
+// provably did not run it do not count.
+func (so *attempts) exhausted(call *Call, stream *Stream) bool {
+	most := call.MaxAttempts
+	if stream.Offset() > call.From {
+		most = max(most, 1+mostResumes)
+	}
+	return call.MaxAttempts > 0 && so.used >= most
 }
 
 func (d *Dispatcher) attempted(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
@@ -201,7 +228,7 @@
 		wait: retryAfter,
 	}
 	for attempt := units.Attempt(1); so.fruitless < maxFruitless; attempt++ {
-		if !d.mayRetry(ctx, call, stream, so) {
+		if so.exhausted(call, stream) || !d.mayRetry(ctx, call, stream, so) {
 			break
 		}
 		upstream, err := d.choose(ctx, call, stream, so)
@@ -232,6 +259,9 @@
 			so.fruitless = 0
 		}
 	}
+	if so.failure != nil && stream.Offset() == 0 {
+		return so.failure, nil
+	}
 	return nil, noUpstreamRefusal(so.ran, so.wait)
 }
 
@@ -245,15 +275,21 @@
 	case Broken:
 		return lostRefusal()
 	case Moved:
+		so.used++
 		so.ran = ExecutedUnknown
 		so.next = result.Next
 	case NotRun:
 		so.wait = max(so.wait, result.RetryAfter)
 	case Lost:
+		so.used++
 		so.ran = ExecutedUnknown
 		if !call.Repeatable {
 			return lostRefusal()
 		}
+	case Failed:
+		so.used++
+		so.ran = ExecutedUnknown
+		so.failure = result.Answer
 	case Answered:
 	}
 	return so.ended(ctx)
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -83,3 +83,10 @@
 	s.ended = s.ended || closing
 	return s.Sink.Event(offset, data)
 }
+
+// Beside passes on an event that has no place of its own and stands behind the
+// last one that was passed on.
+func (s *Stream) Beside(data []byte) error {
+	s.opened = true
+	return s.Sink.Event(s.offset, data)
+}
--- a/src/dispatcher/trail.go
+++ b/src/dispatcher/trail.go
@@ -45,6 +45,8 @@
 		return "moved"
 	case Broken:
 		return "broken"
+	case Failed:
+		return "failed"
 	}
 	return "unknown"
 }
--- /dev/null
+++ b/src/enroller/registration.go
@@ -0,0 +1,78 @@
+package enroller
+
+import (
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// State says whether an upstream takes new work.
+type State int
+
+// The states, in the only order in which one incarnation goes through them.
+const (
+	Ready State = iota + 1
+	Leaving
+	Gone
+)
+
+// String returns the state's name as logs and dumps show it.
+func (s State) String() string {
+	return [...]string{"unknown", "ready", "leaving", "gone"}[s]
+}
+
+// Registration is what one heartbeat said.
+type Registration struct {
+	ID         units.Upstream
+	Service    units.Service
+	Address    string
+	DataCentre units.DataCentre
+	Slots      int
+	State      State
+	// Born is when the incarnation started, in milliseconds of Unix time.
+	Born     units.Incarnation
+	Sequence uint64
+	// ColdFor is how much longer it is slow after its start.
+	ColdFor     time.Duration
+	Reclaimable bool
+	// LeavesIn is how long it still runs, 0 where nobody knows.
+	LeavesIn time.Duration
+	// Silent says that no heartbeat came for several intervals.
+	Silent bool
+}
+
+func fromMessage(m *messages.RegisteredUpstream) Registration {
+	return Registration{
+		ID:          units.Upstream(m.GetId()),
+		Service:     units.Service(m.GetService()),
+		Address:     m.GetAddress(),
+		DataCentre:  units.DataCentre(m.GetDataCentre()),
+		Slots:       int(m.GetSlots()),
+		State:       State(m.GetState()),
+		Born:        units.Incarnation(m.GetBornMs()),
+		Sequence:    m.GetSequence(),
+		ColdFor:     time.Duration(m.GetColdMs()) * time.Millisecond,
+		Reclaimable: m.GetReclaimable(),
+		LeavesIn:    time.Duration(m.GetLeavesMs()) * time.Millisecond,
+		Silent:      m.GetSilent(),
+	}
+}
+
+func (r *Registration) message(age time.Duration) *messages.RegisteredUpstream {
+	return &messages.RegisteredUpstream{
+		Id:          string(r.ID),
+		Service:     string(r.Service),
+		Address:     r.Address,
+		DataCentre:  string(r.DataCentre),
+		Slots:       int64(r.Slots),
+		State:       messages.RegistrationState(r.State),
+		BornMs:      int64(r.Born),
+		Sequence:    r.Sequence,
+		ColdMs:      max(0, r.ColdFor-age).Milliseconds(),
+		Reclaimable: r.Reclaimable,
+		LeavesMs:    max(0, r.LeavesIn-age).Milliseconds(),
+		AgeMs:       age.Milliseconds(),
+		Silent:      r.Silent,
+	}
+}
--- /dev/null
+++ b/src/gateway/poller.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/governor"
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	// pollInterval keeps what an entry knows a quarter of a second old, which is
+	// a small part of every period that it must keep to.
+	pollInterval = 200 * time.Millisecond
+	// pollTimeout lets a control instance that does not answer cost two polls.
+	pollTimeout = 450 * time.Millisecond
+	// leaseUse is the part of the revocation period for which an entry serves
+	// calls with keys after it last heard the leader; the rest covers the way of
+	// a call to its upstream.
+	leaseUse = 0.88
+	// readyUse is the part of the revocation period after which an entry that
+	// has not heard the leader asks the balancer for no more callers.
+	readyUse = 0.6
+)
+
+// poller follows control; one goroutine owns it.
+type poller struct {
+	gateway   *Gateway
+	table     *enroller.Table
+	upstreams upstreams
+	controls  []string
+	next      int
+	leader    string
+	tableID   uint64
+	cursor    uint64
+	declared  *matcher.Table
+	version   units.Version
+	world     world
+	lost      bool
+}
+
+func (p *poller) run(ctx context.Context) {
+	p.controls = slices.Clone(*p.gateway.seeds.Load())
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// round asks control instances until one that leads has answered, each once.
+func (p *poller) round(ctx context.Context) {
+	asked := make(map[string]bool)
+	for range len(p.controls) + 1 {
+		address := p.target(asked)
+		if address == "" || ctx.Err() != nil {
+			break
+		}
+		asked[address] = true
+		if p.ask(ctx, address) {
+			p.regained(address)
+			return
+		}
+	}
+	p.lose()
+}
+
+// target returns the leader as far as it is known, else the next instance that
+// was not asked in this round.
+func (p *poller) target(asked map[string]bool) string {
+	if p.leader != "" && !asked[p.leader] {
+		return p.leader
+	}
+	for range p.controls {
+		p.next++
+		if address := p.controls[p.next%len(p.controls)]; !asked[address] {
+			return address
+		}
+	}
+	return ""
+}
+
+// ask polls one instance and reports whether it leads.
+func (p *poller) ask(ctx context.Context, address string) bool {
+	sentAt := timekeeper.Now()
+	callContext, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	response := &messages.EntryPollResponse{}
+	if err := p.gateway.Client.Call(callContext, address, governor.MethodPoll, p.poll(sentAt), response); err != nil {
+		if p.leader == address {
+			p.gateway.Log.Warn().Err(err).Str("control", address).Msg("leader-not-reached")
+			p.leader = ""
+		}
+		return false
+	}
+	p.take(sentAt, response)
+	return response.GetLeads()
+}
+
+func (p *poller) poll(now time.Time) *messages.EntryPoll {
+	g := p.gateway
+	poll := &messages.EntryPoll{
+		Entry:              string(g.Settings.Name),
+		Incarnation:        uint64(g.incarnation),
+		DataCentre:         string(g.Settings.DataCentre),
+		WallNs:             time.Now().UnixNano(),
+		DeclarationVersion: uint64(p.version),
+		TableId:            p.tableID,
+		TableCursor:        p.cursor,
+		Serving:            !g.stopping.Load(),
+	}
+	for _, c := range g.counter.Counts(now.Add(p.world.trueOffset)) {
+		poll.Usage = append(poll.Usage, &messages.WindowUsage{
+			Window:  int64(c.Window),
+			Account: string(c.Account),
+			Count:   c.Calls,
+		})
+	}
+	for account, demand := range g.quota.Demand(now) {
+		poll.Demand = append(poll.Demand, &messages.AccountDemand{
+			Account:         string(account),
+			TokensPerSecond: demand,
+		})
+	}
+	poll.Loads = g.figures.loads(now)
+	return poll
+}
+
+// take adopts what an instance answered. Upstreams and configurations count from
+// any of them, since they never go back; the lease, the parts of limits and the
+// time only from the one that leads.
+func (p *poller) take(sentAt time.Time, r *messages.EntryPollResponse) {
+	now := timekeeper.Now()
+	p.leader = r.GetLeader()
+	p.learn(r.GetControls())
+	changed := p.adopt(r.GetDeclaration())
+	for _, m := range r.GetUpstreams() {
+		if p.table.Follow(now, m) {
+			changed = true
+			p.gateway.logUpstream(m)
+		}
+	}
+	p.tableID = r.GetTableId()
+	p.cursor = r.GetTableCursor()
+	if r.GetLeads() {
+		p.obey(now, sentAt, r)
+	}
+	if changed || p.world.fleet == nil {
+		p.world.fleet = p.upstreams.fleet(now, p.table, p.gateway.placer)
+		p.gateway.placer.Keep(p.world.fleet)
+	}
+	next := p.world
+	p.gateway.world.Store(&next)
+}
+
+func (p *poller) obey(now, sentAt time.Time, r *messages.EntryPollResponse) {
+	// The lease counts from the sending: what the leader knew then it may have
+	// changed by the time its answer arrives.
+	p.world.lease = sentAt.Add(time.Duration(leaseUse * float64(p.gateway.Settings.Revocation)))
+	p.world.trueOffset = time.Unix(0, r.GetTrueTimeNs()).Sub(now)
+	p.world.entries = max(1, int(r.GetEntries()))
+	p.gateway.budget.SetEntries(p.world.entries)
+	if p.declared == nil {
+		return
+	}
+	for _, share := range r.GetShares() {
+		account := p.declared.Account(units.Account(share.GetAccount()))
+		if account != nil && account.Rate > 0 {
+			p.gateway.quota.SetPart(now, account, share.GetPart(), 1/float64(p.world.entries))
+		}
+	}
+}
+
+// learn remembers control instances, those of the settings first: they may be
+// gone, and may be all that is left after the others are.
+func (p *poller) learn(controls []string) {
+	if len(controls) == 0 {
+		return
+	}
+	known := slices.Clone(*p.gateway.seeds.Load())
+	for _, address := range controls {
+		if !slices.Contains(known, address) {
+			known = append(known, address)
+		}
+	}
+	p.controls = known
+}
+
+// adopt takes over a newer configuration; one that cannot be read leaves the last
+// in force.
+func (p *poller) adopt(d *messages.Declaration) bool {
+	version := units.Version(d.GetVersion())
+	if d == nil || version <= p.version {
+		return false
+	}
+	declaration, err := p.gateway.Decode(d.GetDocument())
+	if err != nil {
+		p.gateway.Log.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration-unreadable")
+		return false
+	}
+	p.version = version
+	p.declared = matcher.NewTable(declaration)
+	p.world.table = p.declared
+	p.gateway.quota.Resize(timekeeper.Now(), p.declared)
+	p.gateway.Log.Info().
+		Uint64("version", uint64(version)).
+		Int("routes", len(declaration.Routes)).
+		Int("accounts", len(declaration.Accounts)).
+		Msg("configuration-in-force")
+	return true
+}
+
+func (p *poller) regained(address string) {
+	if p.lost {
+		p.gateway.Log.Info().Str("control", address).Msg("control-regained")
+	}
+	p.lost = false
+}
+
+func (p *poller) lose() {
+	if !p.lost {
+		p.gateway.Log.Warn().
+			Str("controls", fmt.Sprint(p.controls)).
+			Msg("control-lost")
+	}
+	p.lost = true
+}
+
+// newClient returns a client without TLS, since the platform's network has none
+// between the system's own instances.
+func newClient() *connector.Client { return &connector.Client{} }
--- /dev/null
+++ b/src/gateway/world.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// world is what an entry goes by; it is not changed once published.
+type world struct {
+	table   *matcher.Table
+	fleet   placer.Fleet
+	entries int
+	// lease is until when calls with keys may be served, on the clock that goes
+	// on while the instance is suspended.
+	lease time.Time
+	// trueOffset is the time of day that all agree on, less that clock.
+	trueOffset time.Duration
+}
+
+// upstreams turns the table of upstreams into the candidates of each service and
+// keeps what is under way at those that stay.
+type upstreams struct {
+	live map[liveKey]*tracker.Live
+}
+
+type liveKey struct {
+	name units.Upstream
+	born units.Incarnation
+}
+
+// fleet returns the upstreams that take new calls.
+func (u *upstreams) fleet(now time.Time, table *enroller.Table, p *placer.Placer) placer.Fleet {
+	fleet := make(placer.Fleet)
+	kept := make(map[liveKey]*tracker.Live)
+	for _, e := range table.Entries() {
+		key := liveKey{
+			name: e.ID,
+			born: e.Born,
+		}
+		live := u.live[key]
+		if live == nil {
+			live = &tracker.Live{Since: now}
+		}
+		kept[key] = live
+		if e.State != enroller.Ready {
+			continue
+		}
+		fleet[e.Service] = append(fleet[e.Service], p.Candidate(&tracker.Upstream{
+			Name:        e.ID,
+			Service:     e.Service,
+			Address:     e.Address,
+			DataCentre:  e.DataCentre,
+			Reclaimable: e.Reclaimable,
+			Incarnation: e.Born,
+			Sequence:    e.Sequence,
+			Slots:       e.Slots,
+			HeardAt:     e.HeardAt,
+			Live:        live,
+		}, e.ColdFor > 0, e.Silent))
+	}
+	u.live = kept
+	return fleet
+}
--- /dev/null
+++ b/src/governor/coordinator.go
@@ -0,0 +1,478 @@
+package governor
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosecroft/rosecroft/src/apportioner"
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/keeper"
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/replicator"
+	"github.com/rosecroft/rosecroft/src/tallier"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	boxSize      = 1024
+	tickInterval = 20 * time.Millisecond
+	// spreadTicks is how many ticks gather heartbeats into one batch.
+	spreadTicks = 2
+	// heartbeat and election suit links of a few milliseconds and disks that sync
+	// in tens of them; a lost leader is replaced within a second.
+	heartbeat = 100 * time.Millisecond
+	election  = 600 * time.Millisecond
+	// repair is how long a voter may be gone before a spare takes its place, well
+	// below the time after which another loss must be borne.
+	repair = 2 * time.Second
+	// snapshotRecords and snapshotBytes bound the log and the time of a restart.
+	snapshotRecords = 256
+	snapshotBytes   = 8 << 20
+)
+
+// coordinator owns the state of one control process.
+type coordinator struct {
+	settings *parser.Deployment
+	log      zerolog.Logger
+	decode   func([]byte) (*matcher.Declaration, error)
+	keeper   *keeper.Keeper
+	node     *replicator.Node
+	state    *state
+	outbox   *outbox
+	box      chan event
+	// ctx ends what the coordinator sends on its own account.
+	ctx context.Context
+
+	table     *enroller.Table
+	fresh     map[units.Upstream]bool
+	ticks     int
+	divider   *apportioner.Divider
+	estimator timekeeper.Estimator
+	declared  *matcher.Declaration
+	role      replicator.RoleChanged
+	leadSince time.Time
+	// leadUntil is until when this instance may act as the leader, in
+	// nanoseconds, for goroutines that act for it.
+	leadUntil atomic.Int64
+	proposals map[uint64]chan<- declareReply
+	pending   map[units.Index]pendingProposal
+	nextToken uint64
+	duties    *duties
+}
+
+type pendingProposal struct {
+	term  units.Term
+	reply chan<- declareReply
+}
+
+func newCoordinator(g *Governor, folder *keeper.Keeper, kept *keeper.Kept, box chan event) (*coordinator, error) {
+	c := &coordinator{
+		settings: g.Settings,
+		log:      g.Log,
+		decode:   g.Decode,
+		keeper:   folder,
+		state: &state{
+			ledger: &tallier.Ledger{Length: g.Settings.Usage.Window},
+		},
+		outbox: &outbox{client: g.Client},
+		box:    box,
+		table: &enroller.Table{
+			ID:       rand.Uint64(),
+			Interval: g.Settings.HeartbeatInterval,
+		},
+		fresh:     make(map[units.Upstream]bool),
+		divider:   &apportioner.Divider{},
+		proposals: make(map[uint64]chan<- declareReply),
+		pending:   make(map[units.Index]pendingProposal),
+	}
+	c.duties = &duties{
+		coordinator: c,
+		cloud:       g.Cloud,
+	}
+	if err := c.restore(kept.Snapshot); err != nil {
+		return nil, err
+	}
+	c.node = replicator.New(timekeeper.Now(), c.options(kept), replicator.Stored{
+		State:    kept.State,
+		Snapshot: kept.Snapshot,
+		Base:     kept.Base,
+		Records:  kept.Records,
+	})
+	return c, nil
+}
+
+// options sets up the voter. Only the seeds of the very first start found a log:
+// any other instance may have forgotten one, and waits to be taken in.
+func (c *coordinator) options(kept *keeper.Kept) replicator.Options {
+	seeds := c.settings.SeedPeers()
+	own := c.settings.OwnPeerAddress()
+	options := replicator.Options{
+		ID:              kept.ID,
+		DataCentre:      c.settings.DataCentre,
+		Voters:          c.settings.Voters(),
+		Heartbeat:       heartbeat,
+		Election:        election,
+		Repair:          repair,
+		SnapshotRecords: snapshotRecords,
+		SnapshotBytes:   snapshotBytes,
+		Random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Joining:         !c.settings.FirstStart || !slices.Contains(seeds, own),
+	}
+	// All seeds must agree on the order, whatever order each was told.
+	slices.Sort(seeds)
+	for _, seed := range seeds {
+		options.Instances = append(options.Instances, replicator.Place{Instance: units.Instance(seed)})
+	}
+	return options
+}
+
+// run takes events until ctx ends or the disk fails.
+func (c *coordinator) run(ctx context.Context) error {
+	c.ctx = ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			err = c.tick()
+		case e := <-c.box:
+			err = c.take(e)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *coordinator) tick() error {
+	if err := c.step(replicator.Ticked{}); err != nil {
+		return err
+	}
+	now := timekeeper.Now()
+	c.table.Expire(now)
+	if c.ticks++; c.ticks%spreadTicks == 0 {
+		c.spreadFresh(now)
+	}
+	return c.lead(now)
+}
+
+// lead keeps the duties while this instance leads.
+func (c *coordinator) lead(now time.Time) error {
+	end := c.node.LeaseEnd(now)
+	if end.IsZero() {
+		c.leadUntil.Store(0)
+		c.leadSince = time.Time{}
+		return nil
+	}
+	c.leadUntil.Store(end.UnixNano())
+	if c.leadSince.IsZero() {
+		c.leadSince = now
+		c.divider = &apportioner.Divider{
+			Lease: c.settings.Revocation,
+			Since: now,
+		}
+		c.duties.begin()
+	}
+	// The holder before may still act: its calls under way arrive late. Holders
+	// that took turns within the span would contradict each other.
+	if now.Sub(c.leadSince) < c.settings.DutyLease {
+		return nil
+	}
+	return c.duties.work(now)
+}
+
+func (c *coordinator) take(e event) error {
+	switch e := e.(type) {
+	case arrived:
+		return c.step(replicator.Received{Message: e.message})
+	case declared:
+		return c.declare(e)
+	case asked:
+		e.reply <- c.read()
+	case polled:
+		e.reply <- c.poll(e.poll)
+	case announced:
+		e.reply <- c.announce(e)
+	case spread:
+		e.reply <- c.spread(e.batch)
+	case reportEnded:
+		c.duties.reported(e)
+	case reloaded:
+		for _, seed := range e.settings.SeedPeers() {
+			c.node.Meet(units.Instance(seed))
+		}
+	case dumpAsked:
+		e.reply <- c.dump()
+	}
+	return nil
+}
+
+// declare proposes a configuration, or answers at once where this instance leads
+// and a higher one is in force: that one is committed, so that the answer stands.
+func (c *coordinator) declare(e declared) error {
+	if !c.node.Lead(timekeeper.Now()) {
+		e.reply <- declareReply{leader: string(c.node.LeaderID())}
+		return nil
+	}
+	if e.declaration.GetVersion() <= c.state.declaration.GetVersion() {
+		e.reply <- declareReply{accepted: true}
+		return nil
+	}
+	c.nextToken++
+	c.proposals[c.nextToken] = e.reply
+	return c.step(replicator.Proposed{
+		Command: &messages.Command{
+			Change: &messages.Command_Declaration{
+				Declaration: e.declaration,
+			},
+		},
+		Token: c.nextToken,
+	})
+}
+
+// read answers from the state while the lease shows that no later leader has
+// changed it.
+func (c *coordinator) read() readReply {
+	if !c.node.Lead(timekeeper.Now()) {
+		return readReply{leader: string(c.node.LeaderID())}
+	}
+	return readReply{
+		sure:        true,
+		declaration: c.state.declaration,
+	}
+}
+
+func (c *coordinator) step(e replicator.Event) error {
+	for _, action := range c.node.Step(timekeeper.Now(), e) {
+		if err := c.carryOut(action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *coordinator) carryOut(action replicator.Action) error {
+	switch a := action.(type) {
+	case replicator.Persist:
+		// A voter that goes on after a failed sync would acknowledge what a
+		// crash takes back; it begins again from what its disk holds.
+		if err := c.keeper.Save(a.State, a.Records); err != nil {
+			return fmt.Errorf("keep log records: %w", err)
+		}
+	case replicator.PersistSnapshot:
+		if err := c.keeper.SaveSnapshot(a.State, a.Snapshot, a.Base, a.Records); err != nil {
+			return fmt.Errorf("keep a snapshot: %w", err)
+		}
+	case replicator.TakeSnapshot:
+		return c.takeSnapshot(a)
+	case replicator.Restore:
+		return c.restore(a.Snapshot)
+	case replicator.MembershipChanged:
+		c.reportMembership(a.Membership)
+	case replicator.Halt:
+		return a.Err
+	case replicator.Send:
+		c.outbox.post(c.ctx, string(units.VoterID(a.Message.GetTo()).Instance()), parcel{log: a.Message})
+	case replicator.Apply:
+		c.apply(a.Records)
+	case replicator.Appended:
+		c.await(a)
+	case replicator.Rejected:
+		c.reject(a)
+	case replicator.RoleChanged:
+		c.changeRole(a)
+	}
+	return nil
+}
+
+func (c *coordinator) await(a replicator.Appended) {
+	reply, waiting := c.proposals[a.Token]
+	if !waiting {
+		return
+	}
+	delete(c.proposals, a.Token)
+	c.pending[a.Index] = pendingProposal{
+		term:  a.Term,
+		reply: reply,
+	}
+}
+
+func (c *coordinator) reject(a replicator.Rejected) {
+	reply, waiting := c.proposals[a.Token]
+	if !waiting {
+		return
+	}
+	delete(c.proposals, a.Token)
+	reply <- declareReply{leader: string(a.Leader)}
+}
+
+func (c *coordinator) changeRole(a replicator.RoleChanged) {
+	c.role = a
+	c.log.Info().
+		Stringer("new-role", a.Role).
+		Uint64("term", uint64(a.Term)).
+		Str("leader", string(a.Leader)).
+		Msg("role-changed")
+	if a.Role == replicator.Leader {
+		return
+	}
+	for index, proposal := range c.pending {
+		proposal.reply <- declareReply{leader: string(a.Leader)}
+		delete(c.pending, index)
+	}
+}
+
+func (c *coordinator) apply(records []*messages.LogRecord) {
+	for _, record := range records {
+		before := c.state.declaration.GetVersion()
+		c.state.apply(record.GetCommand())
+		if version := c.state.declaration.GetVersion(); version != before {
+			c.adopt(version)
+		}
+		index := units.Index(record.GetIndex())
+		proposal, waiting := c.pending[index]
+		if !waiting {
+			continue
+		}
+		delete(c.pending, index)
+		proposal.reply <- declareReply{accepted: proposal.term == units.Term(record.GetTerm())}
+	}
+}
+
+// adopt reads the configuration that is in force now, for limits and orders.
+func (c *coordinator) adopt(version uint64) {
+	declaration, err := c.decode(c.state.declaration.GetDocument())
+	if err != nil {
+		c.log.Error().Err(err).Uint64("version", version).Msg("configuration-unreadable")
+		return
+	}
+	c.declared = declaration
+	c.log.Info().
+		Uint64("version", version).
+		Int("bytes", len(c.state.declaration.GetDocument())).
+		Msg("configuration-committed")
+}
+
+func (c *coordinator) takeSnapshot(a replicator.TakeSnapshot) error {
+	content, err := c.state.snapshot()
+	if err != nil {
+		return err
+	}
+	c.log.Info().
+		Uint64("index", uint64(a.Index)).
+		Int("bytes", len(content)).
+		Msg("snapshot-taken")
+	return c.step(replicator.SnapshotTaken{
+		Index:   a.Index,
+		Content: content,
+	})
+}
+
+func (c *coordinator) restore(snapshot *messages.LogSnapshot) error {
+	if len(snapshot.GetContent()) == 0 {
+		return nil
+	}
+	before := c.state.declaration.GetVersion()
+	if err := c.state.restore(snapshot.GetContent()); err != nil {
+		return err
+	}
+	if version := c.state.declaration.GetVersion(); version != before {
+		c.adopt(version)
+	}
+	c.log.Info().
+		Uint64("index", snapshot.GetIndex()).
+		Msg("snapshot-restored")
+	return nil
+}
+
+func (c *coordinator) reportMembership(membership *messages.Membership) {
+	var voters, learners []string
+	for _, member := range membership.GetMembers() {
+		if member.GetLearner() {
+			learners = append(learners, member.GetId())
+			continue
+		}
+		voters = append(voters, member.GetId())
+	}
+	c.log.Info().
+		Uint64("number", membership.GetNumber()).
+		Strs("voters", voters).
+		Strs("learners", learners).
+		Msg("membership-changed")
+}
+
+// controls returns the addresses of all control instances that are known.
+func (c *coordinator) controls() []string {
+	addresses := []string{c.settings.OwnPeerAddress()}
+	for _, instance := range c.node.Acquaintances() {
+		addresses = append(addresses, string(instance))
+	}
+	return addresses
+}
+
+// Dump is a control process's state as operators see it.
+type Dump struct {
+	Voter     string         `yaml:"voter"`
+	Role      string         `yaml:"role"`
+	Term      uint64         `yaml:"term"`
+	Leader    string         `yaml:"leader"`
+	Commit    uint64         `yaml:"commit"`
+	Last      uint64         `yaml:"last"`
+	Snapshot  uint64         `yaml:"snapshot"`
+	Version   uint64         `yaml:"version"`
+	Members   []string       `yaml:"members"`
+	Entries   int            `yaml:"entries"`
+	Upstreams []DumpUpstream `yaml:"upstreams"`
+}
+
+// DumpUpstream is one upstream in a dump.
+type DumpUpstream struct {
+	Name    string `yaml:"name"`
+	Service string `yaml:"service"`
+	State   string `yaml:"state"`
+	Silent  bool   `yaml:"silent"`
+	HeardMs int64  `yaml:"heard-ms"`
+}
+
+func (c *coordinator) dump() *Dump {
+	now := timekeeper.Now()
+	d := &Dump{
+		Voter:    string(c.node.Identity()),
+		Role:     c.node.CurrentRole().String(),
+		Term:     uint64(c.node.Term()),
+		Leader:   string(c.node.LeaderID()),
+		Commit:   uint64(c.node.Commit()),
+		Last:     uint64(c.node.LastIndex()),
+		Snapshot: uint64(c.node.SnapshotIndex()),
+		Version:  c.state.declaration.GetVersion(),
+		Entries:  c.divider.Entries(now),
+	}
+	for _, member := range c.node.Membership().GetMembers() {
+		d.Members = append(d.Members, member.GetId())
+	}
+	for _, e := range c.table.Entries() {
+		d.Upstreams = append(d.Upstreams, DumpUpstream{
+			Name:    string(e.ID),
+			Service: string(e.Service),
+			State:   e.State.String(),
+			Silent:  e.Silent,
+			HeardMs: now.Sub(e.HeardAt).Milliseconds(),
+		})
+	}
+	return d
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/src/governor/registry.go
@@ -0,0 +1,144 @@
+package governor
+
+import (
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/tallier"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// announce takes a heartbeat or a goodbye. What ends an upstream's work must be
+// with the leader, whom all entries ask, before it is acknowledged.
+func (c *coordinator) announce(a announced) announceReply {
+	now := timekeeper.Now()
+	reply := announceReply{
+		leader: string(c.node.LeaderID()),
+		leads:  c.node.Lead(now),
+	}
+	id := a.registration.ID
+	news := false
+	if a.left != "" {
+		id = a.left
+		news = c.table.Leave(now, id)
+	} else {
+		news = c.table.Hear(now, a.registration, 0)
+	}
+	c.fresh[id] = true
+	message := c.table.Message(now, id)
+	if message == nil {
+		return reply
+	}
+	if news {
+		c.log.Info().
+			Str("upstream", message.GetId()).
+			Str("service", message.GetService()).
+			Str("address", message.GetAddress()).
+			Stringer("state", enroller.State(message.GetState())).
+			Int64("born", message.GetBornMs()).
+			Uint64("sequence", message.GetSequence()).
+			Msg("upstream-changed")
+	}
+	if enroller.State(message.GetState()) != enroller.Ready {
+		reply.urgent = message
+	}
+	return reply
+}
+
+// spreadFresh tells the other control instances what was heard here.
+func (c *coordinator) spreadFresh(now time.Time) {
+	if len(c.fresh) == 0 && c.ticks%(spreadTicks*16) != 0 {
+		return
+	}
+	batch := &messages.UpstreamBatch{
+		From:   c.settings.OwnPeerAddress(),
+		WallNs: time.Now().UnixNano(),
+	}
+	for id := range c.fresh {
+		if message := c.table.Message(now, id); message != nil {
+			batch.Upstreams = append(batch.Upstreams, message)
+		}
+	}
+	clear(c.fresh)
+	for _, instance := range c.node.Acquaintances() {
+		c.outbox.post(c.ctx, string(instance), parcel{batch: batch})
+	}
+}
+
+// spread takes what another control instance heard.
+func (c *coordinator) spread(batch *messages.UpstreamBatch) *messages.UpstreamBatchResponse {
+	now := timekeeper.Now()
+	c.estimator.Take(now, units.Instance(batch.GetFrom()), time.Unix(0, batch.GetWallNs()))
+	for _, message := range batch.GetUpstreams() {
+		c.table.Follow(now, message)
+	}
+	return &messages.UpstreamBatchResponse{Leads: c.node.Lead(now)}
+}
+
+// poll answers an entry.
+func (c *coordinator) poll(poll *messages.EntryPoll) *messages.EntryPollResponse {
+	now := timekeeper.Now()
+	response := &messages.EntryPollResponse{
+		Leads:       c.node.Lead(now),
+		Leader:      string(c.node.LeaderID()),
+		Controls:    c.controls(),
+		TableId:     c.table.ID,
+		TableCursor: c.table.Cursor(),
+		Upstreams:   c.table.Since(now, poll.GetTableId(), poll.GetTableCursor()),
+	}
+	if d := c.state.declaration; d.GetVersion() > poll.GetDeclarationVersion() {
+		response.Declaration = d
+	}
+	if !response.GetLeads() {
+		return response
+	}
+	entry := units.Instance(poll.GetEntry())
+	c.estimator.Take(now, entry, time.Unix(0, poll.GetWallNs()))
+	c.hearEntry(now, entry, poll)
+	response.TrueTimeNs = c.trueTime(now).UnixNano()
+	response.Entries = uint32(c.divider.Entries(now))
+	if c.declared == nil {
+		return response
+	}
+	for _, account := range c.declared.Accounts {
+		if part, known := c.divider.Part(now, entry, account.Name); known {
+			response.Shares = append(response.Shares, &messages.AccountShare{
+				Account: string(account.Name),
+				Part:    part,
+			})
+		}
+	}
+	return response
+}
+
+func (c *coordinator) trueTime(now time.Time) time.Time {
+	return c.estimator.TrueTime(now, time.Now())
+}
+
+// hearEntry takes what an entry has seen.
+func (c *coordinator) hearEntry(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
+	demand := make(map[units.Account]float64, len(poll.GetDemand()))
+	for _, d := range poll.GetDemand() {
+		demand[units.Account(d.GetAccount())] = d.GetTokensPerSecond()
+	}
+	if poll.GetServing() {
+		c.divider.Hear(now, entry, demand)
+	} else {
+		c.divider.Forget(entry)
+	}
+	counts := make([]tallier.Count, 0, len(poll.GetUsage()))
+	for _, u := range poll.GetUsage() {
+		counts = append(counts, tallier.Count{
+			Window:  tallier.Window(u.GetWindow()),
+			Account: units.Account(u.GetAccount()),
+			Calls:   u.GetCount(),
+		})
+	}
+	c.state.ledger.Hear(tallier.Life{
+		Entry:       entry,
+		Incarnation: units.Incarnation(poll.GetIncarnation()),
+	}, counts)
+	c.duties.hear(now, entry, poll.GetLoads())
+}
--- /dev/null
+++ b/src/matcher/table.go
@@ -0,0 +1,97 @@
+package matcher
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Table finds routes and accounts; it is not changed once made.
+type Table struct {
+	Declaration *Declaration
+
+	hosts    map[string][]*Route
+	keys     map[string]*Account
+	services map[units.Service]*Service
+	accounts map[units.Account]*Account
+}
+
+// NewTable returns the table of a declaration that has been checked.
+func NewTable(d *Declaration) *Table {
+	t := &Table{
+		Declaration: d,
+		hosts:       make(map[string][]*Route),
+		keys:        make(map[string]*Account),
+		services:    make(map[units.Service]*Service),
+		accounts:    make(map[units.Account]*Account),
+	}
+	for i := range d.Routes {
+		host := strings.ToLower(d.Routes[i].Host)
+		t.hosts[host] = append(t.hosts[host], &d.Routes[i])
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Accounts {
+		t.accounts[d.Accounts[i].Name] = &d.Accounts[i]
+		for _, key := range d.Accounts[i].Keys {
+			t.keys[key] = &d.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of the path, or nil for none;
+// a port behind the host does not count.
+func (t *Table) Route(host, path string) *Route {
+	host = strings.ToLower(host)
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// AccountOf returns the account that holds a key, or nil for none.
+func (t *Table) AccountOf(key string) *Account { return t.keys[key] }
+
+// Account returns an account by its name, or nil for none.
+func (t *Table) Account(name units.Account) *Account { return t.accounts[name] }
+
+// Service returns a service by its name, or nil for none.
+func (t *Table) Service(name units.Service) *Service { return t.services[name] }
+
+// Choose returns the service for a call of a route; chance in [0, 1) spreads the
+// calls by the weights.
+func (r *Route) Choose(chance float64) units.Service {
+	total := 0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	left := chance * float64(total)
+	chosen := units.Service("")
+	for _, s := range r.Splits {
+		if s.Weight == 0 {
+			continue
+		}
+		chosen = s.Service
+		left -= float64(s.Weight)
+		if left < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
+// Repeatable reports whether a call of this route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
--- a/src/replicator/hello.go
+++ b/src/replicator/hello.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -53,11 +55,8 @@
 		return
 	}
 	n.greetAt = now.Add(n.options.Election / 2)
-	for _, place := range n.options.Instances {
-		if place.Instance == n.options.ID.Instance() {
-			continue
-		}
-		n.sendTo(units.VoterID(place.Instance), n.term, &messages.LogMessage{
+	for _, instance := range n.acquaintances() {
+		n.sendTo(units.VoterID(instance), n.term, &messages.LogMessage{
 			Body: &messages.LogMessage_Hello{
 				Hello: &messages.Hello{
 					DataCentre: string(n.options.DataCentre),
@@ -68,8 +67,48 @@
 	n.found(now)
 }
 
+// mostMet bounds the instances that are remembered beyond the settings and the
+// membership, several times the number that carry control.
+const mostMet = 64
+
+// meet remembers an instance that the settings may not name: those name only a
+// few, which may all have been replaced since.
+func (n *Node) meet(instance units.Instance, centre units.DataCentre) {
+	known, found := n.met[instance]
+	if instance == "" || instance == n.options.ID.Instance() || !found && len(n.met) >= mostMet {
+		return
+	}
+	if centre == "" {
+		centre = known
+	}
+	n.met[instance] = centre
+}
+
+// acquaintances returns all other instances that may know of the log, sorted.
+func (n *Node) acquaintances() []units.Instance {
+	all := make(map[units.Instance]struct{})
+	for instance := range n.met {
+		all[instance] = struct{}{}
+	}
+	for _, place := range n.options.Instances {
+		all[place.Instance] = struct{}{}
+	}
+	for _, member := range n.membership.GetMembers() {
+		all[units.VoterID(member.GetId()).Instance()] = struct{}{}
+	}
+	delete(all, n.options.ID.Instance())
+	return slices.Sorted(maps.Keys(all))
+}
+
+// Meet tells of an instance that may know of the log.
+func (n *Node) Meet(instance units.Instance) { n.meet(instance, "") }
+
+// Acquaintances returns all other instances that this voter knows of, sorted.
+func (n *Node) Acquaintances() []units.Instance { return n.acquaintances() }
+
 func (n *Node) answerHello(now time.Time, m *messages.LogMessage, hello *messages.Hello) {
 	from := units.VoterID(m.GetFrom())
+	n.meet(from.Instance(), units.DataCentre(hello.GetDataCentre()))
 	foreign := m.GetLogId() != "" && m.GetLogId() != n.logID
 	if n.role == Leader && !foreign {
 		n.spares[from] = &spare{
@@ -91,10 +130,12 @@
 }
 
 func (n *Node) countHello(now time.Time, m *messages.LogMessage, response *messages.HelloResponse) {
+	from := units.VoterID(m.GetFrom())
+	n.meet(from.Instance(), "")
+	n.meet(units.Instance(response.GetLeader()), "")
 	if n.founded() {
 		return
 	}
-	from := units.VoterID(m.GetFrom())
 	n.greetings[from.Instance()] = greeting{
 		id:      from,
 		founded: m.GetLogId() != "",
@@ -115,7 +156,7 @@
 // beside the survivors, and every accepted change would be gone.
 func (n *Node) found(now time.Time) {
 	founders := chooseFounders(n.options.Instances, n.options.Voters)
-	if n.founded() || len(founders) == 0 || founders[0].Instance != n.options.ID.Instance() {
+	if n.founded() || n.options.Joining || len(founders) == 0 || founders[0].Instance != n.options.ID.Instance() {
 		return
 	}
 	ids := map[units.Instance]units.VoterID{
@@ -135,14 +176,30 @@
 		Number: 1,
 	}
 	for _, founder := range founders {
+		centre := n.centreOf(founder)
+		if centre == "" {
+			return
+		}
 		membership.Members = append(membership.Members, &messages.Member{
 			Id:         string(ids[founder.Instance]),
-			DataCentre: string(founder.DataCentre),
+			DataCentre: string(centre),
 		})
 	}
 	n.belong(now, fmt.Sprintf("%016x", n.options.Random.Uint64()), membership)
 }
 
+// centreOf returns the data centre of a founder, which the settings may leave to
+// the founder itself to say.
+func (n *Node) centreOf(founder Place) units.DataCentre {
+	switch {
+	case founder.DataCentre != "":
+		return founder.DataCentre
+	case founder.Instance == n.options.ID.Instance():
+		return n.options.DataCentre
+	}
+	return n.met[founder.Instance]
+}
+
 // belong makes this voter part of a log from its beginning.
 func (n *Node) belong(now time.Time, logID string, membership *messages.Membership) {
 	n.install(now, &messages.LogSnapshot{
--- a/src/replicator/node.go
+++ b/src/replicator/node.go
@@ -54,6 +54,10 @@
 	// Instances are all that may carry control, this one included, in the order
 	// that all of them are told.
 	Instances []Place
+	// Joining keeps this voter from founding a log; it waits until one takes it
+	// in. An instance that comes back with an empty disk would otherwise help to
+	// begin an empty log beside the one that it has forgotten.
+	Joining bool
 	// Voters is the wanted number of voters.
 	Voters    int
 	Heartbeat time.Duration
@@ -96,8 +100,11 @@
 	membership  *messages.Membership
 	voters      []units.VoterID
 	greetings   map[units.Instance]greeting
-	greetAt     time.Time
-	spares      map[units.VoterID]*spare
+	// met are instances that spoke or were spoken of, with their data centre, ""
+	// until they say it.
+	met     map[units.Instance]units.DataCentre
+	greetAt time.Time
+	spares  map[units.VoterID]*spare
 
 	role      Role
 	leader    units.Instance
@@ -143,6 +150,7 @@
 		commit:    units.Index(stored.Snapshot.GetIndex()),
 		applied:   units.Index(stored.Snapshot.GetIndex()),
 		greetings: make(map[units.Instance]greeting),
+		met:       make(map[units.Instance]units.DataCentre),
 		spares:    make(map[units.VoterID]*spare),
 		// A voter that restarts has forgotten when it last heard its leader. It
 		// would help to elect another while the lease runs, and both would
@@ -432,3 +440,12 @@
 func (n *Node) act(action Action) {
 	n.actions = append(n.actions, action)
 }
+
+// LeaseEnd returns until when this voter leads unless it hears from its followers
+// again, and the zero time where it does not lead.
+func (n *Node) LeaseEnd(now time.Time) time.Time {
+	if !n.Lead(now) {
+		return time.Time{}
+	}
+	return n.leaseEnd(now)
+}
--- /dev/null
+++ b/src/retrier/budget_test.go
@@ -0,0 +1,80 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Upstreams refuse most calls for a while. Over all entries together no window
+// may hold more further attempts than the bound allows, whatever the load.
+func TestFurtherAttemptsStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries = 3
+		const ratio, slack = 0.2, 30.0
+		window := 10 * time.Second
+		now := time.Unix(1000, 0)
+		budgets := make([]*Budget, entries)
+		for i := range budgets {
+			budgets[i] = &Budget{Window: window, Ratio: ratio, Slack: slack, Now: func() time.Time { return now }}
+			budgets[i].SetEntries(entries)
+		}
+		type event struct {
+			at      time.Time
+			further bool
+		}
+		var events []event
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "passes")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			b.Call("s")
+			events = append(events, event{at: now})
+			for range rapid.IntRange(0, 3).Draw(t, "refusals") {
+				if b.Spend("s") {
+					events = append(events, event{at: now, further: true})
+				}
+			}
+		}
+		for i, last := range events {
+			calls, further := 0.0, 0.0
+			for _, e := range events[:i+1] {
+				if last.at.Sub(e.at) >= window {
+					continue
+				}
+				if e.further {
+					further++
+				} else {
+					calls++
+				}
+			}
+			if allowed := ratio*calls + slack; further > allowed {
+				t.Fatalf("further attempts in one window: got %v, want at most %v", further, allowed)
+			}
+		}
+	})
+}
+
+// After a quiet time the old counts must be gone, and the slack there again.
+func TestOldCountsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 8, Now: func() time.Time { return now }}
+	spend := func() int {
+		n := 0
+		for b.Spend("s") {
+			n++
+		}
+		return n
+	}
+	if got, want := spend(), 6; got != want {
+		t.Errorf("attempts at first: got %d, want %d", got, want)
+	}
+	now = now.Add(5 * time.Second)
+	if got, want := spend(), 0; got != want {
+		t.Errorf("attempts in the same window: got %d, want %d", got, want)
+	}
+	now = now.Add(6 * time.Second)
+	if got, want := spend(), 6; got != want {
+		t.Errorf("attempts in the next window: got %d, want %d", got, want)
+	}
+}
