--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -34,8 +34,10 @@
 // Entry is what is known of one upstream.
 type Entry struct {
 	Registration
-	// HeardAt is when the last heartbeat arrived anywhere.
+	// HeardAt is when the last heartbeat arrived anywhere, FirstAt when this
+	// incarnation was first heard of here.
 	HeardAt time.Time
+	FirstAt time.Time
 	// changed is the table's cursor at the entry's last change.
 	changed uint64
 }
@@ -50,12 +52,16 @@
 	if known != nil && !follows(&known.Registration, &r) {
 		return false
 	}
-	if t.supersede(&r) {
-		return false
-	}
 	entry := &Entry{
 		Registration: r,
 		HeardAt:      now.Add(-age),
+		FirstAt:      now,
+	}
+	if known != nil && known.Born == r.Born {
+		entry.FirstAt = known.FirstAt
+	}
+	if t.supersede(entry) {
+		return false
 	}
 	// A heartbeat that was overtaken on its way may say "ready" after one that
 	// said "leaving"; an incarnation that leaves never comes back.
@@ -90,12 +96,14 @@
 // supersede marks as gone what ran at the address before, and reports whether r
 // itself is of the past: its address has a later tenant. Without it a heartbeat
 // that a cut held up would bring a dead upstream back at another one's address.
-func (t *Table) supersede(r *Registration) bool {
+// Where upstreams do not say when they started, the one heard of first is the
+// earlier one.
+func (t *Table) supersede(r *Entry) bool {
 	for _, other := range t.entries {
 		if other.Address != r.Address || other.ID == r.ID || other.State == Gone {
 			continue
 		}
-		if other.Born > r.Born {
+		if other.Born > r.Born || other.Born == r.Born && other.FirstAt.After(r.FirstAt) {
 			return true
 		}
 		other.State = Gone
