--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -95,7 +95,7 @@
 
 // vote runs one voter until ctx ends or its disk fails.
 func (g *Governor) vote(ctx context.Context) (err error) {
-	folder, kept, err := keeper.Open(g.Settings.DataFolder, units.Instance(g.Settings.OwnPeerAddress()))
+	folder, kept, err := keeper.OpenUnnumbered(g.Settings.DataFolder, units.Instance(g.Settings.OwnPeerAddress()))
 	if err != nil {
 		return fmt.Errorf("open the data folder: %w", err)
 	}
--- a/src/keeper/folder.go
+++ b/src/keeper/folder.go
@@ -50,7 +50,7 @@
 }
 
 // readIdentity returns the folder's identity, or nil for a folder that is new.
-func readIdentity(folder string, instance units.Instance) (*messages.FolderIdentity, error) {
+func readIdentity(folder string, instance units.Instance, numbered bool) (*messages.FolderIdentity, error) {
 	path := filepath.Join(folder, identityFile)
 	identity := &messages.FolderIdentity{}
 	found, err := readFile(path, kindIdentity, identity)
@@ -71,7 +71,7 @@
 	// A copy lacks what the original acknowledged after it was made. A voter
 	// that started from one would vote and count as if it still held that, and
 	// a committed change could be lost.
-	if identity.GetInstance() != string(instance) || identity.GetInode() != inode {
+	if identity.GetInstance() != string(instance) || numbered && identity.GetInode() != inode {
 		return nil, &CopiedError{
 			Folder:   folder,
 			Instance: instance,
--- a/src/keeper/keeper.go
+++ b/src/keeper/keeper.go
@@ -13,10 +13,12 @@
 
 // Keeper owns one data folder.
 type Keeper struct {
-	folder  string
-	lock    *os.File
-	records *recordFile
-	state   *messages.HardState
+	folder string
+	// numbered says that a file keeps its number for its life.
+	numbered bool
+	lock     *os.File
+	records  *recordFile
+	state    *messages.HardState
 }
 
 // Kept is what a data folder holds.
@@ -34,6 +36,17 @@
 // Open takes the data folder for an instance and returns what was kept in it.
 // A new folder gets a random identity.
 func Open(folder string, instance units.Instance) (*Keeper, *Kept, error) {
+	return openFolder(folder, instance, true)
+}
+
+// OpenUnnumbered is Open on storage that numbers its files anew at each start, as
+// some platforms' virtual disks do. Copies cannot be told from originals there, so
+// that the folder must not be copied.
+func OpenUnnumbered(folder string, instance units.Instance) (*Keeper, *Kept, error) {
+	return openFolder(folder, instance, false)
+}
+
+func openFolder(folder string, instance units.Instance, numbered bool) (*Keeper, *Kept, error) {
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, nil, &WriteError{
 			Folder: folder,
@@ -45,8 +58,9 @@
 		return nil, nil, err
 	}
 	k := &Keeper{
-		folder: folder,
-		lock:   held,
+		folder:   folder,
+		numbered: numbered,
+		lock:     held,
 	}
 	kept, err := k.open(instance)
 	if err != nil {
@@ -65,7 +79,7 @@
 }
 
 func (k *Keeper) open(instance units.Instance) (*Kept, error) {
-	identity, err := readIdentity(k.folder, instance)
+	identity, err := readIdentity(k.folder, instance, k.numbered)
 	if err != nil {
 		return nil, err
 	}
--- a/src/keeper/keeper_test.go
+++ b/src/keeper/keeper_test.go
@@ -327,3 +327,46 @@
 		})
 	}
 }
+
+// A virtual disk numbers its files anew at each start. A voter that took its own
+// folder for a copy would never come back, and with all of them the log would be
+// gone; a folder of another instance must be refused all the same.
+func TestUnnumberedFolderIsOpenedAgain(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	k, kept, err := OpenUnnumbered(folder, "c1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// Another file in its place has another number.
+	path := filepath.Join(folder, identityFile)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path+".copy", content, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".copy", path); err != nil {
+		t.Fatal(err)
+	}
+	var copied *CopiedError
+	if _, _, err := Open(folder, "c1"); !errors.As(err, &copied) {
+		t.Errorf("numbered: got %v, want a *CopiedError", err)
+	}
+	again, keptAgain, err := OpenUnnumbered(folder, "c1")
+	if err != nil {
+		t.Fatalf("unnumbered: got %v, want none", err)
+	}
+	if got, want := keptAgain.ID, kept.ID; got != want {
+		t.Errorf("voter: got %s, want %s", got, want)
+	}
+	if err := again.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := OpenUnnumbered(folder, "c2"); !errors.As(err, &copied) {
+		t.Errorf("another instance's folder: got %v, want a *CopiedError", err)
+	}
+}
