Order upstreams by what callers ask for, at the lower price where it can be had

Conclusion: reclaimable upstreams in every data centre and 0.45 of the need at the full price; the work of a call is learned while nothing queues.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -242,13 +242,8 @@
 			return nil, so.truthful(err)
 		}
 		before := stream.Offset()
-		call.Note(StepAttempt, upstream.Name, "")
 		result := d.exchange(ctx, call, attempt, upstream, stream)
-		noteResult(call, upstream.Name, result)
 		if result.Kind == Answered {
-			if d.Budget != nil {
-				d.Budget.Earn(call.Service)
-			}
 			return result.Answer, nil
 		}
 		if err := so.take(ctx, call, upstream, result); err != nil {
@@ -344,7 +339,12 @@
 func (d *Dispatcher) exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	upstream.Live.InFlight.Add(1)
 	defer upstream.Live.InFlight.Add(-1)
+	call.Note(StepAttempt, upstream.Name, "")
 	result := d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
+	noteResult(call, upstream.Name, result)
+	if result.Kind == Answered && d.Budget != nil {
+		d.Budget.Earn(call.Service)
+	}
 	if d.Observer != nil && ctx.Err() == nil {
 		d.Observer.Observe(upstream, result)
 	}
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -148,7 +148,7 @@
 	if result, sent := e.send(); !sent {
 		return result
 	}
-	response, result := e.head(ctx)
+	response, result := e.head(ctx) //nolint:bodyclose // Closing would read a stream to its end; the connection is closed instead.
 	if response == nil {
 		return result
 	}
--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -32,9 +32,17 @@
 type serviceFigures struct {
 	calls   int
 	pressed int
-	work    time.Duration
+	running time.Duration
+	waiting time.Duration
+	tokens  int64
+	// least is the shortest wait for a first byte lately, which no upstream more
+	// would shorten.
+	least time.Duration
 }
 
+// leastGrowth lets the shortest wait follow an upstream that has become slower.
+const leastGrowth = 1.002
+
 func newFigures(m *meter.Meter) *figures {
 	return &figures{
 		scope:       m.Scope,
@@ -54,7 +62,9 @@
 	defer f.mu.Unlock()
 	s := f.service(call.Service)
 	s.calls++
-	s.work += took
+	s.running += took
+	s.wait(first)
+	s.tokens += int64(call.Prompt)
 	if outcome == string(dispatcher.ProblemNoUpstream) || first > route.Target {
 		s.pressed++
 	}
@@ -69,6 +79,18 @@
 	}
 }
 
+// wait adds one call's wait for its first byte, beyond what every call waits.
+func (s *serviceFigures) wait(first time.Duration) {
+	if first <= 0 {
+		return
+	}
+	if s.least == 0 || first < s.least {
+		s.least = first
+	}
+	s.waiting += first - s.least
+	s.least = time.Duration(float64(s.least) * leastGrowth)
+}
+
 func (f *figures) latency(service units.Service) tally.Histogram {
 	h := f.first[string(service)]
 	if h == nil {
@@ -116,11 +138,13 @@
 	for name, s := range f.services {
 		loads = append(loads, &messages.ServiceLoad{
 			Service: string(name),
-			Work:    s.work.Seconds() / passed,
+			Running: s.running.Seconds() / passed,
+			Waiting: s.waiting.Seconds() / passed,
 			Calls:   float64(s.calls) / passed,
 			Pressed: float64(s.pressed) / passed,
+			Tokens:  float64(s.tokens) / passed,
 		})
-		*s = serviceFigures{}
+		*s = serviceFigures{least: s.least}
 	}
 	return loads
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -51,14 +51,14 @@
 	world       atomic.Pointer[world]
 	stopping    atomic.Bool
 	// seeds are the control instances that the settings name now.
-	seeds atomic.Pointer[[]string]
-	placer      *placer.Placer
-	quota       *apportioner.Meter
-	budget      *retrier.Budget
-	counter     *tallier.Counter
-	figures     *figures
-	pool        *exchanger.Pool
-	dispatcher  *dispatcher.Dispatcher
+	seeds      atomic.Pointer[[]string]
+	placer     *placer.Placer
+	quota      *apportioner.Meter
+	budget     *retrier.Budget
+	counter    *tallier.Counter
+	figures    *figures
+	pool       *exchanger.Pool
+	dispatcher *dispatcher.Dispatcher
 }
 
 // Prepare makes the parts; it is called once, before Run and Serve.
@@ -200,7 +200,7 @@
 		return
 	}
 	w := g.world.Load()
-	g.counter.Add(timekeeper.Now().Add(w.trueOffset), units.Account(call.Account.Name))
+	g.counter.Add(timekeeper.Now().Add(w.trueOffset), call.Account.Name)
 }
 
 // State takes the load that an upstream stated in an answer.
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -147,7 +147,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			err = c.tick()
+			err = c.tick(ctx)
 		case e := <-c.box:
 			err = c.take(e)
 		}
@@ -157,7 +157,7 @@
 	}
 }
 
-func (c *coordinator) tick() error {
+func (c *coordinator) tick(ctx context.Context) error {
 	if err := c.step(replicator.Ticked{}); err != nil {
 		return err
 	}
@@ -166,11 +166,11 @@
 	if c.ticks++; c.ticks%spreadTicks == 0 {
 		c.spreadFresh(now)
 	}
-	return c.lead(now)
+	return c.lead(ctx, now)
 }
 
 // lead keeps the duties while this instance leads.
-func (c *coordinator) lead(now time.Time) error {
+func (c *coordinator) lead(ctx context.Context, now time.Time) error {
 	end := c.node.LeaseEnd(now)
 	if end.IsZero() {
 		c.leadUntil.Store(0)
@@ -191,7 +191,7 @@
 	if now.Sub(c.leadSince) < c.settings.DutyLease {
 		return nil
 	}
-	return c.duties.work(now)
+	return c.duties.work(ctx, now)
 }
 
 func (c *coordinator) take(e event) error {
@@ -210,6 +210,8 @@
 		e.reply <- c.spread(e.batch)
 	case reportEnded:
 		c.duties.reported(e)
+	case orderEnded:
+		c.duties.desk.ended(e, c.duties)
 	case reloaded:
 		for _, seed := range e.settings.SeedPeers() {
 			c.node.Meet(units.Instance(seed))
--- /dev/null
+++ b/src/governor/desk.go
@@ -0,0 +1,210 @@
+package governor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/scaler"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	// planInterval is how often the plan is made anew; loads arrive with every poll.
+	planInterval = 250 * time.Millisecond
+	// loadExpiry is how long an entry's figures count without a poll.
+	loadExpiry = 1500 * time.Millisecond
+	// tellInterval is how often the load is logged.
+	tellInterval = 2 * time.Second
+	// mostCalls bounds the orders that are on their way to the platform at once.
+	mostCalls = 8
+)
+
+// orderDesk orders upstreams while this instance leads; the coordinator alone uses it.
+type orderDesk struct {
+	loads     map[units.Instance]entryLoad
+	scalers   map[units.Service]*scaler.Scaler
+	plannedAt time.Time
+	toldAt    time.Time
+	calls     int
+	// fenced are the services whose orders another holder has given since.
+	fenced map[units.Service]bool
+}
+
+type entryLoad struct {
+	at       time.Time
+	services map[units.Service]scaler.Load
+}
+
+func (d *orderDesk) begin() {
+	d.scalers = make(map[units.Service]*scaler.Scaler)
+	d.fenced = make(map[units.Service]bool)
+	d.calls = 0
+}
+
+// hear takes what an entry has seen of the services.
+func (d *orderDesk) hear(now time.Time, entry units.Instance, loads []*messages.ServiceLoad) {
+	if d.loads == nil {
+		d.loads = make(map[units.Instance]entryLoad)
+	}
+	heard := entryLoad{
+		at:       now,
+		services: make(map[units.Service]scaler.Load),
+	}
+	for _, l := range loads {
+		heard.services[units.Service(l.GetService())] = scaler.Load{
+			Asked:   askedOf(l),
+			Waiting: l.GetWaiting(),
+			Running: l.GetRunning(),
+		}
+	}
+	d.loads[entry] = heard
+}
+
+// askedOf returns what callers asked for, in tokens where there are prompts.
+func askedOf(l *messages.ServiceLoad) float64 {
+	if tokens := l.GetTokens(); tokens > 0 {
+		return tokens
+	}
+	return l.GetCalls()
+}
+
+// load adds up what all entries have seen of a service lately.
+func (d *orderDesk) load(now time.Time, service units.Service) scaler.Load {
+	var sum scaler.Load
+	for entry, l := range d.loads {
+		if now.Sub(l.at) > loadExpiry {
+			delete(d.loads, entry)
+			continue
+		}
+		sum.Asked += l.services[service].Asked
+		sum.Waiting += l.services[service].Waiting
+		sum.Running += l.services[service].Running
+	}
+	return sum
+}
+
+// work makes the plan anew and gives the orders that are due.
+func (d *orderDesk) work(ctx context.Context, now time.Time, duties *duties) {
+	c := duties.coordinator
+	if c.declared == nil || now.Sub(d.plannedAt) < planInterval {
+		return
+	}
+	d.plannedAt = now
+	for i := range c.declared.Services {
+		service := &c.declared.Services[i]
+		if service.Scaling == nil || len(service.Scaling.Prices) == 0 || d.fenced[service.Name] || d.calls > mostCalls {
+			continue
+		}
+		s := d.scalers[service.Name]
+		if s == nil {
+			s = &scaler.Scaler{}
+			d.scalers[service.Name] = s
+		}
+		load := d.load(now, service.Name)
+		stock := stockOf(c.table, service.Name)
+		d.tell(now, duties, service.Name, s.Load(), stock)
+		for _, order := range s.Step(now, service, load, stock) {
+			c.log.Info().
+				Str("service", string(service.Name)).
+				Str("data-centre", string(order.DataCentre)).
+				Bool("reclaimable", order.Reclaimable).
+				Int("count", order.Count).
+				Int("have", stock[order.Kind]).
+				Float64("waiting", load.Waiting).
+				Float64("running", load.Running).
+				Uint64("fence", uint64(c.node.Term())).
+				Msg("upstreams-ordered")
+			d.calls++
+			go d.send(ctx, duties, c.node.Term(), Order{
+				Service: service.Name,
+				Order:   order,
+			})
+		}
+	}
+}
+
+// tell logs what the plan goes by, now and then.
+func (d *orderDesk) tell(now time.Time, duties *duties, service units.Service, load scaler.Load, stock scaler.Stock) {
+	if now.Sub(d.toldAt) < tellInterval {
+		return
+	}
+	d.toldAt = now
+	total := 0
+	for _, count := range stock {
+		total += count
+	}
+	duties.coordinator.log.Info().
+		Str("service", string(service)).
+		Float64("asked", load.Asked).
+		Float64("waiting", load.Waiting).
+		Float64("running", load.Running).
+		Int("upstreams", total).
+		Msg("service-load")
+}
+
+// stockOf counts the upstreams of a service that take calls.
+func stockOf(table *enroller.Table, service units.Service) scaler.Stock {
+	stock := make(scaler.Stock)
+	for _, e := range table.Entries() {
+		if e.Service == service && e.State == enroller.Ready && !e.Silent {
+			stock[scaler.Kind{
+				DataCentre:  e.DataCentre,
+				Reclaimable: e.Reclaimable,
+			}]++
+		}
+	}
+	return stock
+}
+
+// send gives one order, unless the leadership has ended meanwhile.
+func (d *orderDesk) send(ctx context.Context, duties *duties, term units.Term, order Order) {
+	c := duties.coordinator
+	err := errRested
+	if timekeeper.Now().UnixNano() < c.leadUntil.Load() {
+		callContext, cancel := context.WithTimeout(ctx, cloudTimeout)
+		err = duties.cloud.Scale(callContext, duties.holder(term), order)
+		cancel()
+	}
+	select {
+	case c.box <- orderEnded{
+		term:  term,
+		order: order,
+		err:   err,
+	}:
+	case <-ctx.Done():
+	}
+}
+
+// ended takes the end of an order.
+func (d *orderDesk) ended(e orderEnded, duties *duties) {
+	c := duties.coordinator
+	if e.term != c.node.Term() {
+		return
+	}
+	d.calls = max(0, d.calls-1)
+	s := d.scalers[e.order.Service]
+	if e.err == nil || s == nil {
+		return
+	}
+	var fenced *FencedError
+	var unavailable *UnavailableError
+	switch {
+	case errors.As(e.err, &fenced):
+		d.fenced[e.order.Service] = true
+	case errors.As(e.err, &unavailable):
+		s.Refused(timekeeper.Now(), e.order.Kind)
+	default:
+		s.Failed(e.order.Kind)
+	}
+	c.log.Warn().
+		Err(e.err).
+		Str("service", string(e.order.Service)).
+		Str("data-centre", string(e.order.DataCentre)).
+		Bool("reclaimable", e.order.Reclaimable).
+		Int("count", e.order.Count).
+		Msg("order-not-carried-out")
+}
--- a/src/governor/duties.go
+++ b/src/governor/duties.go
@@ -47,6 +47,7 @@
 	reporting bool
 	retryAt   time.Time
 	fenced    bool
+	desk      orderDesk
 }
 
 // begin starts a leadership with nothing delivered: a report that arrives twice
@@ -56,14 +57,16 @@
 	d.delivered = make(map[tallier.Window]bool)
 	d.fenced = false
 	d.retryAt = time.Time{}
+	d.desk.begin()
 }
 
 // work does what is due.
-func (d *duties) work(now time.Time) error {
+func (d *duties) work(ctx context.Context, now time.Time) error {
 	if d.cloud == nil || d.fenced {
 		return nil
 	}
-	d.report(now)
+	d.report(ctx, now)
+	d.desk.work(ctx, now, d)
 	return d.fix(now)
 }
 
@@ -86,7 +89,7 @@
 }
 
 // report sends the oldest report that has not arrived, one at a time.
-func (d *duties) report(now time.Time) {
+func (d *duties) report(ctx context.Context, now time.Time) {
 	if d.reporting || now.Before(d.retryAt) {
 		return
 	}
@@ -95,19 +98,19 @@
 			continue
 		}
 		d.reporting = true
-		go d.send(d.coordinator.node.Term(), report)
+		go d.send(ctx, d.coordinator.node.Term(), report)
 		return
 	}
 }
 
 // send reports one window, unless the leadership has ended meanwhile: a process
 // that was suspended here must not act when it wakes.
-func (d *duties) send(term units.Term, report tallier.Report) {
+func (d *duties) send(ctx context.Context, term units.Term, report tallier.Report) {
 	c := d.coordinator
 	err := errRested
 	if timekeeper.Now().UnixNano() < c.leadUntil.Load() {
-		ctx, cancel := context.WithTimeout(c.ctx, cloudTimeout)
-		err = d.cloud.ReportUsage(ctx, d.holder(term), report)
+		callContext, cancel := context.WithTimeout(ctx, cloudTimeout)
+		err = d.cloud.ReportUsage(callContext, d.holder(term), report)
 		cancel()
 	}
 	select {
@@ -116,7 +119,7 @@
 		window: report.Window,
 		err:    err,
 	}:
-	case <-c.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
@@ -149,6 +152,3 @@
 	}
 	c.log.Warn().Err(e.err).Int64("window", int64(e.window)).Uint64("fence", uint64(e.term)).Msg("usage-not-reported")
 }
-
-// hear takes what an entry has seen of the services.
-func (d *duties) hear(time.Time, units.Instance, []*messages.ServiceLoad) {}
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -7,6 +7,7 @@
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/scaler"
 	"github.com/rosecroft/rosecroft/src/tallier"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -84,6 +85,13 @@
 	err    error
 }
 
+// orderEnded says what the platform made of an order.
+type orderEnded struct {
+	term  units.Term
+	order Order
+	err   error
+}
+
 // reloaded brings new settings, of which the seeds count.
 type reloaded struct {
 	settings *parser.Deployment
@@ -101,15 +109,14 @@
 func (announced) event()   {}
 func (spread) event()      {}
 func (reportEnded) event() {}
+func (orderEnded) event()  {}
 func (reloaded) event()    {}
 func (dumpAsked) event()   {}
 
-// Order asks for a number of upstreams of one service in one data centre at one price.
+// Order asks for a number of upstreams of one kind of a service.
 type Order struct {
-	Service     units.Service
-	DataCentre  units.DataCentre
-	Reclaimable bool
-	Count       int
+	Service units.Service
+	scaler.Order
 }
 
 // Holder proves who acts for the system.
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -147,7 +147,7 @@
 		e.reply <- &messages.UpstreamBatchResponse{}
 	case dumpAsked:
 		e.reply <- &Dump{}
-	case arrived, reportEnded, reloaded:
+	case arrived, reportEnded, orderEnded, reloaded:
 	}
 }
 
@@ -190,9 +190,9 @@
 }
 
 // ask brings an event to the coordinator and waits for its reply.
-func ask[T any](ctx context.Context, g *Governor, make_ func(chan<- T) event) (T, error) {
+func ask[T any](ctx context.Context, g *Governor, form func(chan<- T) event) (T, error) {
 	reply := make(chan T, 1)
-	if err := g.post(ctx, make_(reply)); err != nil {
+	if err := g.post(ctx, form(reply)); err != nil {
 		var none T
 		return none, err
 	}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -140,5 +140,5 @@
 		Entry:       entry,
 		Incarnation: units.Incarnation(poll.GetIncarnation()),
 	}, counts)
-	c.duties.hear(now, entry, poll.GetLoads())
+	c.duties.desk.hear(now, entry, poll.GetLoads())
 }
--- /dev/null
+++ b/src/scaler/scaler.go
@@ -0,0 +1,323 @@
+package scaler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	// perWaiting is how many upstreams it takes for each call that waits for its first
+	// byte while nothing queues. With fewer than one and a quarter the queues of a
+	// clump outlast the objective.
+	perWaiting = 1.25
+	// full is the part of an upstream's places that may be taken.
+	full = 0.5
+	// spare is added to what the load needs: a clump of long prompts at one
+	// upstream is more than the mean.
+	spare = 0.7
+	// firm is the least part of what is needed that is ordered at the full price.
+	firm = 0.45
+	// lostCentres is how many data centres of reclaimable upstreams may be gone at
+	// once while what is needed still stands: a second is taken back while the
+	// first is not to be had again.
+	lostCentres = 2
+	// leastEach is how many reclaimable upstreams each data centre has at least.
+	// They cost little, and none are to be had when the load shows that they are
+	// missing.
+	leastEach = 2
+	// margin is how much more than what is needed takes calls before one that
+	// costs the full price is given back.
+	margin = 1.2
+	// steady takes the noise of single clumps out of the measure of load, fall
+	// lets it go down: over a good part of a wave, so that an ebb of some seconds
+	// gives nothing back that the next clump needs.
+	steady = 3 * time.Second
+	fall   = 10 * time.Second
+	// learnAfter is how long calls are seen before the measure counts, and forget
+	// how slowly a call may become dearer: a mix of longer prompts lasts, a queue
+	// is gone before.
+	learnAfter = 2 * time.Second
+	forget     = time.Minute
+	// dearer bounds what a call may come to when it becomes dearer: a queue makes
+	// it many times as long at once, a mix of longer prompts does not.
+	dearer = 1.5
+	// late is how long beyond its start an upstream may take to show before its
+	// order is given again, and slow how long one that is given back may take to
+	// leave: the platform may carry orders out seconds late, and may lose them.
+	late = 1500 * time.Millisecond
+	slow = 8 * time.Second
+	// dry is how long a kind that was not to be had is left alone.
+	dry = 3 * time.Second
+	// settle is how long the load is measured before anything is given back.
+	settle = 4 * time.Second
+)
+
+// Kind is one kind of upstream of a service.
+type Kind struct {
+	DataCentre  units.DataCentre
+	Reclaimable bool
+}
+
+// Order asks for a number of upstreams of one kind.
+type Order struct {
+	Kind
+	Count int
+}
+
+// Load is what a service's callers ask for, over all entries.
+type Load struct {
+	// Asked is what callers ask for, in prompt tokens a second, or in calls a
+	// second where there are no prompts.
+	Asked float64
+	// Waiting is how many calls wait for their first byte, Running how many are
+	// under way, on average.
+	Waiting float64
+	Running float64
+}
+
+// Stock counts a service's upstreams of each kind that take calls now.
+type Stock map[Kind]int
+
+// Scaler plans for one service; it is a state machine without a clock.
+type Scaler struct {
+	// began is when the first calls were seen; before it nothing is known of the load.
+	began time.Time
+	at    time.Time
+	// recent is the load without its noise, load what the plan goes by.
+	recent Load
+	load   Load
+	// waitingEach and runningEach are what one unit that is asked for comes to
+	// while nothing queues.
+	waitingEach float64
+	runningEach float64
+	ordered     map[Kind]placed
+	dryAt       map[Kind]time.Time
+}
+
+// placed is the last order of a kind.
+type placed struct {
+	count int
+	at    time.Time
+}
+
+// Step takes the load and the stock of the moment and returns what to order now.
+func (s *Scaler) Step(now time.Time, service *matcher.Service, load Load, stock Stock) []Order {
+	if s.ordered == nil {
+		s.ordered = make(map[Kind]placed)
+		s.dryAt = make(map[Kind]time.Time)
+		s.at = now
+	}
+	if s.began.IsZero() && load.Running > 0 {
+		s.began = now
+	}
+	s.follow(now, load)
+	needed := s.needed(service)
+	plan := s.plan(now, service, needed, stock)
+	var orders []Order
+	for _, kind := range kindsOf(service) {
+		want := Order{
+			Kind:  kind,
+			Count: plan[kind],
+		}
+		if order, due := s.order(now, service, want, stock, needed); due {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// follow smooths the load, faster up than down.
+func (s *Scaler) follow(now time.Time, load Load) {
+	passed := now.Sub(s.at)
+	s.at = now
+	s.recent.Asked = smooth(s.recent.Asked, load.Asked, passed, steady)
+	s.recent.Waiting = smooth(s.recent.Waiting, load.Waiting, passed, steady)
+	s.recent.Running = smooth(s.recent.Running, load.Running, passed, steady)
+	s.load.Asked = peak(s.load.Asked, s.recent.Asked, passed)
+	if s.began.IsZero() || now.Sub(s.began) < learnAfter || s.recent.Asked <= 0 {
+		return
+	}
+	s.waitingEach = least(s.waitingEach, s.recent.Waiting/s.recent.Asked, passed)
+	s.runningEach = least(s.runningEach, s.recent.Running/s.recent.Asked, passed)
+	s.load.Waiting = s.load.Asked * s.waitingEach
+	s.load.Running = s.load.Asked * s.runningEach
+}
+
+// least follows at once down, and slowly up. Once upstreams are too few their
+// queues make every call wait, and the waiting itself says no more how many
+// would do: a plan by it orders several times what is needed.
+func least(old, fresh float64, passed time.Duration) float64 {
+	if old == 0 || fresh < old {
+		return fresh
+	}
+	return smooth(old, min(fresh, old*dearer), passed, forget)
+}
+
+func smooth(old, fresh float64, passed, period time.Duration) float64 {
+	return old + (fresh-old)*(1-math.Exp(-passed.Seconds()/period.Seconds()))
+}
+
+// peak follows at once up, and slowly down.
+func peak(old, fresh float64, passed time.Duration) float64 {
+	if fresh > old {
+		return fresh
+	}
+	return smooth(old, fresh, passed, fall)
+}
+
+// Load returns the load as the plan goes by it.
+func (s *Scaler) Load() Load { return s.load }
+
+// needed returns how many upstreams the load needs to meet its objective.
+func (s *Scaler) needed(service *matcher.Service) int {
+	reading := s.load.Waiting * perWaiting
+	places := 0.0
+	if service.Engine != nil && service.Engine.Slots > 0 {
+		places = s.load.Running / (full * float64(service.Engine.Slots))
+	}
+	return int(math.Ceil(max(reading, places) + spare))
+}
+
+// plan spreads what is needed over kinds.
+func (s *Scaler) plan(now time.Time, service *matcher.Service, needed int, stock Stock) Stock {
+	plan := make(Stock)
+	centres := byPrice(service)
+	firmly := int(math.Ceil(firm * float64(needed)))
+	// Reclaimable ones go evenly to all data centres: any one may be taken back.
+	left := max(1, len(centres)-lostCentres)
+	each := max(leastEach, int(math.Ceil(float64(needed-firmly)/float64(left))))
+	standing := 0
+	for _, centre := range centres {
+		kind := Kind{
+			DataCentre:  centre,
+			Reclaimable: true,
+		}
+		plan[kind] = min(each, service.Scaling.Most)
+		standing += s.standing(now, kind, plan[kind], stock)
+	}
+	// What reclaimable ones cannot carry now is ordered at the full price.
+	s.firm(plan, centres, max(firmly, needed-standing), service.Scaling)
+	return plan
+}
+
+// standing returns how many of a kind take calls or are about to.
+func (s *Scaler) standing(now time.Time, kind Kind, want int, stock Stock) int {
+	if at := s.dryAt[kind]; !at.IsZero() && now.Sub(at) < dry {
+		return min(want, stock[kind])
+	}
+	if last, known := s.ordered[kind]; known {
+		return min(want, max(stock[kind], last.count))
+	}
+	return min(want, stock[kind])
+}
+
+// firm places the upstreams of the full price, the cheapest data centres first
+// but no more than half of them in one, so that no fault of one takes them all.
+func (s *Scaler) firm(plan Stock, centres []units.DataCentre, count int, scaling *matcher.Scaling) {
+	half := (count + 1) / 2
+	for _, centre := range centres {
+		reclaimable := plan[Kind{
+			DataCentre:  centre,
+			Reclaimable: true,
+		}]
+		part := min(count, half, max(0, scaling.Most-reclaimable))
+		part = max(part, scaling.Least-reclaimable)
+		plan[Kind{DataCentre: centre}] = part
+		count = max(0, count-part)
+	}
+}
+
+// byPrice returns the data centres, the cheapest first.
+func byPrice(service *matcher.Service) []units.DataCentre {
+	centres := make([]units.DataCentre, 0, len(service.Scaling.Prices))
+	for centre := range service.Scaling.Prices {
+		centres = append(centres, centre)
+	}
+	slices.SortFunc(centres, func(a, b units.DataCentre) int {
+		return cmp.Or(cmp.Compare(service.Scaling.Prices[a], service.Scaling.Prices[b]), cmp.Compare(a, b))
+	})
+	return centres
+}
+
+// kindsOf returns all kinds, the reclaimable first: they stand in for those at
+// the full price that are given back.
+func kindsOf(service *matcher.Service) []Kind {
+	var kinds []Kind
+	for _, reclaimable := range []bool{true, false} {
+		for _, centre := range byPrice(service) {
+			kinds = append(kinds, Kind{
+				DataCentre:  centre,
+				Reclaimable: reclaimable,
+			})
+		}
+	}
+	return kinds
+}
+
+// order says whether a kind's order is to be given now.
+func (s *Scaler) order(now time.Time, service *matcher.Service, want Order, stock Stock, needed int) (Order, bool) {
+	kind := want.Kind
+	last, known := s.ordered[kind]
+	have := stock[kind]
+	if !known {
+		last.count = have
+	}
+	if at := s.dryAt[kind]; !at.IsZero() && now.Sub(at) < dry {
+		return Order{}, false
+	}
+	if want.Count < last.count {
+		want.Count = s.giveBack(now, last, want.Count, stock, needed)
+	}
+	settled := have == want.Count || known && now.Sub(last.at) < repeat(service, have < want.Count)
+	if want.Count == last.count && settled {
+		return Order{}, false
+	}
+	s.ordered[kind] = placed{
+		count: want.Count,
+		at:    now,
+	}
+	return want, true
+}
+
+// repeat returns how long an order may take to show.
+func repeat(service *matcher.Service, missing bool) time.Duration {
+	if missing {
+		return service.Scaling.Boot + late
+	}
+	return slow
+}
+
+// giveBack returns the lower number to order: one at a time, and only while more
+// than what is needed takes calls without it.
+//
+// Without the wait the upstreams at the start would go before those that stand in
+// for them have come, and every caller of those seconds would be late.
+func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed int) int {
+	ready := 0
+	for kind, count := range stock {
+		if ordered, known := s.ordered[kind]; known {
+			// What was given back may still take calls for a moment.
+			count = min(count, ordered.count)
+		}
+		ready += count
+	}
+	const pause = 600 * time.Millisecond
+	if s.began.IsZero() || now.Sub(s.began) < settle || now.Sub(last.at) < pause || ready-1 < int(math.Ceil(margin*float64(needed))) {
+		return last.count
+	}
+	return max(want, last.count-1)
+}
+
+// Refused notes that a kind is not to be had now.
+func (s *Scaler) Refused(now time.Time, kind Kind) {
+	s.dryAt[kind] = now
+	delete(s.ordered, kind)
+}
+
+// Failed notes that nobody knows what became of an order; it is given again.
+func (s *Scaler) Failed(kind Kind) { delete(s.ordered, kind) }
--- /dev/null
+++ b/src/scaler/scaler_test.go
@@ -0,0 +1,207 @@
+package scaler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+var start = time.Unix(1000, 0)
+
+const step = 250 * time.Millisecond
+
+func service() *matcher.Service {
+	return &matcher.Service{
+		Name:   "s",
+		Engine: &matcher.Engine{Slots: 32},
+		Scaling: &matcher.Scaling{
+			Least:            1,
+			Most:             10,
+			Boot:             4 * time.Second,
+			ReclaimablePrice: 0.2,
+			Prices:           map[units.DataCentre]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+		},
+	}
+}
+
+// platform carries out orders after the time that upstreams take to start.
+type platform struct {
+	stock   Stock
+	coming  []coming
+	service *matcher.Service
+	dry     bool
+}
+
+type coming struct {
+	Order
+	at time.Time
+}
+
+func newPlatform(service *matcher.Service, each int) *platform {
+	p := &platform{stock: make(Stock), service: service}
+	for centre := range service.Scaling.Prices {
+		p.stock[Kind{DataCentre: centre}] = each
+	}
+	return p
+}
+
+// run plays a load for some time and returns the least number that took calls.
+func (p *platform) run(s *Scaler, now time.Time, length time.Duration, load func(upstreams int) Load) (end time.Time, fewest int) {
+	fewest = math.MaxInt
+	for end = now.Add(length); now.Before(end); now = now.Add(step) {
+		for _, c := range p.coming {
+			if !now.Before(c.at) {
+				p.stock[c.Kind] = c.Count
+			}
+		}
+		fewest = min(fewest, p.total())
+		for _, order := range s.Step(now, p.service, load(p.total()), p.stock) {
+			if p.dry && order.Reclaimable {
+				s.Refused(now, order.Kind)
+				continue
+			}
+			at := now.Add(p.service.Scaling.Boot)
+			if order.Count < p.stock[order.Kind] {
+				at = now.Add(step)
+			}
+			p.coming = append(p.coming, coming{Order: order, at: at})
+		}
+	}
+	return end, fewest
+}
+
+func (p *platform) total() int {
+	total := 0
+	for _, count := range p.stock {
+		total += count
+	}
+	return total
+}
+
+func (p *platform) firm() int {
+	total := 0
+	for kind, count := range p.stock {
+		if !kind.Reclaimable {
+			total += count
+		}
+	}
+	return total
+}
+
+// evenLoad is a load that waits six calls' worth while nothing queues, and more the
+// fewer upstreams there are.
+func evenLoad(upstreams int) Load {
+	queue := 1.0
+	if upstreams < 8 {
+		queue = 8
+	}
+	return Load{Asked: 100_000, Waiting: 6 * queue, Running: 60 * queue}
+}
+
+// Upstreams that are not needed cost the full price; callers must not notice that
+// they go. All data centres keep their least number.
+func TestSteadyLoadIsServedAtLowerCost(t *testing.T) {
+	p := newPlatform(service(), 5)
+	s := &Scaler{}
+	now, fewest := p.run(s, start, time.Minute, evenLoad)
+	if fewest < 8 {
+		t.Errorf("upstreams that took calls: got as few as %d, want 8", fewest)
+	}
+	if got, most := p.firm(), 6; got > most {
+		t.Errorf("upstreams at the full price: got %d, want at most %d", got, most)
+	}
+	for centre := range p.service.Scaling.Prices {
+		if p.stock[Kind{DataCentre: centre}]+p.stock[Kind{DataCentre: centre, Reclaimable: true}] < 1 {
+			t.Errorf("upstreams in %s: got none, want the least number", centre)
+		}
+	}
+	_ = now
+}
+
+// Two data centres of reclaimable upstreams are taken back within seconds, and
+// for a while none are to be had. What is left must still be what the load needs,
+// and what is missing beyond must come at the full price.
+func TestReclaimOfTwoDataCentresLeavesEnough(t *testing.T) {
+	p := newPlatform(service(), 5)
+	s := &Scaler{}
+	now, _ := p.run(s, start, time.Minute, evenLoad)
+	p.dry = true
+	p.coming = nil
+	p.stock[Kind{DataCentre: "a", Reclaimable: true}] = 0
+	p.stock[Kind{DataCentre: "b", Reclaimable: true}] = 0
+	needed := s.needed(p.service)
+	_, fewest := p.run(s, now, 13*time.Second, evenLoad)
+	if fewest < needed {
+		t.Errorf("upstreams that took calls: got as few as %d, want %d", fewest, needed)
+	}
+}
+
+// Before the first calls, and after a new leader has taken over, nothing is known
+// of the load. An upstream given back then would be missing in a moment.
+func TestNothingIsGivenBackBeforeTheLoadIsKnown(t *testing.T) {
+	p := newPlatform(service(), 5)
+	s := &Scaler{}
+	_, fewest := p.run(s, start, 20*time.Second, func(int) Load { return Load{} })
+	if got, want := fewest, 20; got < want {
+		t.Errorf("upstreams without a load: got %d, want all %d", got, want)
+	}
+}
+
+// Upstreams crash until too few are left and every call queues. The queues must
+// not be taken for a load: callers need a few more upstreams, not all there are.
+func TestQueuesAreNotTakenForLoad(t *testing.T) {
+	p := newPlatform(service(), 5)
+	s := &Scaler{}
+	now, _ := p.run(s, start, 30*time.Second, evenLoad)
+	before := s.needed(p.service)
+	_, _ = p.run(s, now, 10*time.Second, func(int) Load {
+		return Load{Asked: 100_000, Waiting: 300, Running: 900}
+	})
+	if got, most := s.needed(p.service), before*2; got > most {
+		t.Errorf("needed while all queue: got %d, want at most %d", got, most)
+	}
+}
+
+// Whatever the load does and the platform refuses, each data centre's orders stay
+// within its bounds, both prices together.
+func TestOrdersStayWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		svc := service()
+		svc.Scaling.Most = rapid.IntRange(1, 10).Draw(t, "most")
+		s := &Scaler{}
+		stock := make(Stock)
+		ordered := make(Stock)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "passes")) * time.Millisecond)
+			load := Load{
+				Asked:   rapid.Float64Range(0, 1e6).Draw(t, "asked"),
+				Waiting: rapid.Float64Range(0, 100).Draw(t, "waiting"),
+				Running: rapid.Float64Range(0, 1000).Draw(t, "running"),
+			}
+			for _, order := range s.Step(now, svc, load, stock) {
+				if rapid.IntRange(0, 4).Draw(t, "refused") == 0 {
+					s.Refused(now, order.Kind)
+					continue
+				}
+				ordered[order.Kind] = order.Count
+				stock[order.Kind] = order.Count
+				if order.Count < 0 || order.Count > svc.Scaling.Most {
+					t.Fatalf("order: got %d of %+v, want 0 to %d", order.Count, order.Kind, svc.Scaling.Most)
+				}
+			}
+		}
+		plan := s.plan(now, svc, s.needed(svc), stock)
+		for centre := range svc.Scaling.Prices {
+			both := plan[Kind{DataCentre: centre}] + plan[Kind{DataCentre: centre, Reclaimable: true}]
+			if both < svc.Scaling.Least || both > svc.Scaling.Most {
+				t.Fatalf("plan for %s: got %d, want %d to %d", centre, both, svc.Scaling.Least, svc.Scaling.Most)
+			}
+		}
+	})
+}
