--- a/src/apportioner/apportioner_test.go
+++ b/src/apportioner/apportioner_test.go
@@ -33,7 +33,7 @@
 func newFleet(entries int) *fleet {
 	f := &fleet{
 		account: &matcher.Account{Name: "hot", ByTokens: true, Rate: 200_000, Burst: 200_000},
-		divider: &Divider{Lease: 4 * time.Second, Since: start.Add(-time.Hour)},
+		divider: &Divider{Lease: 4 * time.Second, Since: start.Add(-time.Hour), Window: window},
 	}
 	for range entries {
 		f.meters = append(f.meters, &Meter{Window: window})
@@ -41,14 +41,19 @@
 	return f
 }
 
-func (f *fleet) poll(now time.Time, i int) {
-	name := units.Instance(fmt.Sprint(i))
-	f.divider.Hear(now, name, f.meters[i].Demand(now))
-	if part, known := f.divider.Part(now, name, f.account.Name); known {
-		f.meters[i].SetPart(now, f.account, part, 1/float64(f.divider.Entries(now)))
+// ask sends a poll, answer brings back what control made of it.
+func (f *fleet) ask(now time.Time, i int) {
+	f.divider.Hear(now, nameOf(i), 1, f.meters[i].Demand(now))
+}
+
+func (f *fleet) answer(now time.Time, i int) {
+	if part, level, known := f.divider.Part(now, nameOf(i), f.account); known {
+		f.meters[i].SetPart(now, f.account, part, level)
 	}
 }
 
+func nameOf(i int) units.Instance { return units.Instance(fmt.Sprint(i)) }
+
 func (f *fleet) call(now time.Time, i int, size float64) bool {
 	_, admitted := f.meters[i].Admit(now, f.account, size)
 	if admitted {
@@ -92,9 +97,13 @@
 		now := start
 		for n := range 3000 {
 			now = now.Add(step)
-			if n%20 == 0 {
-				for i := range f.meters {
-					f.poll(now, i)
+			for i := range f.meters {
+				// The entries poll in turn, and each answer takes three steps.
+				switch (n + i*7) % 20 {
+				case 0:
+					f.ask(now, i)
+				case 3:
+					f.answer(now, i)
 				}
 			}
 			if n == 1500 {
@@ -134,9 +143,12 @@
 	asked, refused := 0, 0
 	for n := range 4000 {
 		now = now.Add(10 * time.Millisecond)
-		if n%20 == 0 {
-			for i := range f.meters {
-				f.poll(now, i)
+		for i := range f.meters {
+			switch n % 20 {
+			case 0:
+				f.ask(now, i)
+			case 3:
+				f.answer(now, i)
 			}
 		}
 		// Half of the limit on average, in clumps of three.
@@ -150,7 +162,7 @@
 			}
 		}
 	}
-	if got, want := refused, asked/50; got > want {
+	if got, want := refused, asked/150; got > want {
 		t.Errorf("refused: got %d of %d, want at most %d", got, asked, want)
 	}
 }
@@ -168,13 +180,40 @@
 }
 
 func TestNewLeaderLeavesPartsAlone(t *testing.T) {
-	d := &Divider{Lease: time.Second, Since: start}
-	d.Hear(start, "e1", map[units.Account]float64{"a": 1})
-	if _, known := d.Part(start.Add(time.Second), "e1", "a"); known {
+	d := &Divider{Lease: time.Second, Since: start, Window: window}
+	account := &matcher.Account{Name: "a", Rate: 1000, Burst: 1000}
+	d.Hear(start, "e1", 1, map[units.Account]Demand{"a": {Rate: 1}})
+	if _, _, known := d.Part(start.Add(time.Second), "e1", account); known {
 		t.Error("part soon after the election: got one, want none")
 	}
-	d.Hear(start.Add(2*time.Second), "e1", map[units.Account]float64{"a": 1})
-	if got, known := d.Part(start.Add(2*time.Second), "e1", "a"); !known || got != 1 {
+	d.Hear(start.Add(2*time.Second), "e1", 1, map[units.Account]Demand{"a": {Rate: 1}})
+	if got, _, known := d.Part(start.Add(2*time.Second), "e1", account); !known || got != 1 {
 		t.Errorf("part: got %v %t, want 1", got, known)
 	}
 }
+
+// An entry that nobody hears goes on admitting its part. What it admits must be
+// charged to the account meanwhile, and only once when it is heard again.
+func TestSilentEntryIsCharged(t *testing.T) {
+	account := &matcher.Account{Name: "a", Rate: 1_000_000, Burst: 1_000_000}
+	level := func(silent bool) float64 {
+		d := &Divider{Lease: time.Minute, Since: start.Add(-time.Hour), Window: window}
+		now := start
+		spent := 0.0
+		for range 50 {
+			now = now.Add(100 * time.Millisecond)
+			spent += 50_000
+			d.Hear(now, "e1", 1, map[units.Account]Demand{"a": {Rate: 500_000, Spent: spent}})
+			if !silent || now.Sub(start) < time.Second || now.Sub(start) > 4900*time.Millisecond {
+				d.Hear(now, "e2", 1, map[units.Account]Demand{"a": {Rate: 500_000, Spent: spent}})
+			}
+			_, _, _ = d.Part(now, "e1", account)
+			_, _, _ = d.Part(now, "e2", account)
+		}
+		_, level, _ := d.Part(now, "e1", account)
+		return level
+	}
+	if got, want := level(true), level(false); got < want-1 || got > want+1 {
+		t.Errorf("level after an entry was silent: got %.0f, want %.0f as without", got, want)
+	}
+}
--- a/src/apportioner/bucket.go
+++ b/src/apportioner/bucket.go
@@ -9,30 +9,18 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// Window is how limits are judged: what runs in any span of Length may be Overage
-// above rate and burst, and Slack above that.
-type Window struct {
-	Length  time.Duration
-	Overage float64
-	Slack   float64
-}
-
 const (
-	// rateUse is the part of the overage that raises the rate; the rest goes into
-	// the burst, where it lets clumps through.
-	rateUse = 0.3
-	// burstUse is the part of what is left over the window that the burst uses;
-	// the rest covers parts that change hands between two polls.
-	burstUse = 0.75
 	// demandTime is how fast the measure of demand follows; callers come in
 	// clumps of some tenths of a second.
 	demandTime = 1500 * time.Millisecond
 	// firstPart is an entry's part until control has told it one.
-	firstPart = 0.1
+	firstPart = 0.05
+	// saveTime is how long an entry without contact saves up its part of the rate.
+	saveTime = time.Second
 )
 
-// Meter charges calls to this entry's parts of the limits; it may be used from
-// several goroutines.
+// Meter charges calls to what this entry was lent; it may be used from several
+// goroutines.
 type Meter struct {
 	Window Window
 
@@ -40,14 +28,20 @@
 	buckets map[units.Account]*bucket
 }
 
-// bucket is one account's part at this entry.
+// bucket is what this entry was lent of one account's limit.
 type bucket struct {
-	part    float64
-	even    float64
-	rate    float64
-	burst   float64
-	level   float64
-	at      time.Time
+	part float64
+	rate float64
+	// most is what the level may grow to without contact, full what it is while
+	// the account uses nothing.
+	most  float64
+	full  float64
+	level float64
+	at    time.Time
+	// spent is what was admitted since the start, told what of it was said in the
+	// last poll.
+	spent   float64
+	told    float64
 	demand  float64
 	askedAt time.Time
 }
@@ -65,10 +59,11 @@
 	b.refill(now)
 	// A call larger than the whole bucket would never be admitted; it may run
 	// into debt from a full one, which the calls behind it pay.
-	if b.level < min(size, b.burst) {
-		return time.Duration((min(size, b.burst) - b.level) / b.rate * float64(time.Second)), false
+	if want := min(size, b.full); b.level < want {
+		return time.Duration((want - b.level) / b.rate * float64(time.Second)), false
 	}
 	b.level -= size
+	b.spent += size
 	return 0, true
 }
 
@@ -77,32 +72,36 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if b := m.buckets[account]; b != nil {
-		b.level = min(b.burst, b.level+size)
+		b.level += size
+		b.spent -= size
 	}
 }
 
-// SetPart takes over this entry's part of an account's rate, and its even part of
-// the burst. The burst does not follow demand: what one entry has saved up and
-// another may then save again would be there twice.
-func (m *Meter) SetPart(now time.Time, account *matcher.Account, part, even float64) {
+// SetPart takes over what this entry is lent, by an answer to the last poll.
+func (m *Meter) SetPart(now time.Time, account *matcher.Account, part, level float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := m.bucket(now, account)
-	b.refill(now)
 	b.part = part
-	b.even = even
 	b.size(account, m.Window)
-	b.level = min(b.level, b.burst)
+	// What was admitted since the poll left is not in the level.
+	b.level = lent(level, part) - (b.spent - b.told)
+	b.most = max(b.level, 0) + b.rate*saveTime.Seconds()
+	b.at = now
 }
 
-// Demand returns what callers asked for lately, in tokens a second by account.
-func (m *Meter) Demand(now time.Time) map[units.Account]float64 {
+// Demand returns what callers asked for and what was admitted, for a poll.
+func (m *Meter) Demand(now time.Time) map[units.Account]Demand {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	demand := make(map[units.Account]float64, len(m.buckets))
+	demand := make(map[units.Account]Demand, len(m.buckets))
 	for name, b := range m.buckets {
 		b.ask(now, 0)
-		demand[name] = b.demand
+		b.told = b.spent
+		demand[name] = Demand{
+			Rate:  b.demand,
+			Spent: b.spent,
+		}
 	}
 	return demand
 }
@@ -115,47 +114,41 @@
 	if b == nil {
 		b = &bucket{
 			part:    firstPart,
-			even:    firstPart,
 			at:      now,
 			askedAt: now,
 		}
 		b.size(account, m.Window)
-		b.level = b.burst
+		b.level = b.full
+		b.most = b.full
 		m.buckets[account.Name] = b
 	}
 	return b
 }
 
-// Resize takes over changed limits.
+// Resize takes over changed limits; nothing beyond the new ones is kept.
 func (m *Meter) Resize(now time.Time, table *matcher.Table) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, b := range m.buckets {
 		account := table.Account(name)
 		if account == nil || account.Rate <= 0 {
-			delete(m.buckets, name)
 			continue
 		}
 		b.refill(now)
 		b.size(account, m.Window)
-		b.level = min(b.level, b.burst)
+		b.most = min(b.most, b.full)
+		b.level = min(b.level, b.full)
 	}
 }
 
-// size works out the rate and the burst of the part. Over one window the rate
-// gives rate x length, so that the burst may be what the window allows beyond.
 func (b *bucket) size(account *matcher.Account, w Window) {
-	rate := account.Rate * (1 + w.Overage*rateUse)
-	length := w.Length.Seconds()
-	allowed := (account.Rate*length+account.Burst)*(1+w.Overage) + w.Slack
-	burst := max(account.Burst, (allowed-rate*length)*burstUse)
-	b.rate = rate * b.part
-	b.burst = burst * b.even
+	b.rate = w.rate(account) * b.part
+	b.full = lent(w.burst(account), b.part)
 }
 
 func (b *bucket) refill(now time.Time) {
 	if passed := now.Sub(b.at).Seconds(); passed > 0 {
-		b.level = min(b.burst, b.level+passed*b.rate)
+		b.level = max(b.level, min(b.most, b.level+passed*b.rate))
 		b.at = now
 	}
 }
--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -3,47 +3,94 @@
 import (
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
 const (
 	// evenPart is the part of each limit that is shared evenly, so that an entry
 	// without lately any call of an account can serve its first ones.
-	evenPart = 0.15
+	evenPart = 0.2
 	// settleAfter is how long a new leader leaves parts as they are: after
 	// several poll intervals it has heard every entry in reach.
 	settleAfter = 1200 * time.Millisecond
+	// firstLevel is the part of a bucket that a new leader takes to be full.
+	firstLevel = 0.3
+	// silentAfter is the time without a poll after which an entry is taken to
+	// admit its whole part of the rate.
+	silentAfter = 600 * time.Millisecond
 )
 
-// Divider gives each entry its part of each account's limit; it is a state
+// Demand is what an entry's callers asked of an account.
+type Demand struct {
+	// Rate is what they asked for lately, in tokens a second, Spent what was
+	// admitted since the entry's start.
+	Rate  float64
+	Spent float64
+}
+
+// Divider keeps the accounts' buckets and lends them to entries; it is a state
 // machine without a clock.
 type Divider struct {
 	// Lease is how long an entry uses its part without contact.
-	Lease time.Duration
+	Lease  time.Duration
+	Window Window
 	// Since is when this instance began to divide.
 	Since time.Time
 
-	entries map[units.Instance]*demand
+	entries map[units.Instance]*entry
+	buckets map[units.Account]*pool
 }
 
-type demand struct {
-	heardAt  time.Time
-	accounts map[units.Account]float64
+type entry struct {
+	incarnation units.Incarnation
+	heardAt     time.Time
+	accounts    map[units.Account]Demand
+	// assumed is what was charged for the entry while it was silent.
+	assumed map[units.Account]float64
+	parts   map[units.Account]float64
 }
 
-// Hear notes what an entry's callers asked for lately, in tokens a second by account.
-func (d *Divider) Hear(now time.Time, entry units.Instance, accounts map[units.Account]float64) {
+// pool is one account's bucket for all entries.
+type pool struct {
+	level float64
+	at    time.Time
+}
+
+// Hear charges what an entry has admitted since its last poll.
+func (d *Divider) Hear(now time.Time, name units.Instance, incarnation units.Incarnation, accounts map[units.Account]Demand) {
 	if d.entries == nil {
-		d.entries = make(map[units.Instance]*demand)
+		d.entries = make(map[units.Instance]*entry)
+		d.buckets = make(map[units.Account]*pool)
 	}
-	d.entries[entry] = &demand{
-		heardAt:  now,
-		accounts: accounts,
+	known := d.entries[name]
+	for account, demand := range accounts {
+		bucket := d.buckets[account]
+		switch {
+		case bucket == nil:
+		case known == nil:
+			// What it admitted before this instance led is not known to be new.
+		case known.incarnation != incarnation:
+			bucket.level -= demand.Spent
+		default:
+			bucket.level -= demand.Spent - known.accounts[account].Spent - known.assumed[account]
+		}
+	}
+	parts := make(map[units.Account]float64)
+	if known != nil {
+		parts = known.parts
+	}
+	d.entries[name] = &entry{
+		incarnation: incarnation,
+		heardAt:     now,
+		accounts:    accounts,
+		assumed:     make(map[units.Account]float64),
+		parts:       parts,
 	}
 }
 
 // Forget takes out an entry that has said that it stops.
-func (d *Divider) Forget(entry units.Instance) { delete(d.entries, entry) }
+func (d *Divider) Forget(name units.Instance) { delete(d.entries, name) }
 
 // Entries returns how many entries use parts now.
 func (d *Divider) Entries(now time.Time) int {
@@ -55,24 +102,51 @@
 	return len(d.entries)
 }
 
-// Part returns an entry's part of an account's limit, from 0 to 1, and false
-// while that is not known well enough to change what the entry has.
-func (d *Divider) Part(now time.Time, entry units.Instance, account units.Account) (float64, bool) {
-	if now.Sub(d.Since) < settleAfter {
-		return 0, false
-	}
+// Part returns an entry's part of an account's limit, from 0 to 1, and what all
+// entries may still admit; false while that is not known well enough to change
+// what the entry has.
+func (d *Divider) Part(now time.Time, name units.Instance, account *matcher.Account) (part, level float64, known bool) {
 	count := d.Entries(now)
-	own, known := d.entries[entry]
-	if !known {
-		return 0, false
+	own := d.entries[name]
+	if own == nil {
+		return 0, 0, false
+	}
+	level = d.refill(now, account)
+	if now.Sub(d.Since) < settleAfter {
+		return 0, 0, false
 	}
 	total := 0.0
 	for _, e := range d.entries {
-		total += e.accounts[account]
+		total += e.accounts[account.Name].Rate
+	}
+	part = 1 / float64(count)
+	if total > 0 {
+		part = evenPart*part + (1-evenPart)*own.accounts[account.Name].Rate/total
 	}
-	even := 1 / float64(count)
-	if total <= 0 {
-		return even, true
+	own.parts[account.Name] = part
+	return part, level, true
+}
+
+// refill lets an account's bucket fill, less what silent entries may be admitting.
+func (d *Divider) refill(now time.Time, account *matcher.Account) float64 {
+	rate, burst := d.Window.rate(account), d.Window.burst(account)
+	bucket := d.buckets[account.Name]
+	if bucket == nil {
+		bucket = &pool{
+			level: firstLevel * burst,
+			at:    now,
+		}
+		d.buckets[account.Name] = bucket
+	}
+	passed := now.Sub(bucket.at).Seconds()
+	bucket.at = now
+	bucket.level = min(burst, bucket.level+rate*passed)
+	for _, e := range d.entries {
+		if now.Sub(e.heardAt) > silentAfter {
+			admitted := rate * passed * e.parts[account.Name]
+			bucket.level -= admitted
+			e.assumed[account.Name] += admitted
+		}
 	}
-	return evenPart*even + (1-evenPart)*own.accounts[account]/total, true
+	return bucket.level
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -75,13 +75,7 @@
 		Fleet:      g.fleet,
 		MostCalls:  g.connections,
 	}
-	g.quota = &apportioner.Meter{
-		Window: apportioner.Window{
-			Length:  g.Settings.Quota.Window,
-			Overage: g.Settings.Quota.Overage,
-			Slack:   g.Settings.Quota.Slack,
-		},
-	}
+	g.quota = &apportioner.Meter{Window: apportioner.WindowOf(g.Settings.Quota)}
 	g.budget = &retrier.Budget{
 		Window: g.Settings.Retries.Window,
 		Ratio:  g.Settings.Retries.Ratio,
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -131,7 +131,8 @@
 	for account, demand := range g.quota.Demand(now) {
 		poll.Demand = append(poll.Demand, &messages.AccountDemand{
 			Account:         string(account),
-			TokensPerSecond: demand,
+			TokensPerSecond: demand.Rate,
+			Spent:           demand.Spent,
 		})
 	}
 	poll.Loads = g.figures.loads(now)
@@ -178,7 +179,7 @@
 	for _, share := range r.GetShares() {
 		account := p.declared.Account(units.Account(share.GetAccount()))
 		if account != nil && account.Rate > 0 {
-			p.gateway.quota.SetPart(now, account, share.GetPart(), 1/float64(p.world.entries))
+			p.gateway.quota.SetPart(now, account, share.GetPart(), share.GetLevel())
 		}
 	}
 }
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -181,8 +181,9 @@
 	if c.leadSince.IsZero() {
 		c.leadSince = now
 		c.divider = &apportioner.Divider{
-			Lease: c.settings.Revocation,
-			Since: now,
+			Lease:  c.settings.Revocation,
+			Window: apportioner.WindowOf(c.settings.Quota),
+			Since:  now,
 		}
 		c.duties.begin()
 	}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/apportioner"
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/tallier"
@@ -103,10 +104,14 @@
 		return response
 	}
 	for _, account := range c.declared.Accounts {
-		if part, known := c.divider.Part(now, entry, account.Name); known {
+		if account.Rate <= 0 {
+			continue
+		}
+		if part, level, known := c.divider.Part(now, entry, &account); known {
 			response.Shares = append(response.Shares, &messages.AccountShare{
 				Account: string(account.Name),
 				Part:    part,
+				Level:   level,
 			})
 		}
 	}
@@ -119,12 +124,15 @@
 
 // hearEntry takes what an entry has seen.
 func (c *coordinator) hearEntry(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
-	demand := make(map[units.Account]float64, len(poll.GetDemand()))
+	demand := make(map[units.Account]apportioner.Demand, len(poll.GetDemand()))
 	for _, d := range poll.GetDemand() {
-		demand[units.Account(d.GetAccount())] = d.GetTokensPerSecond()
+		demand[units.Account(d.GetAccount())] = apportioner.Demand{
+			Rate:  d.GetTokensPerSecond(),
+			Spent: d.GetSpent(),
+		}
 	}
 	if poll.GetServing() {
-		c.divider.Hear(now, entry, demand)
+		c.divider.Hear(now, entry, units.Incarnation(poll.GetIncarnation()), demand)
 	} else {
 		c.divider.Forget(entry)
 	}
