--- a/src/apportioner/bucket.go
+++ b/src/apportioner/bucket.go
@@ -85,7 +85,7 @@
 	b.part = part
 	b.size(account, m.Window)
 	// What was admitted since the poll left is not in the level.
-	b.level = lent(level, part) - (b.spent - b.told)
+	b.level = lent(level, m.Window.burst(account), part) - (b.spent - b.told)
 	b.most = max(b.level, 0) + b.rate*saveTime.Seconds()
 	b.at = now
 }
@@ -143,7 +143,7 @@
 
 func (b *bucket) size(account *matcher.Account, w Window) {
 	b.rate = w.rate(account) * b.part
-	b.full = lent(w.burst(account), b.part)
+	b.full = lent(w.burst(account), w.burst(account), b.part)
 }
 
 func (b *bucket) refill(now time.Time) {
--- a/src/apportioner/window.go
+++ b/src/apportioner/window.go
@@ -25,30 +25,41 @@
 }
 
 const (
-	// rateUse is the part of the overage that raises the rate.
-	rateUse = 0.3
-	// burstUse is the part of what a window allows beyond the rate that the bucket
-	// holds; the rest covers what is admitted between two polls.
-	burstUse = 0.6
-	// lend is how many times over the bucket is lent out: with fewer, an entry
-	// that gets a clump refuses it while the others hold what it needs.
-	lend = 3
+	// windowUse is the part of what a window allows that is given out; the rest
+	// covers what entries admit between two polls.
+	windowUse = 0.91
+	// steadyUse is the part that is given out as a steady rate where that is more
+	// than the account's own. All of it at once would be used up in the first
+	// moments of a hot account's window and leave its callers nothing for seconds.
+	steadyUse = 0.77
+	// lendFull and lendEmpty are how many times over the bucket is lent out: with
+	// fewer while it holds much, an entry that gets a clump refuses it while the
+	// others hold what it needs; with more once it holds little, all of them would
+	// use the same tokens.
+	lendFull  = 4.0
+	lendEmpty = 1.2
 )
 
+// allowed returns what may run of an account in any one window.
+func (w Window) allowed(account *matcher.Account) float64 {
+	return (account.Rate*w.Length.Seconds()+account.Burst)*(1+w.Overage) + w.Slack
+}
+
 // rate returns how fast an account's bucket fills.
 func (w Window) rate(account *matcher.Account) float64 {
-	return account.Rate * (1 + w.Overage*rateUse)
+	return max(account.Rate, steadyUse*w.allowed(account)/w.Length.Seconds())
 }
 
-// burst returns what an account's bucket holds. Over one window the rate gives
-// rate x length, so that the burst may be what the window allows beyond.
+// burst returns what an account's bucket holds: what a window allows beyond the rate.
 func (w Window) burst(account *matcher.Account) float64 {
-	length := w.Length.Seconds()
-	allowed := (account.Rate*length+account.Burst)*(1+w.Overage) + w.Slack
-	return max(0, allowed-w.rate(account)*length) * burstUse
+	return max(0, windowUse*w.allowed(account)-w.rate(account)*w.Length.Seconds())
 }
 
-// lent returns what an entry with a part may admit of a level.
-func lent(level, part float64) float64 {
-	return max(0, level) * min(1, part*lend)
+// lent returns what an entry with a part may admit while the bucket holds level of burst.
+func lent(level, burst, part float64) float64 {
+	if level <= 0 || burst <= 0 {
+		return 0
+	}
+	times := lendEmpty + (lendFull-lendEmpty)*min(1, level/burst)
+	return level * min(1, part*times)
 }
