--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -71,7 +71,8 @@
 	Guard Guard
 	// Patience may be nil.
 	Patience Patience
-	// Began is told that a call has begun to run; it may be nil.
+	// Began is told that a call has begun to run, or may have: of one whose answer
+	// is lost nobody knows, and most have. It may be nil.
 	Began func(call *dispatcher.Call, upstream *tracker.Upstream)
 }
 
@@ -140,6 +141,8 @@
 	// sent ends with the writing of a large body.
 	sent     chan error
 	reusable bool
+	// told says that Began was called.
+	told bool
 	// resumed says that the caller has what the stream begins with.
 	resumed bool
 }
@@ -169,15 +172,21 @@
 	if !verdict.Whole {
 		return e.foreign(fmt.Sprintf("status %d without the upstream's proof, or encoded", response.StatusCode))
 	}
-	if e.Began != nil {
-		e.Began(e.call, e.upstream)
-	}
+	e.began()
 	if e.call.Stream && verdict.Events && response.StatusCode == http.StatusOK {
 		return e.events(ctx, response, verdict)
 	}
 	return e.answer(ctx, response)
 }
 
+// began tells that the call has begun to run, once.
+func (e *exchange) began() {
+	if e.Began != nil && !e.told {
+		e.told = true
+		e.Began(e.call, e.upstream)
+	}
+}
+
 // send writes the request; where nothing of it has left, it says so.
 func (e *exchange) send() (dispatcher.Result, bool) {
 	left, err := e.Guard.Check(e.call)
@@ -306,6 +315,8 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		kind = dispatcher.CallerGone
 		err = ctx.Err()
+	} else if ctx.Err() == nil {
+		e.began()
 	}
 	var timeout net.Error
 	if ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout() {
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -157,9 +157,9 @@
 	}
 }
 
-func newCall(id string) *dispatcher.Call {
+func newCall() *dispatcher.Call {
 	return &dispatcher.Call{
-		ID:     units.CallID(id),
+		ID:     "c1",
 		Method: http.MethodPost,
 		Host:   "h.example",
 		Path:   "/a/b?c=%20d",
@@ -206,7 +206,7 @@
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, func(int, int, string) string { return c.answer })
 			x := newExchanger(&guard{})
-			result := x.Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+			result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 			if result.Kind != c.want {
 				t.Fatalf("end: got %v (%v), want %v", result.Kind, result.Err, c.want)
 			}
@@ -241,7 +241,7 @@
 			})
 			x := newExchanger(&guard{})
 			for range 3 {
-				result := x.Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+				result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 				if result.Kind != dispatcher.Answered {
 					t.Fatalf("end: got %v (%v), want it answered", result.Kind, result.Err)
 				}
@@ -269,7 +269,7 @@
 	u := newUpstream(t, func(int, int, string) string { return whole })
 	closed := errors.New("too late")
 	x := newExchanger(&guard{err: closed})
-	result := x.Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+	result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 	if result.Kind != dispatcher.NotRun || !errors.Is(result.Err, closed) {
 		t.Errorf("end: got %v (%v), want it not run", result.Kind, result.Err)
 	}
@@ -281,7 +281,7 @@
 func TestUnreachableUpstreamDidNotRun(t *testing.T) {
 	u := newUpstream(t, nil)
 	_ = u.listener.Close()
-	result := newExchanger(&guard{}).Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+	result := newExchanger(&guard{}).Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 	if result.Kind != dispatcher.NotRun || !result.Unreached {
 		t.Errorf("end: got %v, unreached %t, want it not run and unreached", result.Kind, result.Unreached)
 	}
@@ -303,7 +303,7 @@
 		leave()
 	}()
 	x := newExchanger(&guard{})
-	result := x.Exchange(ctx, newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+	result := x.Exchange(ctx, newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 	close(release)
 	if result.Kind != dispatcher.CallerGone {
 		t.Errorf("end: got %v, want the caller gone", result.Kind)
@@ -325,7 +325,7 @@
 	var calls sync.WaitGroup
 	for range 2 {
 		calls.Go(func() {
-			_ = x.Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+			_ = x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 		})
 	}
 	for {
@@ -333,7 +333,7 @@
 			break
 		}
 	}
-	result := x.Exchange(t.Context(), newCall("c1"), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
+	result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 	close(release)
 	calls.Wait()
 	var full *FullError
@@ -358,7 +358,7 @@
 	}
 	u := newUpstream(t, func(connection, _ int, _ string) string { return answers[connection-1] })
 	x := newExchanger(&guard{})
-	call := newCall("c1")
+	call := newCall()
 	call.Stream = true
 	call.Repeatable = true
 	s := &sink{}
@@ -383,7 +383,7 @@
 	u := newUpstream(t, func(int, int, string) string {
 		return streamHead + chunk("id: 0\ndata: a\n\n") + closeMark
 	})
-	call := newCall("c1")
+	call := newCall()
 	call.Stream = true
 	result := newExchanger(&guard{}).Exchange(t.Context(), call, 1, u.Upstream, &dispatcher.Stream{Sink: &sink{}})
 	if got, want := result.Kind, dispatcher.Broken; got != want {
@@ -401,7 +401,7 @@
 		return strings.Replace(streamHead, "Version: 1", "Version: 2", 1) + chunk("id: 1\ndata: b\n\n") + "0\r\n\r\n"
 	})
 	x := newExchanger(&guard{})
-	call := newCall("c1")
+	call := newCall()
 	call.Stream = true
 	call.Repeatable = true
 	s := &sink{}
@@ -436,7 +436,7 @@
 	})
 	u := &tracker.Upstream{Name: "u1", Address: listener.Addr().String(), Live: &tracker.Live{}}
 	x := newExchanger(&guard{})
-	call := newCall("c1")
+	call := newCall()
 	call.Body = make([]byte, 64<<20)
 	result := x.Exchange(t.Context(), call, 1, u, &dispatcher.Stream{Sink: &sink{}})
 	if got, want := result.Kind, dispatcher.Answered; got != want {
--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -61,10 +61,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.service(call.Service)
-	s.calls++
 	s.running += took
 	s.wait(first)
-	s.tokens += int64(call.Prompt)
+	// What a limit refuses, or an entry without control, is no work for upstreams;
+	// as work it would make each call seem to need less of them than it does.
+	if outcome != string(dispatcher.ProblemLimit) && outcome != string(dispatcher.ProblemUnready) {
+		s.calls++
+		s.tokens += int64(call.Prompt)
+	}
 	if outcome == string(dispatcher.ProblemNoUpstream) || first > route.Target {
 		s.pressed++
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -188,11 +188,13 @@
 	return max(leastConnections, int(part))
 }
 
-// began counts a call that has begun to run.
+// began counts a call that has begun to run, at its first upstream alone.
 func (g *Gateway) began(call *dispatcher.Call, _ *tracker.Upstream) {
-	if call.Account == nil {
+	t, known := call.Trail.(*trail)
+	if call.Account == nil || !known || t.counted {
 		return
 	}
+	t.counted = true
 	w := g.world.Load()
 	g.counter.Add(timekeeper.Now().Add(w.trueOffset), call.Account.Name)
 }
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -40,8 +40,14 @@
 	From units.Tokens
 }
 
-// retrySoon is what callers are told where a moment will do.
-const retrySoon = 200 * time.Millisecond
+const (
+	// retrySoon is what callers are told where a moment will do.
+	retrySoon = 200 * time.Millisecond
+	// retryReady is when an entry that has lost control is likely to serve again:
+	// an election and a poll after control has started. With less, a caller's one
+	// more try finds it as it was.
+	retryReady = 1100 * time.Millisecond
+)
 
 // Serve answers one request; a *dispatcher.Refusal as its error is the final
 // answer, any other error means that the caller is gone.
@@ -140,8 +146,11 @@
 	}
 }
 
+// unready refuses a call that this entry cannot serve before it hears control;
+// callers come back spread over a third of the time, not all at once.
 func unready(detail string) *dispatcher.Refusal {
-	return refuse(http.StatusServiceUnavailable, dispatcher.ProblemUnready, detail, retrySoon)
+	wait := time.Duration(float64(retryReady) * (1 + rand.Float64()/3))
+	return refuse(http.StatusServiceUnavailable, dispatcher.ProblemUnready, detail, wait)
 }
 
 // limits holds calls to their accounts' limits.
@@ -241,6 +250,8 @@
 // trail keeps a call's attempts for its log line.
 type trail struct {
 	text strings.Builder
+	// counted says that the call stands in its account's usage.
+	counted bool
 }
 
 // Note keeps an attempt and its end.
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -42,7 +42,7 @@
 	// how slowly a call may become dearer: a mix of longer prompts lasts, a queue
 	// is gone before.
 	learnAfter = 2 * time.Second
-	forget     = time.Minute
+	forget     = 25 * time.Second
 	// dearer bounds what a call may come to when it becomes dearer: a queue makes
 	// it many times as long at once, a mix of longer prompts does not.
 	dearer = 1.5
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -13,6 +13,9 @@
 
 var start = time.Unix(1000, 0)
 
+// startEach is how many upstreams each data centre begins with.
+const startEach = 5
+
 const step = 250 * time.Millisecond
 
 func service() *matcher.Service {
@@ -42,10 +45,10 @@
 	at time.Time
 }
 
-func newPlatform(service *matcher.Service, each int) *platform {
+func newPlatform(service *matcher.Service) *platform {
 	p := &platform{stock: make(Stock), service: service}
 	for centre := range service.Scaling.Prices {
-		p.stock[Kind{DataCentre: centre}] = each
+		p.stock[Kind{DataCentre: centre}] = startEach
 	}
 	return p
 }
@@ -106,7 +109,7 @@
 // Upstreams that are not needed cost the full price; callers must not notice that
 // they go. All data centres keep their least number.
 func TestSteadyLoadIsServedAtLowerCost(t *testing.T) {
-	p := newPlatform(service(), 5)
+	p := newPlatform(service())
 	s := &Scaler{}
 	now, fewest := p.run(s, start, time.Minute, evenLoad)
 	if fewest < 8 {
@@ -127,7 +130,7 @@
 // for a while none are to be had. What is left must still be what the load needs,
 // and what is missing beyond must come at the full price.
 func TestReclaimOfTwoDataCentresLeavesEnough(t *testing.T) {
-	p := newPlatform(service(), 5)
+	p := newPlatform(service())
 	s := &Scaler{}
 	now, _ := p.run(s, start, time.Minute, evenLoad)
 	p.dry = true
@@ -144,7 +147,7 @@
 // Before the first calls, and after a new leader has taken over, nothing is known
 // of the load. An upstream given back then would be missing in a moment.
 func TestNothingIsGivenBackBeforeTheLoadIsKnown(t *testing.T) {
-	p := newPlatform(service(), 5)
+	p := newPlatform(service())
 	s := &Scaler{}
 	_, fewest := p.run(s, start, 20*time.Second, func(int) Load { return Load{} })
 	if got, want := fewest, 20; got < want {
@@ -155,7 +158,7 @@
 // Upstreams crash until too few are left and every call queues. The queues must
 // not be taken for a load: callers need a few more upstreams, not all there are.
 func TestQueuesAreNotTakenForLoad(t *testing.T) {
-	p := newPlatform(service(), 5)
+	p := newPlatform(service())
 	s := &Scaler{}
 	now, _ := p.run(s, start, 30*time.Second, evenLoad)
 	before := s.needed(p.service)
