Keep the table of upstreams over a restart, and elect within half a second

Cause: after all machines lost power entries had no upstreams until each had sent its next heartbeat, 1.2 s later, and a leader took 0.7 s.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -30,8 +30,8 @@
 	spreadTicks = 2
 	// heartbeat and election suit links of a few milliseconds and disks that sync
 	// in tens of them; a lost leader is replaced within a second.
-	heartbeat = 100 * time.Millisecond
-	election  = 600 * time.Millisecond
+	heartbeat = 75 * time.Millisecond
+	election  = 450 * time.Millisecond
 	// repair is how long a voter may be gone before a spare takes its place, well
 	// below the time after which another loss must be borne.
 	repair = 2 * time.Second
@@ -68,6 +68,7 @@
 	pending   map[units.Index]pendingProposal
 	nextToken uint64
 	duties    *duties
+	memory    *memory
 }
 
 type pendingProposal struct {
@@ -102,6 +103,7 @@
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
 	}
+	c.recall()
 	c.node = replicator.New(timekeeper.Now(), c.options(kept), replicator.Stored{
 		State:    kept.State,
 		Snapshot: kept.Snapshot,
@@ -111,6 +113,18 @@
 	return c, nil
 }
 
+// recall puts the upstreams that were kept into the table; without them they come
+// back by their heartbeats.
+func (c *coordinator) recall() {
+	c.memory = newMemory(c.settings.DataFolder)
+	count, err := c.memory.load(timekeeper.Now(), c.table)
+	if err != nil {
+		c.log.Warn().Err(err).Msg("upstreams-not-recalled")
+		return
+	}
+	c.log.Info().Int("upstreams", count).Msg("upstreams-recalled")
+}
+
 // options sets up the voter. Only the seeds of the very first start found a log:
 // any other instance may have forgotten one, and waits to be taken in.
 func (c *coordinator) options(kept *keeper.Kept) replicator.Options {
@@ -163,6 +177,9 @@
 	}
 	now := timekeeper.Now()
 	c.table.Expire(now)
+	if err := c.memory.keep(now, c.table); err != nil {
+		c.log.Warn().Err(err).Msg("upstreams-not-kept")
+	}
 	if c.ticks++; c.ticks%spreadTicks == 0 {
 		c.spreadFresh(now)
 	}
