--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CHECKS ?= 2000
 FUZZTIME ?= 30s
 
-.PHONY: build test red mutants soak fuzz lint format generate demo failures measure
+.PHONY: build test red mutants soak stage-soak fuzz lint format generate demo failures measure
 
 build:
 	go build -ldflags "$(LDFLAGS)" -o bin/rosecroft .
@@ -40,6 +40,11 @@
 soak:
 	go test $(PROPERTIES) -timeout 60m -rapid.seed $$(date +%s) -rapid.checks $(CHECKS)
 
+# The fault soak of the real programs: SEEDS seeds from SEED on.
+SEEDS ?= 50
+stage-soak:
+	go test ./platform -run '^TestSoak$$' -timeout 60m -soak.seeds $(SEEDS) -soak.start $(SEED)
+
 fuzz:
 	go test ./src/parser -run '^$$' -fuzz FuzzConfiguration -fuzztime $(FUZZTIME)
 	go test ./src/parser -run '^$$' -fuzz FuzzSettings -fuzztime $(FUZZTIME)
