--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -92,6 +92,9 @@
 // Forget takes out an entry that has said that it stops.
 func (d *Divider) Forget(name units.Instance) { delete(d.entries, name) }
 
+// Uses reports whether an entry uses parts.
+func (d *Divider) Uses(name units.Instance) bool { return d.entries[name] != nil }
+
 // Entries returns how many entries use parts now.
 func (d *Divider) Entries(now time.Time) int {
 	for name, e := range d.entries {
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -68,6 +68,24 @@
 	Trail Trail
 }
 
+// keptShare is the part of shared prompt tokens that an upstream is taken to have
+// kept from earlier calls, where nobody knows.
+const keptShare = 0.7
+
+// Shared returns how many of the prompt's tokens other calls may share.
+func (c *Call) Shared() units.Tokens {
+	shared := units.Tokens(0)
+	for _, part := range c.Parts[:max(0, len(c.Parts)-1)] {
+		shared += part.Tokens
+	}
+	return min(shared, c.Prompt)
+}
+
+// Unread returns how many prompt tokens an upstream is likely to have to read.
+func (c *Call) Unread() units.Tokens {
+	return c.Prompt - units.Tokens(keptShare*float64(c.Shared()))
+}
+
 // Part is one part of a prompt; calls share all but the last.
 type Part struct {
 	ID     uint64
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -151,7 +151,10 @@
 	if result, sent := e.send(); !sent {
 		return result
 	}
+	prompt := e.call.Unread()
+	e.upstream.Live.Prefill.Add(int64(prompt))
 	response, result := e.head(ctx) //nolint:bodyclose // Closing would read a stream to its end; the connection is closed instead.
+	e.upstream.Live.Prefill.Add(-int64(prompt))
 	if response == nil {
 		return result
 	}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/governor"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -136,6 +137,7 @@
 		})
 	}
 	poll.Loads = g.figures.loads(now)
+	poll.UnderWay = governor.EncodeLoads(g.placer.UnderWay())
 	return poll
 }
 
@@ -173,6 +175,10 @@
 	p.world.trueOffset = time.Unix(0, r.GetTrueTimeNs()).Sub(now)
 	p.world.entries = max(1, int(r.GetEntries()))
 	p.gateway.budget.SetEntries(p.world.entries)
+	p.gateway.placer.SetOthers(&placer.Others{
+		At:    now,
+		Loads: governor.DecodeLoads(r.GetOthers()),
+	})
 	if p.declared == nil {
 		return
 	}
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -17,6 +17,7 @@
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/replicator"
 	"github.com/rosecroft/rosecroft/src/tallier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -58,6 +59,7 @@
 	ticks     int
 	divider   *apportioner.Divider
 	estimator timekeeper.Estimator
+	underWay  placer.Sum
 	declared  *matcher.Declaration
 	role      replicator.RoleChanged
 	leadSince time.Time
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -6,6 +6,7 @@
 	"github.com/rosecroft/rosecroft/src/apportioner"
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/tallier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -100,6 +101,7 @@
 	c.hearEntry(now, entry, poll)
 	response.TrueTimeNs = c.trueTime(now).UnixNano()
 	response.Entries = uint32(c.divider.Entries(now))
+	response.Others = EncodeLoads(c.underWay.But(entry))
 	if c.declared == nil {
 		return response
 	}
@@ -122,6 +124,33 @@
 	return c.estimator.TrueTime(now, time.Now())
 }
 
+// EncodeLoads returns what is under way as a message.
+func EncodeLoads(loads map[placer.Hash]placer.UnderWay) *messages.UpstreamLoads {
+	m := &messages.UpstreamLoads{}
+	for hash, load := range loads {
+		m.Upstreams = append(m.Upstreams, uint64(hash))
+		m.Calls = append(m.Calls, load.Calls)
+		m.Prefill = append(m.Prefill, load.Prefill)
+	}
+	return m
+}
+
+// DecodeLoads returns what a message says is under way, nothing for one whose
+// lists differ in length.
+func DecodeLoads(m *messages.UpstreamLoads) map[placer.Hash]placer.UnderWay {
+	loads := make(map[placer.Hash]placer.UnderWay)
+	if len(m.GetCalls()) != len(m.GetUpstreams()) || len(m.GetPrefill()) != len(m.GetUpstreams()) {
+		return loads
+	}
+	for i, hash := range m.GetUpstreams() {
+		loads[placer.Hash(hash)] = placer.UnderWay{
+			Calls:   m.GetCalls()[i],
+			Prefill: m.GetPrefill()[i],
+		}
+	}
+	return loads
+}
+
 // hearEntry takes what an entry has seen.
 func (c *coordinator) hearEntry(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
 	demand := make(map[units.Account]apportioner.Demand, len(poll.GetDemand()))
@@ -149,4 +178,10 @@
 		Incarnation: units.Incarnation(poll.GetIncarnation()),
 	}, counts)
 	c.duties.desk.hear(now, entry, poll.GetLoads())
+	c.underWay.Hear(entry, DecodeLoads(poll.GetUnderWay()))
+	for _, other := range c.underWay.Entries() {
+		if !c.divider.Uses(other) {
+			c.underWay.Hear(other, nil)
+		}
+	}
 }
--- a/src/placer/doc.go
+++ b/src/placer/doc.go
@@ -5,8 +5,10 @@
 // prompts share long parts whose reading again costs an upstream's time; some
 // upstreams are slow, refuse, or are dead without saying so.
 //
-// A call with a shared part goes to the upstream that the part belongs to by
-// rendezvous hashing, which all entries work out alike without a message, unless
-// that one is clearly busier than the rest; every other call goes to the least
-// busy of the sound ones, those of its own data centre first among equals.
+// Each call compares a few upstreams by what it would wait for there: the prompt
+// tokens that wait to be read, its own that the upstream lacks, and the places
+// taken. The few are two that its shared part belongs to by rendezvous hashing,
+// which all entries work out alike without a message, and some drawn by lot: what
+// an entry knows of others' calls is a poll old, and all of them would send to the
+// one that was least busy then.
 package placer
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -4,10 +4,9 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -23,12 +22,22 @@
 	distance = 0.05
 	// coldness is what an upstream that has just started adds to its fill.
 	coldness = 0.3
-	// homeSlack is how much busier than the mean the home of a prompt's part may
-	// be, as a share of its places. Beyond it, reading the part again is cheaper
-	// than waiting behind the others.
-	homeSlack = 0.25
 	// homes is how many upstreams a part may live at.
 	homes = 2
+	// secondMisses is the part of a shared part that its second home is taken to
+	// lack.
+	secondMisses = 0.3
+	// drawn is how many upstreams are compared beside the homes. With stale loads,
+	// two are much better than one, and more than a few make entries choose alike.
+	drawn = 4
+	// tokensEach is how many prompt tokens weigh as much as all places of an
+	// upstream: a tenth of a second's reading.
+	tokensEach = 8000
+	// othersExpiry is how long what others have under way counts, some polls.
+	othersExpiry = time.Second
+	// overfull is what an upstream without a free place adds to its fill: a call
+	// there waits for another to end.
+	overfull = 1.0
 	// noise spreads calls that arrive together among near equals.
 	noise = 0.04
 	// soundFor is how long an answer shows that an upstream which control has not
@@ -49,6 +58,7 @@
 	// Silent says that control has not heard it lately.
 	Silent bool
 	stats  *stats
+	hash   Hash
 }
 
 // stats is what this entry knows of one incarnation from its own calls.
@@ -79,6 +89,8 @@
 	// MostCalls returns how many calls this entry may have at an upstream at once.
 	MostCalls func(upstream *tracker.Upstream) int
 
+	others atomic.Pointer[Others]
+
 	mu      sync.Mutex
 	known   map[ejector.Key]*stats
 	ejector ejector.Ejector
@@ -110,6 +122,7 @@
 		Cold:     cold,
 		Silent:   silent,
 		stats:    s,
+		hash:     HashOf(u.Name),
 	}
 }
 
@@ -138,74 +151,98 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	scored := make([]scored, len(candidates))
-	mean := 0.0
-	for i, c := range candidates {
-		scored[i].candidate = c
-		scored[i].fill = c.fill(now)
-		mean += scored[i].fill / float64(len(candidates))
-	}
-	if home := p.home(call, scored, mean); home != nil {
-		return home.Upstream
-	}
-	best := -1
-	least := 0.0
-	for i, s := range scored {
-		score := s.fill + noise*rand.Float64()
-		if s.candidate.DataCentre != p.DataCentre {
-			score += distance
+	best, least := (*Candidate)(nil), 0.0
+	compare := func(c *Candidate, unread units.Tokens) {
+		if score := p.score(now, c, unread); best == nil || score < least {
+			best, least = c, score
 		}
-		if s.candidate.Cold {
-			score += coldness
-		}
-		if best < 0 || score < least {
-			best, least = i, score
+	}
+	if len(call.Parts) > 1 {
+		for i, c := range homesOf(call.Parts[len(call.Parts)-2].ID, candidates) {
+			// The second home is for when the first is busy; used alike, each of
+			// them would read the part.
+			missing := units.Tokens(float64(i) * secondMisses * float64(call.Shared()))
+			compare(c, call.Prompt-call.Shared()+missing)
 		}
 	}
-	return scored[best].candidate.Upstream
+	first := rand.IntN(len(candidates))
+	for i := range min(drawn, len(candidates)) {
+		// A step that is drawn too would visit one twice; neighbours do as well.
+		compare(candidates[(first+i*stride(len(candidates)))%len(candidates)], call.Prompt)
+	}
+	return best.Upstream
 }
 
-type scored struct {
-	candidate *Candidate
-	fill      float64
-	rank      uint64
-}
+// stride spreads the drawn candidates over the list, which is sorted by name.
+func stride(count int) int { return max(1, count/drawn) }
 
-// home returns the upstream that the call's shared part lives at, or nil where
-// the call has none or each of its homes is too busy.
-func (p *Placer) home(call *dispatcher.Call, candidates []scored, mean float64) *Candidate {
-	if len(call.Parts) < 2 {
-		return nil
+// score returns what a call would wait for at an upstream, in its places.
+func (p *Placer) score(now time.Time, c *Candidate, unread units.Tokens) float64 {
+	calls, prefill := c.busy(now, p.others.Load())
+	slots := c.Slots
+	if slots <= 0 {
+		slots = defaultSlots
 	}
-	part := call.Parts[len(call.Parts)-2].ID
-	for i := range candidates {
-		candidates[i].rank = rank(part, candidates[i].candidate.Name)
+	score := float64(calls)/float64(slots) + float64(prefill+int64(unread))/tokensEach + noise*rand.Float64()
+	if calls >= int64(slots) {
+		score += overfull
 	}
-	best := slices.Clone(candidates)
-	slices.SortFunc(best, func(a, b scored) int {
-		if a.rank > b.rank {
-			return -1
-		}
-		return 1
-	})
-	for _, s := range best[:min(homes, len(best))] {
-		if s.fill <= mean+homeSlack && s.fill < 1 && !s.candidate.Cold {
-			return s.candidate
+	if c.DataCentre != p.DataCentre {
+		score += distance
+	}
+	if c.Cold {
+		score += coldness
+	}
+	return score
+}
+
+// homesOf returns the upstreams that a shared part belongs to.
+func homesOf(part uint64, candidates []*Candidate) []*Candidate {
+	var best [homes]*Candidate
+	var ranks [homes]uint64
+	for _, c := range candidates {
+		r := rank(part, c.hash)
+		switch {
+		case best[0] == nil || r > ranks[0]:
+			best[0], best[1] = c, best[0]
+			ranks[0], ranks[1] = r, ranks[0]
+		case best[1] == nil || r > ranks[1]:
+			best[1] = c
+			ranks[1] = r
 		}
 	}
-	return nil
+	if best[1] == nil {
+		return best[:1]
+	}
+	return best[:]
 }
 
-// rank orders upstreams for a part; the same on every entry.
-func rank(part uint64, name units.Upstream) uint64 {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte(part >> (8 * i))
+// rank orders upstreams for a part, the same on every entry, by mixing both hashes.
+func rank(part uint64, upstream Hash) uint64 {
+	x := part ^ uint64(upstream)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// SetOthers takes over what other entries have under way.
+func (p *Placer) SetOthers(others *Others) { p.others.Store(others) }
+
+// UnderWay returns what this entry has under way at the upstreams of the moment.
+func (p *Placer) UnderWay() map[Hash]UnderWay {
+	loads := make(map[Hash]UnderWay)
+	for _, candidates := range p.Fleet() {
+		for _, c := range candidates {
+			load := UnderWay{
+				Calls:   c.Live.InFlight.Load(),
+				Prefill: c.Live.Prefill.Load(),
+			}
+			if load != (UnderWay{}) {
+				loads[c.hash] = load
+			}
+		}
 	}
-	d := xxhash.New()
-	_, _ = d.Write(b[:])
-	_, _ = d.WriteString(string(name))
-	return d.Sum64()
+	return loads
 }
 
 // sound returns the candidates to choose from: those that seem well, else those
@@ -234,14 +271,16 @@
 	return now.Sub(c.stats.answeredAt) < soundFor
 }
 
-// fill returns the share of an upstream's places that are taken, above 1 where
-// calls wait.
-func (c *Candidate) fill(now time.Time) float64 {
-	slots := c.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+// busy returns what an upstream has to do: what this entry sent, which it knows
+// exactly, and what others did, by the more recent of their polls and its answers.
+func (c *Candidate) busy(now time.Time, others *Others) (calls, prefill int64) {
+	calls = c.Live.InFlight.Load()
+	prefill = c.Live.Prefill.Load()
+	if others == nil || now.Sub(others.At) > othersExpiry {
+		return calls + int64(c.others(now)), prefill
 	}
-	return (c.others(now) + float64(c.Live.InFlight.Load())) / float64(slots)
+	load := others.Loads[c.hash]
+	return calls + max(load.Calls, int64(c.others(now))), prefill + load.Prefill
 }
 
 // others returns what the upstream does for others, which fades with its age.
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -42,6 +42,7 @@
 func prompt(shared uint64) *dispatcher.Call {
 	return &dispatcher.Call{
 		Service: "s",
+		Prompt:  5110,
 		Parts:   []dispatcher.Part{{ID: 1, Tokens: 100}, {ID: shared, Tokens: 5000}, {ID: 99, Tokens: 10}},
 	}
 }
@@ -149,6 +150,51 @@
 	}
 }
 
+// A long prompt is being read at an upstream on account of another entry. A call
+// that comes here must not wait behind it, though this entry has sent nothing there.
+func TestPickAvoidsWhatOthersKeepReading(t *testing.T) {
+	w := newWorld(3)
+	busy := w.fleet["s"][0].Name
+	w.SetOthers(&Others{
+		At:    w.now,
+		Loads: map[Hash]UnderWay{HashOf(busy): {Calls: 1, Prefill: 50_000}},
+	})
+	for range 50 {
+		if got := w.Pick(&dispatcher.Call{Service: "s"}, nil).Name; got == busy {
+			t.Fatalf("picked %s, which reads a long prompt", got)
+		}
+	}
+	w.now = w.now.Add(2 * othersExpiry)
+	used := 0
+	for range 200 {
+		if w.Pick(&dispatcher.Call{Service: "s"}, nil).Name == busy {
+			used++
+		}
+	}
+	if used == 0 {
+		t.Error("picked after the word of it is old: got never, want again")
+	}
+}
+
+// What an entry hears of the others must be their sum without its own part, and
+// entries that are gone must leave nothing behind.
+func TestSumLeavesOutOnesOwn(t *testing.T) {
+	var s Sum
+	s.Hear("a", map[Hash]UnderWay{1: {Calls: 2, Prefill: 10}})
+	s.Hear("b", map[Hash]UnderWay{1: {Calls: 3, Prefill: 5}, 2: {Calls: 1}})
+	s.Hear("b", map[Hash]UnderWay{1: {Calls: 4}})
+	if got, want := s.But("a")[1], (UnderWay{Calls: 4}); got != want {
+		t.Errorf("others of a: got %+v, want %+v", got, want)
+	}
+	if got, want := len(s.But("a")), 1; got != want {
+		t.Errorf("upstreams of others of a: got %d, want %d", got, want)
+	}
+	s.Hear("b", nil)
+	if got := s.But("a"); len(got) != 0 {
+		t.Errorf("others of a after b is gone: got %v, want none", got)
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	w := newWorld(18)
 	call := prompt(7)
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -12,9 +12,9 @@
 
 const (
 	// perWaiting is how many upstreams it takes for each call that waits for its first
-	// byte while nothing queues. With fewer than one and a quarter the queues of a
+	// byte while nothing queues. With fewer than one and a half the queues of a
 	// clump outlast the objective.
-	perWaiting = 1.25
+	perWaiting = 1.4
 	// full is the part of an upstream's places that may be taken.
 	full = 0.5
 	// spare is added to what the load needs: a clump of long prompts at one
@@ -198,7 +198,7 @@
 			Reclaimable: true,
 		}
 		plan[kind] = min(each, service.Scaling.Most)
-		standing += s.standing(now, kind, plan[kind], stock)
+		standing += s.standing(now, service, kind, plan[kind], stock)
 	}
 	// What reclaimable ones cannot carry now is ordered at the full price.
 	s.firm(plan, centres, max(firmly, needed-standing), service.Scaling)
@@ -206,11 +206,16 @@
 }
 
 // standing returns how many of a kind take calls or are about to.
-func (s *Scaler) standing(now time.Time, kind Kind, want int, stock Stock) int {
+//
+// An order counts only for as long as its upstreams may take to start. Counted
+// for longer, those that were taken back since would be missed by nobody.
+func (s *Scaler) standing(now time.Time, service *matcher.Service, kind Kind, want int, stock Stock) int {
+	last, known := s.ordered[kind]
+	coming := known && now.Sub(last.at) < repeat(service, true)
 	if at := s.dryAt[kind]; !at.IsZero() && now.Sub(at) < dry {
-		return min(want, stock[kind])
+		coming = false
 	}
-	if last, known := s.ordered[kind]; known {
+	if coming {
 		return min(want, max(stock[kind], last.count))
 	}
 	return min(want, stock[kind])
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -144,6 +144,30 @@
 	}
 }
 
+// A data centre of reclaimable upstreams is taken back long after it was ordered.
+// What is missing must be ordered with the next step, since each second that it
+// takes to start is a second in which callers wait.
+func TestReclaimIsMadeUpForAtOnce(t *testing.T) {
+	p := newPlatform(service())
+	s := &Scaler{}
+	now, _ := p.run(s, start, time.Minute, evenLoad)
+	for centre := range p.service.Scaling.Prices {
+		if centre != "d" {
+			p.stock[Kind{DataCentre: centre, Reclaimable: true}] = 0
+		}
+	}
+	firm := p.firm()
+	ordered := 0
+	for _, order := range s.Step(now, p.service, evenLoad(p.total()), p.stock) {
+		if !order.Reclaimable {
+			ordered += order.Count - p.stock[order.Kind]
+		}
+	}
+	if missing := s.needed(p.service) - p.stock[Kind{DataCentre: "d", Reclaimable: true}] - firm; ordered < missing {
+		t.Errorf("ordered at the full price: got %d, want the %d that are missing", ordered, missing)
+	}
+}
+
 // Before the first calls, and after a new leader has taken over, nothing is known
 // of the load. An upstream given back then would be missing in a moment.
 func TestNothingIsGivenBackBeforeTheLoadIsKnown(t *testing.T) {
