Refuse at once what would wait far beyond what its caller wants

Cause: in a burst beyond all upstreams, calls of low urgency were placed whose answers came late and cost those behind them their time.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -33,6 +33,11 @@
 	// tokensEach is how many prompt tokens weigh as much as all places of an
 	// upstream: a tenth of a second's reading.
 	tokensEach = 8000
+	// readTime is how long tokensEach tokens take to read at the upstreams of today.
+	readTime = 85 * time.Millisecond
+	// patience is how many times the wanted time a call may have to wait for its
+	// first byte before it is refused: what is known of the wait is rough.
+	patience = 1.6
 	// othersExpiry is how long what others have under way counts, some polls.
 	othersExpiry = time.Second
 	// overfull is what an upstream without a free place adds to its fill: a call
@@ -170,9 +175,21 @@
 		// A step that is drawn too would visit one twice; neighbours do as well.
 		compare(candidates[(first+i*stride(len(candidates)))%len(candidates)], call.Prompt)
 	}
+	if len(tried) == 0 && hopeless(call, least) {
+		return nil
+	}
 	return best.Upstream
 }
 
+// hopeless reports whether a call would wait far beyond what its caller wants,
+// at the best of several upstreams. Its answer would come late and cost the calls
+// behind it their time; refused at once, its caller can come back when the burst
+// is over. The most urgent calls go before what waits, and are never refused.
+func hopeless(call *dispatcher.Call, score float64) bool {
+	wait := time.Duration(score * float64(readTime))
+	return call.Urgency > 0 && call.Target > 0 && len(call.Parts) > 0 && wait > time.Duration(patience*float64(call.Target))
+}
+
 // stride spreads the drawn candidates over the list, which is sorted by name.
 func stride(count int) int { return max(1, count/drawn) }
 
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -176,6 +176,37 @@
 	}
 }
 
+// A burst is more than all upstreams can read in time. Calls that would come far
+// too late are refused at once, so that the others are in time; the most urgent
+// and those whose wait is short are placed.
+func TestHopelessCallsAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		backlog int64
+		urgency int
+		tried   []units.Upstream
+		want    bool
+	}{
+		"a short wait":         {backlog: 20_000, urgency: 2, want: true},
+		"far too long":         {backlog: 200_000, urgency: 2},
+		"far too long, urgent": {backlog: 200_000, urgency: 0, want: true},
+		"under way":            {backlog: 200_000, urgency: 2, tried: []units.Upstream{"u0"}, want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4)
+			for _, candidate := range w.fleet["s"] {
+				candidate.Live.Prefill.Store(c.backlog)
+			}
+			call := prompt(7)
+			call.Urgency = c.urgency
+			call.Target = 500 * time.Millisecond
+			if got := w.Pick(call, c.tried) != nil; got != c.want {
+				t.Errorf("placed: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 // What an entry hears of the others must be their sum without its own part, and
 // entries that are gone must leave nothing behind.
 func TestSumLeavesOutOnesOwn(t *testing.T) {
