--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -35,6 +35,8 @@
 	running time.Duration
 	waiting time.Duration
 	tokens  int64
+	// each is a low quantile of how long a prompt token took to read, in seconds.
+	each float64
 	// least is the shortest wait for a first byte lately, which no upstream more
 	// would shorten.
 	least time.Duration
@@ -63,11 +65,12 @@
 	s := f.service(call.Service)
 	s.running += took
 	s.wait(first)
+	s.read(first, call.Unread())
 	// What a limit refuses, or an entry without control, is no work for upstreams;
 	// as work it would make each call seem to need less of them than it does.
 	if outcome != string(dispatcher.ProblemLimit) && outcome != string(dispatcher.ProblemUnready) {
 		s.calls++
-		s.tokens += int64(call.Prompt)
+		s.tokens += int64(call.Unread())
 	}
 	if outcome == string(dispatcher.ProblemNoUpstream) || first > route.Target {
 		s.pressed++
@@ -95,6 +98,33 @@
 	s.least = time.Duration(float64(s.least) * leastGrowth)
 }
 
+const (
+	// longPrompt is the least prompt by which the speed of reading is measured, in
+	// tokens: with shorter ones the rest of the wait is more than the reading.
+	longPrompt = 4000
+	// readQuantile is the part of prompts that were read without a queue before
+	// them, as far as may be said at any load that meets its objective.
+	readQuantile = 0.25
+	// readStep is how far one prompt moves the measure.
+	readStep = 0.08
+)
+
+// read moves the measure of the speed of reading towards its quantile.
+func (s *serviceFigures) read(first time.Duration, unread units.Tokens) {
+	if first <= s.least || unread < longPrompt {
+		return
+	}
+	each := (first - s.least).Seconds() / float64(unread)
+	switch {
+	case s.each == 0:
+		s.each = each
+	case each < s.each:
+		s.each *= 1 - readStep*(1-readQuantile)
+	default:
+		s.each *= 1 + readStep*readQuantile
+	}
+}
+
 func (f *figures) latency(service units.Service) tally.Histogram {
 	h := f.first[string(service)]
 	if h == nil {
@@ -147,8 +177,13 @@
 			Calls:   float64(s.calls) / passed,
 			Pressed: float64(s.pressed) / passed,
 			Tokens:  float64(s.tokens) / passed,
+
+			SecondsPerToken: s.each,
 		})
-		*s = serviceFigures{least: s.least}
+		*s = serviceFigures{
+			least: s.least,
+			each:  s.each,
+		}
 	}
 	return loads
 }
--- a/src/gateway/figures_test.go
+++ b/src/gateway/figures_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// Most prompts wait behind others before they are read. The measure of the speed
+// of reading must come near to what the reading alone takes.
+func TestSpeedOfReadingIsLearntUnderLoad(t *testing.T) {
+	s := &serviceFigures{least: 10 * time.Millisecond}
+	for n := range 400 {
+		queue := time.Duration(n%4) * 40 * time.Millisecond
+		s.read(s.least+100*time.Millisecond+queue, 10_000)
+	}
+	if got := s.each; got < 0.8e-5 || got > 1.5e-5 {
+		t.Errorf("seconds for a token: got %.2e, want about 1e-5", got)
+	}
+}
+
 // The shortest wait is what every call waits; only what is beyond it says that
 // upstreams are busy.
 func TestWaitingIsBeyondTheShortestWait(t *testing.T) {
--- a/src/governor/desk.go
+++ b/src/governor/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -57,7 +58,7 @@
 	for _, l := range loads {
 		heard.services[units.Service(l.GetService())] = scaler.Load{
 			Asked:   askedOf(l),
-			Waiting: l.GetWaiting(),
+			Each:    l.GetSecondsPerToken(),
 			Running: l.GetRunning(),
 		}
 	}
@@ -75,14 +76,23 @@
 // load adds up what all entries have seen of a service lately.
 func (d *orderDesk) load(now time.Time, service units.Service) scaler.Load {
 	var sum scaler.Load
+	var each []float64
 	for entry, l := range d.loads {
 		if now.Sub(l.at) > loadExpiry {
 			delete(d.loads, entry)
 			continue
 		}
-		sum.Asked += l.services[service].Asked
-		sum.Waiting += l.services[service].Waiting
-		sum.Running += l.services[service].Running
+		own := l.services[service]
+		sum.Asked += own.Asked
+		sum.Running += own.Running
+		if own.Each > 0 {
+			each = append(each, own.Each)
+		}
+	}
+	if len(each) > 0 {
+		// The median: an entry that has seen few calls may be far off.
+		slices.Sort(each)
+		sum.Each = each[len(each)/2]
 	}
 	return sum
 }
@@ -114,7 +124,8 @@
 				Bool("reclaimable", order.Reclaimable).
 				Int("count", order.Count).
 				Int("have", stock[order.Kind]).
-				Float64("waiting", load.Waiting).
+				Float64("asked", load.Asked).
+				Float64("seconds-each", load.Each).
 				Float64("running", load.Running).
 				Uint64("fence", uint64(c.node.Term())).
 				Msg("upstreams-ordered")
@@ -140,7 +151,7 @@
 	duties.coordinator.log.Info().
 		Str("service", string(service)).
 		Float64("asked", load.Asked).
-		Float64("waiting", load.Waiting).
+		Float64("seconds-each", load.Each).
 		Float64("running", load.Running).
 		Int("upstreams", total).
 		Msg("service-load")
--- a/src/scaler/doc.go
+++ b/src/scaler/doc.go
@@ -6,9 +6,11 @@
 // times a day, and then for a while none are to be had anywhere. An upstream
 // takes seconds to start, so that nothing can be ordered in time for a burst.
 //
-// The measure is how many calls wait for their first byte, on average: by
-// Little's law that is the work of reading prompts that is asked for, in
-// upstreams, whatever their speed. The plan holds enough upstreams that are not
-// taken back to carry most of that work alone, and enough reclaimable ones that
-// the loss of any one data centre of them leaves the whole objective.
+// The measure is the work of reading prompts that is asked for: the tokens that
+// upstreams are likely to have to read, times how long one takes where nothing
+// queues. It does not depend on how many upstreams there are. How many calls wait
+// does: once upstreams are too few it grows without bound, and a plan by it orders
+// several times what is needed. The plan holds enough upstreams that are not taken
+// back to carry much of that work alone, and enough reclaimable ones that the loss
+// of any two data centres of them leaves the whole objective.
 package scaler
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// perWaiting is how many upstreams it takes for each call that waits for its first
-	// byte while nothing queues. With fewer than one and a half the queues of a
-	// clump outlast the objective.
-	perWaiting = 1.4
+	// busy is the part of an upstream's time that reading prompts may take. Prompts
+	// differ a hundredfold in length, and the queue behind a long one at half or
+	// more outlasts the objective of the short ones.
+	busy = 0.38
 	// full is the part of an upstream's places that may be taken.
 	full = 0.5
 	// spare is added to what the load needs: a clump of long prompts at one
@@ -38,13 +38,11 @@
 	// gives nothing back that the next clump needs.
 	steady = 3 * time.Second
 	fall   = 10 * time.Second
-	// learnAfter is how long calls are seen before the measure counts, and forget
-	// how slowly a call may become dearer: a mix of longer prompts lasts, a queue
-	// is gone before.
-	learnAfter = 2 * time.Second
-	forget     = 25 * time.Second
-	// dearer bounds what a call may come to when it becomes dearer: a queue makes
-	// it many times as long at once, a mix of longer prompts does not.
+	// forget is how slowly a token may become dearer: slower upstreams stay so, a
+	// queue is gone before.
+	forget = 30 * time.Second
+	// dearer bounds what a token may come to when it becomes dearer: a queue makes
+	// it many times as long at once, slower upstreams do not.
 	dearer = 1.5
 	// late is how long beyond its start an upstream may take to show before its
 	// order is given again, and slow how long one that is given back may take to
@@ -74,9 +72,10 @@
 	// Asked is what callers ask for, in prompt tokens a second, or in calls a
 	// second where there are no prompts.
 	Asked float64
-	// Waiting is how many calls wait for their first byte, Running how many are
-	// under way, on average.
-	Waiting float64
+	// Each is how long an upstream takes for each of these while nothing queues, in
+	// seconds; 0 where nobody knows.
+	Each float64
+	// Running is how many calls are under way, on average.
 	Running float64
 }
 
@@ -91,9 +90,9 @@
 	// recent is the load without its noise, load what the plan goes by.
 	recent Load
 	load   Load
-	// waitingEach and runningEach are what one unit that is asked for comes to
-	// while nothing queues.
-	waitingEach float64
+	// each is what one unit that is asked for takes while nothing queues, and
+	// runningEach how many calls are then under way for it.
+	each        float64
 	runningEach float64
 	ordered     map[Kind]placed
 	dryAt       map[Kind]time.Time
@@ -136,15 +135,15 @@
 	passed := now.Sub(s.at)
 	s.at = now
 	s.recent.Asked = smooth(s.recent.Asked, load.Asked, passed, steady)
-	s.recent.Waiting = smooth(s.recent.Waiting, load.Waiting, passed, steady)
 	s.recent.Running = smooth(s.recent.Running, load.Running, passed, steady)
 	s.load.Asked = peak(s.load.Asked, s.recent.Asked, passed)
-	if s.began.IsZero() || now.Sub(s.began) < learnAfter || s.recent.Asked <= 0 {
-		return
+	if load.Each > 0 {
+		s.each = least(s.each, load.Each, passed)
 	}
-	s.waitingEach = least(s.waitingEach, s.recent.Waiting/s.recent.Asked, passed)
-	s.runningEach = least(s.runningEach, s.recent.Running/s.recent.Asked, passed)
-	s.load.Waiting = s.load.Asked * s.waitingEach
+	if s.recent.Asked > 0 {
+		s.runningEach = least(s.runningEach, s.recent.Running/s.recent.Asked, passed)
+	}
+	s.load.Each = s.each
 	s.load.Running = s.load.Asked * s.runningEach
 }
 
@@ -175,7 +174,7 @@
 
 // needed returns how many upstreams the load needs to meet its objective.
 func (s *Scaler) needed(service *matcher.Service) int {
-	reading := s.load.Waiting * perWaiting
+	reading := s.load.Asked * s.load.Each / busy
 	places := 0.0
 	if service.Engine != nil && service.Engine.Slots > 0 {
 		places = s.load.Running / (full * float64(service.Engine.Slots))
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -96,14 +96,14 @@
 	return total
 }
 
-// evenLoad is a load that waits six calls' worth while nothing queues, and more the
-// fewer upstreams there are.
+// evenLoad is the work of three upstreams while nothing queues, and seems to be more
+// where there are fewer than eight.
 func evenLoad(upstreams int) Load {
 	queue := 1.0
 	if upstreams < 8 {
 		queue = 8
 	}
-	return Load{Asked: 100_000, Waiting: 6 * queue, Running: 60 * queue}
+	return Load{Asked: 300_000, Each: 1e-5 * queue, Running: 60 * queue}
 }
 
 // Upstreams that are not needed cost the full price; callers must not notice that
@@ -187,7 +187,7 @@
 	now, _ := p.run(s, start, 30*time.Second, evenLoad)
 	before := s.needed(p.service)
 	_, _ = p.run(s, now, 10*time.Second, func(int) Load {
-		return Load{Asked: 100_000, Waiting: 300, Running: 900}
+		return Load{Asked: 300_000, Each: 5e-4, Running: 900}
 	})
 	if got, most := s.needed(p.service), before*2; got > most {
 		t.Errorf("needed while all queue: got %d, want at most %d", got, most)
@@ -208,7 +208,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "passes")) * time.Millisecond)
 			load := Load{
 				Asked:   rapid.Float64Range(0, 1e6).Draw(t, "asked"),
-				Waiting: rapid.Float64Range(0, 100).Draw(t, "waiting"),
+				Each:    rapid.Float64Range(0, 1e-4).Draw(t, "each"),
 				Running: rapid.Float64Range(0, 1000).Draw(t, "running"),
 			}
 			for _, order := range s.Step(now, svc, load, stock) {
