--- a/src/scaler/doc.go
+++ b/src/scaler/doc.go
@@ -10,7 +10,8 @@
 // upstreams are likely to have to read, times how long one takes where nothing
 // queues. It does not depend on how many upstreams there are. How many calls wait
 // does: once upstreams are too few it grows without bound, and a plan by it orders
-// several times what is needed. The plan holds enough upstreams that are not taken
-// back to carry much of that work alone, and enough reclaimable ones that the loss
-// of any two data centres of them leaves the whole objective.
+// several times what is needed. The plan holds so many reclaimable upstreams in each
+// data centre that the loss of any two leaves the whole objective, and a few that
+// are not taken back; what is then missing is ordered at the full price from the
+// notice on, which a good part of the time to start goes before.
 package scaler
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -13,15 +13,17 @@
 const (
 	// busy is the part of an upstream's time that reading prompts may take. Prompts
 	// differ a hundredfold in length, and the queue behind a long one at half or
-	// more outlasts the objective of the short ones.
-	busy = 0.38
+	// more outlasts the objective of the short ones; a third leaves room for the
+	// clumps.
+	busy = 0.33
 	// full is the part of an upstream's places that may be taken.
 	full = 0.5
 	// spare is added to what the load needs: a clump of long prompts at one
 	// upstream is more than the mean.
 	spare = 0.7
-	// firm is the least part of what is needed that is ordered at the full price.
-	firm = 0.45
+	// firm is the least part of what is needed that is ordered at the full price. What
+	// reclaimable ones cannot carry is ordered so as well, from their notice on.
+	firm = 0.1
 	// lostCentres is how many data centres of reclaimable upstreams may be gone at
 	// once while what is needed still stands: a second is taken back while the
 	// first is not to be had again.
