--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -23,7 +23,10 @@
 	spare = 0.7
 	// firm is the least part of what is needed that is ordered at the full price. What
 	// reclaimable ones cannot carry is ordered so as well, from their notice on.
-	firm = 0.1
+	firm = 0.15
+	// firmDry is that part while reclaimable ones are not to be had: those that are
+	// left may be taken back too, and what stands in for them takes seconds to start.
+	firmDry = 0.3
 	// lostCentres is how many data centres of reclaimable upstreams may be gone at
 	// once while what is needed still stands: a second is taken back while the
 	// first is not to be had again.
@@ -188,7 +191,7 @@
 func (s *Scaler) plan(now time.Time, service *matcher.Service, needed int, stock Stock) Stock {
 	plan := make(Stock)
 	centres := byPrice(service)
-	firmly := int(math.Ceil(firm * float64(needed)))
+	firmly := int(math.Ceil(s.firmPart(now) * float64(needed)))
 	// Reclaimable ones go evenly to all data centres: any one may be taken back.
 	left := max(1, len(centres)-lostCentres)
 	each := max(leastEach, int(math.Ceil(float64(needed-firmly)/float64(left))))
@@ -206,6 +209,16 @@
 	return plan
 }
 
+// firmPart returns the least part of what is needed at the full price.
+func (s *Scaler) firmPart(now time.Time) float64 {
+	for _, at := range s.dryAt {
+		if now.Sub(at) < 2*dry {
+			return firmDry
+		}
+	}
+	return firm
+}
+
 // standing returns how many of a kind take calls or are about to.
 //
 // An order counts only for as long as its upstreams may take to start. Counted
@@ -321,7 +334,9 @@
 
 // Refused notes that a kind is not to be had now.
 func (s *Scaler) Refused(now time.Time, kind Kind) {
-	s.dryAt[kind] = now
+	if kind.Reclaimable {
+		s.dryAt[kind] = now
+	}
 	delete(s.ordered, kind)
 }
 
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -144,6 +144,21 @@
 	}
 }
 
+// One data centre after the other is taken back while none are to be had. From
+// the first refusal on, more must stand that cannot be taken back.
+func TestMoreIsHeldFirmlyWhileNoneAreToBeHad(t *testing.T) {
+	p := newPlatform(service())
+	s := &Scaler{}
+	now, _ := p.run(s, start, time.Minute, evenLoad)
+	p.dry = true
+	p.coming = nil
+	p.stock[Kind{DataCentre: "a", Reclaimable: true}] = 0
+	_, _ = p.run(s, now, 6*time.Second, evenLoad)
+	if got, want := p.firm(), int(firmDry*float64(s.needed(p.service))); got < want {
+		t.Errorf("upstreams at the full price: got %d, want %d", got, want)
+	}
+}
+
 // A data centre of reclaimable upstreams is taken back long after it was ordered.
 // What is missing must be ordered with the next step, since each second that it
 // takes to start is a second in which callers wait.
