--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -66,7 +66,7 @@
 	g.incarnation = units.Incarnation(time.Now().UnixNano())
 	g.Reload(g.Settings)
 	if g.Client == nil {
-		g.Client = newClient()
+		g.Client = &connector.Client{}
 	}
 	g.figures = newFigures(g.Meter)
 	g.placer = &placer.Placer{
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/governor"
 	"github.com/rosecroft/rosecroft/src/matcher"
@@ -244,7 +243,3 @@
 	}
 	p.lost = true
 }
-
-// newClient returns a client without TLS, since the platform's network has none
-// between the system's own instances.
-func newClient() *connector.Client { return &connector.Client{} }
--- /dev/null
+++ b/src/governor/dump.go
@@ -0,0 +1,55 @@
+package governor
+
+import "github.com/rosecroft/rosecroft/src/timekeeper"
+
+// Dump is a control process's state as operators see it.
+type Dump struct {
+	Voter     string         `yaml:"voter"`
+	Role      string         `yaml:"role"`
+	Term      uint64         `yaml:"term"`
+	Leader    string         `yaml:"leader"`
+	Commit    uint64         `yaml:"commit"`
+	Last      uint64         `yaml:"last"`
+	Snapshot  uint64         `yaml:"snapshot"`
+	Version   uint64         `yaml:"version"`
+	Members   []string       `yaml:"members"`
+	Entries   int            `yaml:"entries"`
+	Upstreams []DumpUpstream `yaml:"upstreams"`
+}
+
+// DumpUpstream is one upstream in a dump.
+type DumpUpstream struct {
+	Name    string `yaml:"name"`
+	Service string `yaml:"service"`
+	State   string `yaml:"state"`
+	Silent  bool   `yaml:"silent"`
+	HeardMs int64  `yaml:"heard-ms"`
+}
+
+func (c *coordinator) dump() *Dump {
+	now := timekeeper.Now()
+	d := &Dump{
+		Voter:    string(c.node.Identity()),
+		Role:     c.node.CurrentRole().String(),
+		Term:     uint64(c.node.Term()),
+		Leader:   string(c.node.LeaderID()),
+		Commit:   uint64(c.node.Commit()),
+		Last:     uint64(c.node.LastIndex()),
+		Snapshot: uint64(c.node.SnapshotIndex()),
+		Version:  c.state.declaration.GetVersion(),
+		Entries:  c.divider.Entries(now),
+	}
+	for _, member := range c.node.Membership().GetMembers() {
+		d.Members = append(d.Members, member.GetId())
+	}
+	for _, e := range c.table.Entries() {
+		d.Upstreams = append(d.Upstreams, DumpUpstream{
+			Name:    string(e.ID),
+			Service: string(e.Service),
+			State:   e.State.String(),
+			Silent:  e.Silent,
+			HeardMs: now.Sub(e.HeardAt).Milliseconds(),
+		})
+	}
+	return d
+}
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -102,7 +104,7 @@
 
 // restoreUsage takes the reports in the order of their windows.
 func (s *state) restoreUsage(states *messages.MachineStates) error {
-	for _, name := range sortedKeys(states.GetStates()) {
+	for _, name := range slices.Sorted(maps.Keys(states.GetStates())) {
 		if !strings.HasPrefix(name, usagePart) {
 			continue
 		}
--- /dev/null
+++ b/src/governor/state_test.go
@@ -0,0 +1,131 @@
+package governor
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/tallier"
+)
+
+func newState() *state {
+	return &state{ledger: &tallier.Ledger{Length: 5 * time.Second}}
+}
+
+func declaration(version uint64, document string) *messages.Command {
+	return &messages.Command{
+		Change: &messages.Command_Declaration{
+			Declaration: &messages.Declaration{
+				Version:  version,
+				Document: []byte(document),
+			},
+		},
+	}
+}
+
+// Two operators send configurations at once, and their commands are committed in
+// any order, some of them twice. Every control instance must come to the highest
+// version, and keep the first content that it got; an instance that restores a
+// snapshot on the way must come to the same.
+func TestHighestVersionWinsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		direct, restored := newState(), newState()
+		highest := uint64(0)
+		content := ""
+		for n := range rapid.IntRange(1, 30).Draw(t, "commands") {
+			version := rapid.Uint64Range(1, 9).Draw(t, "version")
+			document := string(rune('a' + n))
+			if version > highest {
+				highest, content = version, document
+			}
+			direct.apply(declaration(version, document))
+			restored.apply(declaration(version, document))
+			if rapid.IntRange(0, 3).Draw(t, "snapshot") == 0 {
+				bytes, err := restored.snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored = newState()
+				if err := restored.restore(bytes); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for name, s := range map[string]*state{"direct": direct, "restored": restored} {
+			if got := s.declaration.GetVersion(); got != highest {
+				t.Fatalf("%s version: got %d, want %d", name, got, highest)
+			}
+			if got := string(s.declaration.GetDocument()); got != content {
+				t.Fatalf("%s document: got %q, want %q", name, got, content)
+			}
+		}
+	})
+}
+
+// The counts of a window stand in a snapshot, so that the next leader reports them
+// as they were.
+func TestSnapshotKeepsReports(t *testing.T) {
+	s := newState()
+	for window := range int64(3) {
+		s.apply(&messages.Command{
+			Change: &messages.Command_UsageReport{
+				UsageReport: &messages.UsageReport{
+					Window: 100 + window,
+					Counts: map[string]int64{"a": window},
+				},
+			},
+		})
+	}
+	content, err := s.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := newState()
+	if err := again.restore(content); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(again.ledger.Fixed()), 3; got != want {
+		t.Fatalf("reports: got %d, want %d", got, want)
+	}
+	if got, want := again.ledger.Fixed()[2].Counts["a"], int64(2); got != want {
+		t.Errorf("counts: got %d, want %d", got, want)
+	}
+	if err := again.restore([]byte("garbage")); err == nil {
+		t.Error("a damaged snapshot: got no error")
+	}
+}
+
+// All processes lose power. The next life of control must know the upstreams at
+// once, and must not take them to have been heard just now: those that are gone
+// count as silent soon.
+func TestUpstreamsAreRecalled(t *testing.T) {
+	const interval = time.Second
+	folder := t.TempDir()
+	now := time.Unix(1000, 0)
+	table := &enroller.Table{ID: 1, Interval: interval}
+	table.Hear(now, enroller.Registration{ID: "u1", Service: "s", Address: "x", State: enroller.Ready, Sequence: 3}, 0)
+	m := newMemory(folder)
+	if err := m.keep(now, table); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-m.ended; err != nil {
+		t.Fatal(err)
+	}
+	again := &enroller.Table{ID: 2, Interval: interval}
+	if count, err := newMemory(folder).load(now, again); err != nil || count != 1 {
+		t.Fatalf("recalled: got %d (%v), want 1", count, err)
+	}
+	if got := again.Entries()[0]; got.State != enroller.Ready || got.Silent {
+		t.Errorf("upstream: got %v, silent %t, want it ready", got.State, got.Silent)
+	}
+	again.Expire(now.Add(2 * interval))
+	if !again.Entries()[0].Silent {
+		t.Error("upstream that sends no heartbeat: got it in use, want it silent")
+	}
+	if count, err := newMemory(t.TempDir()).load(now, again); err != nil || count != 0 {
+		t.Errorf("recalled from an empty folder: got %d (%v), want none", count, err)
+	}
+}
