--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -211,7 +211,12 @@
 	if d == nil || version <= p.version {
 		return false
 	}
-	declaration, err := p.gateway.Decode(d.GetDocument())
+	document, err := governor.Unpack(d)
+	if err != nil {
+		p.gateway.Log.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration-unreadable")
+		return false
+	}
+	declaration, err := p.gateway.Decode(document)
 	if err != nil {
 		p.gateway.Log.Error().Err(err).Uint64("version", uint64(version)).Msg("configuration-unreadable")
 		return false
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -58,7 +58,9 @@
 	divider   *apportioner.Divider
 	estimator timekeeper.Estimator
 	underWay  placer.Sum
+	// declared is the configuration in force, packed its form for entries.
 	declared  *matcher.Declaration
+	packed    *messages.Declaration
 	role      replicator.RoleChanged
 	leadSince time.Time
 	// leadUntil is until when this instance may act as the leader, in
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -90,8 +90,8 @@
 		TableCursor: c.table.Cursor(),
 		Upstreams:   c.table.Since(now, poll.GetTableId(), poll.GetTableCursor()),
 	}
-	if d := c.state.declaration; d.GetVersion() > poll.GetDeclarationVersion() {
-		response.Declaration = d
+	if c.packed.GetVersion() > poll.GetDeclarationVersion() {
+		response.Declaration = c.packed
 	}
 	if !response.GetLeads() {
 		return response
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -113,6 +113,12 @@
 		c.log.Error().Err(err).Uint64("version", version).Msg("configuration-unreadable")
 		return
 	}
+	packed, err := pack(c.state.declaration)
+	if err != nil {
+		c.log.Error().Err(err).Uint64("version", version).Msg("configuration-not-packed")
+		return
+	}
+	c.packed = packed
 	c.declared = declaration
 	c.log.Info().
 		Uint64("version", version).
