Let the first calls of an entry wait for control

Cause: after all processes end together an entry starts up to 0.9 s before it hears a leader; it refused each call of that time with a Retry-After of 1.1 s or more, so that every one of them came late.

Ruled out: the placement after the restart (calls were in aim at once), limits (three refusals).

Change: calls in the first 1.5 s of a process wait for control, up to a quarter of their time; an entry that has lost its leader looks for it every 50 ms, for 2 s.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -50,6 +50,7 @@
 	incarnation units.Incarnation
 	world       atomic.Pointer[world]
 	stopping    atomic.Bool
+	opening     *opening
 	// seeds are the control instances that the settings name now.
 	seeds      atomic.Pointer[[]string]
 	placer     *placer.Placer
@@ -64,6 +65,7 @@
 // Prepare makes the parts; it is called once, before Run and Serve.
 func (g *Gateway) Prepare() {
 	g.incarnation = units.Incarnation(time.Now().UnixNano())
+	g.opening = newOpening(timekeeper.Now())
 	g.Reload(g.Settings)
 	if g.Client == nil {
 		g.Client = &connector.Client{}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -19,6 +19,12 @@
 	// pollInterval keeps what an entry knows a quarter of a second old, which is
 	// a small part of every period that it must keep to.
 	pollInterval = 200 * time.Millisecond
+	// seekInterval is the pause after a round in which no instance led. Elections
+	// are over within some tenths of a second, in which every caller waits.
+	seekInterval = 50 * time.Millisecond
+	// seekFor is how long it stays that short: all entries asking all instances
+	// for longer would keep control from what it has to do.
+	seekFor = 2 * time.Second
 	// pollTimeout lets a control instance that does not answer cost two polls.
 	pollTimeout = 450 * time.Millisecond
 	// leaseUse is the part of the revocation period for which an entry serves
@@ -44,20 +50,33 @@
 	version   units.Version
 	world     world
 	lost      bool
+	lostAt    time.Time
 }
 
 func (p *poller) run(ctx context.Context) {
 	p.controls = slices.Clone(*p.gateway.seeds.Load())
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		p.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		began := timekeeper.Now()
+		p.round(ctx)
+		now := timekeeper.Now()
+		timer.Reset(pause(now.Sub(began), now.Sub(p.lostAt), p.lost))
+	}
+}
+
+// pause returns how long to wait after a round that took so long, where lost
+// says that no instance has led for a time of silence.
+func pause(took, silence time.Duration, lost bool) time.Duration {
+	if lost && silence < seekFor {
+		return seekInterval
 	}
+	return max(0, pollInterval-took)
 }
 
 // round asks control instances until one that leads has answered, each once.
@@ -165,6 +184,9 @@
 	}
 	next := p.world
 	p.gateway.world.Store(&next)
+	if r.GetLeads() && next.table != nil {
+		p.gateway.opening.open()
+	}
 }
 
 func (p *poller) obey(now, sentAt time.Time, r *messages.EntryPollResponse) {
@@ -245,6 +267,7 @@
 		p.gateway.Log.Warn().
 			Str("controls", fmt.Sprint(p.controls)).
 			Msg("control-lost")
+		p.lostAt = timekeeper.Now()
 	}
 	p.lost = true
 }
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -52,6 +52,7 @@
 // Serve answers one request; a *dispatcher.Refusal as its error is the final
 // answer, any other error means that the caller is gone.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink dispatcher.Sink) error {
+	g.opening.await(ctx, timekeeper.Now(), r.Left)
 	w := g.world.Load()
 	if w == nil || w.table == nil {
 		return unready("this entry has no configuration yet")
