Hold limits over lost leaders by what entries were told

Cause: an entry's poll that came between an election and the new leader's first tick was answered from a divider that had not been made: the level was no number, and an entry compares calls with it without ever refusing, until the leader told parts 1.2 s later. Logged levels showed it.

Change: what a leader keeps is made before it answers anything; entries tell what they were told last and have admitted since, from which the next leader inherits the level; without answers for 0.6 s an entry uses only its own part; a debt is shared out.

--- a/src/apportioner/bucket.go
+++ b/src/apportioner/bucket.go
@@ -17,6 +17,9 @@
 	firstPart = 0.05
 	// saveTime is how long an entry without contact saves up its part of the rate.
 	saveTime = 300 * time.Millisecond
+	// contactFor is how long after an answer an entry uses more than its own part of
+	// what the account's bucket held: two polls and what they take.
+	contactFor = 600 * time.Millisecond
 )
 
 // Meter charges calls to what this entry was lent; it may be used from several
@@ -40,10 +43,15 @@
 	at    time.Time
 	// spent is what was admitted since the start, told what of it was said in the
 	// last poll.
-	spent   float64
-	told    float64
-	demand  float64
-	askedAt time.Time
+	spent float64
+	told  float64
+	// heard is what of it a leader has answered, which said that the bucket of
+	// all entries held poolLevel at poolAt.
+	heard     float64
+	poolLevel float64
+	poolAt    time.Time
+	demand    float64
+	askedAt   time.Time
 }
 
 // Admit charges a call of size to its account; where it is beyond the limit it
@@ -88,6 +96,9 @@
 	b.level = lent(level, m.Window.burst(account), part) - (b.spent - b.told)
 	b.most = max(b.level, 0) + b.rate*saveTime.Seconds()
 	b.at = now
+	b.heard = b.told
+	b.poolLevel = level
+	b.poolAt = now
 }
 
 // Demand returns what callers asked for and what was admitted, for a poll.
@@ -98,10 +109,16 @@
 	for name, b := range m.buckets {
 		b.ask(now, 0)
 		b.told = b.spent
-		demand[name] = Demand{
-			Rate:  b.demand,
-			Spent: b.spent,
+		d := Demand{
+			Rate:    b.demand,
+			Spent:   b.spent,
+			Unheard: b.spent - b.heard,
+			Level:   b.poolLevel,
 		}
+		if !b.poolAt.IsZero() {
+			d.LevelAge = max(1, now.Sub(b.poolAt))
+		}
+		demand[name] = d
 	}
 	return demand
 }
@@ -151,6 +168,20 @@
 		b.level = max(b.level, min(b.most, b.level+passed*b.rate))
 		b.at = now
 	}
+	b.level = min(b.level, b.own(now))
+}
+
+// own returns what the entry may admit of its own part alone, without bound while
+// answers come.
+//
+// The bucket is lent out several times over, which the next answers mend. An
+// account that turns hot while there are none would use all of that.
+func (b *bucket) own(now time.Time) float64 {
+	age := now.Sub(b.poolAt)
+	if b.poolAt.IsZero() || age <= contactFor {
+		return math.Inf(1)
+	}
+	return b.poolLevel*b.part + b.rate*age.Seconds() - (b.spent - b.heard)
 }
 
 // ask notes a call of size in the measure of demand.
--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -14,7 +14,8 @@
 	// settleAfter is how long a new leader leaves parts as they are: after
 	// several poll intervals it has heard every entry in reach.
 	settleAfter = 1200 * time.Millisecond
-	// firstLevel is the part of a bucket that a new leader takes to be full.
+	// firstLevel is the part of a bucket that a leader takes to be full where no
+	// entry was told of its level by one before.
 	firstLevel = 0.1
 	// silentAfter is the time without a poll after which an entry is taken to
 	// admit its whole part of the rate.
@@ -27,6 +28,12 @@
 	// admitted since the entry's start.
 	Rate  float64
 	Spent float64
+	// Unheard is the part of Spent that no leader has answered.
+	Unheard float64
+	// Level is what the account's bucket held by the last leader's answer, LevelAge
+	// how long ago that came, 0 for never.
+	Level    float64
+	LevelAge time.Duration
 }
 
 // Divider keeps the accounts' buckets and lends them to entries; it is a state
@@ -69,7 +76,11 @@
 		switch {
 		case bucket == nil:
 		case known == nil:
-			// What it admitted before this instance led is not known to be new.
+			// What it admitted since it heard a leader before this one was charged
+			// by nobody. What this one has forgotten with the entry's lease is.
+			if demand.LevelAge == 0 || demand.LevelAge > now.Sub(d.Since) {
+				bucket.level -= demand.Unheard
+			}
 		case known.incarnation != incarnation:
 			bucket.level -= demand.Spent
 		default:
@@ -114,10 +125,10 @@
 	if own == nil {
 		return 0, 0, false
 	}
-	level = d.refill(now, account)
 	if now.Sub(d.Since) < settleAfter {
 		return 0, 0, false
 	}
+	level = d.refill(now, account)
 	total := 0.0
 	for _, e := range d.entries {
 		total += e.accounts[account.Name].Rate
@@ -136,7 +147,7 @@
 	bucket := d.buckets[account.Name]
 	if bucket == nil {
 		bucket = &pool{
-			level: firstLevel * burst,
+			level: d.inherited(now, account),
 			at:    now,
 		}
 		d.buckets[account.Name] = bucket
@@ -153,3 +164,29 @@
 	}
 	return bucket.level
 }
+
+// inherited returns what an account's bucket holds when this instance has heard the
+// entries for the first time.
+//
+// A leader that guesses gives out what its predecessor already did: with two of
+// them lost within one window an account ran 1.6% more than its limit allows. The
+// last level that any entry was told, less what nobody has charged since, is exact
+// but for answers that were on their way.
+func (d *Divider) inherited(now time.Time, account *matcher.Account) float64 {
+	rate, burst := d.Window.rate(account), d.Window.burst(account)
+	settled := min(settleAfter, now.Sub(d.Since))
+	level, age, unheard := firstLevel*burst+rate*settled.Seconds(), time.Duration(0), 0.0
+	for _, e := range d.entries {
+		told := e.accounts[account.Name]
+		unheard += told.Unheard
+		if told.LevelAge == 0 {
+			continue
+		}
+		passed := now.Sub(e.heardAt) + told.LevelAge
+		if age == 0 || passed < age {
+			age = passed
+			level = told.Level + rate*passed.Seconds()
+		}
+	}
+	return min(burst, level) - unheard
+}
--- a/src/apportioner/window.go
+++ b/src/apportioner/window.go
@@ -55,10 +55,11 @@
 	return max(0, windowUse*w.allowed(account)-w.rate(account)*w.Length.Seconds())
 }
 
-// lent returns what an entry with a part may admit while the bucket holds level of burst.
+// lent returns what an entry with a part may admit while the bucket holds level of
+// burst; a debt is shared out, or each entry would go on at its rate beside it.
 func lent(level, burst, part float64) float64 {
 	if level <= 0 || burst <= 0 {
-		return 0
+		return min(0, level) * part
 	}
 	times := lendEmpty + (lendFull-lendEmpty)*min(1, level/burst)
 	return level * min(1, part*times)
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -152,6 +152,9 @@
 			Account:         string(account),
 			TokensPerSecond: demand.Rate,
 			Spent:           demand.Spent,
+			Unheard:         demand.Unheard,
+			Level:           demand.Level,
+			LevelAgeNs:      int64(demand.LevelAge),
 		})
 	}
 	poll.Loads = g.figures.loads(now)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -190,11 +190,26 @@
 
 // lead keeps the duties while this instance leads.
 func (c *coordinator) lead(ctx context.Context, now time.Time) error {
+	// The holder before may still act: its calls under way arrive late. Holders
+	// that took turns within the span would contradict each other.
+	if !c.leads(now) || now.Sub(c.leadSince) < c.settings.DutyLease {
+		return nil
+	}
+	return c.duties.work(ctx, now)
+}
+
+// leads reports whether this instance leads, and makes anew what a leader keeps of
+// the entries.
+//
+// Whoever asks first after the election must find it made: answered from before,
+// entries took an account's limit from a bucket of no known size, and admitted all
+// its calls for a second.
+func (c *coordinator) leads(now time.Time) bool {
 	end := c.node.LeaseEnd(now)
 	if end.IsZero() {
 		c.leadUntil.Store(0)
 		c.leadSince = time.Time{}
-		return nil
+		return false
 	}
 	c.leadUntil.Store(end.UnixNano())
 	if c.leadSince.IsZero() {
@@ -206,12 +221,7 @@
 		}
 		c.duties.begin()
 	}
-	// The holder before may still act: its calls under way arrive late. Holders
-	// that took turns within the span would contradict each other.
-	if now.Sub(c.leadSince) < c.settings.DutyLease {
-		return nil
-	}
-	return c.duties.work(ctx, now)
+	return true
 }
 
 func (c *coordinator) take(e event) error {
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -83,7 +83,7 @@
 func (c *coordinator) poll(poll *messages.EntryPoll) *messages.EntryPollResponse {
 	now := timekeeper.Now()
 	response := &messages.EntryPollResponse{
-		Leads:       c.node.Lead(now),
+		Leads:       c.leads(now),
 		Leader:      string(c.node.LeaderID()),
 		Controls:    c.controls(),
 		TableId:     c.table.ID,
@@ -156,8 +156,11 @@
 	demand := make(map[units.Account]apportioner.Demand, len(poll.GetDemand()))
 	for _, d := range poll.GetDemand() {
 		demand[units.Account(d.GetAccount())] = apportioner.Demand{
-			Rate:  d.GetTokensPerSecond(),
-			Spent: d.GetSpent(),
+			Rate:     d.GetTokensPerSecond(),
+			Spent:    d.GetSpent(),
+			Unheard:  d.GetUnheard(),
+			Level:    d.GetLevel(),
+			LevelAge: time.Duration(d.GetLevelAgeNs()),
 		}
 	}
 	if poll.GetServing() {
