Let reclaimable upstreams stand in for those at the start before the first calls

Nothing was given back before, since no load was known.

Change: before the first calls the operators' own number counts as what is needed, and it is planned and made cheaper like any load; reclaimable ones are ordered only into the places that a data centre has left. A new leader takes no stock for a plan.

--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -92,6 +92,8 @@
 	// began is when the first calls were seen; before it nothing is known of the load.
 	began time.Time
 	at    time.Time
+	// first is how many upstreams the operators started with, where that is known.
+	first int
 	// recent is the load without its noise, load what the plan goes by.
 	recent Load
 	load   Load
@@ -115,12 +117,13 @@
 		s.ordered = make(map[Kind]placed)
 		s.dryAt = make(map[Kind]time.Time)
 		s.at = now
+		s.first = firstOf(load, stock)
 	}
 	if s.began.IsZero() && load.Running > 0 {
 		s.began = now
 	}
 	s.follow(now, load)
-	needed := s.needed(service)
+	needed := s.needed(now, service)
 	plan := s.plan(now, service, needed, stock)
 	var orders []Order
 	for _, kind := range kindsOf(service) {
@@ -177,8 +180,34 @@
 // Load returns the load as the plan goes by it.
 func (s *Scaler) Load() Load { return s.load }
 
+// firstOf returns how many upstreams there are before the first call, where all of
+// them are at the full price: the operators' guess of what the load will need. The
+// stock that a new leader finds while calls run is what an earlier plan made of it.
+func firstOf(load Load, stock Stock) int {
+	if load.Running > 0 {
+		return 0
+	}
+	total := 0
+	for kind, count := range stock {
+		if kind.Reclaimable {
+			return 0
+		}
+		total += count
+	}
+	return total
+}
+
 // needed returns how many upstreams the load needs to meet its objective.
-func (s *Scaler) needed(service *matcher.Service) int {
+func (s *Scaler) needed(now time.Time, service *matcher.Service) int {
+	needed := s.measured(service)
+	if s.began.IsZero() || now.Sub(s.began) < settle {
+		return max(needed, s.first)
+	}
+	return needed
+}
+
+// measured returns how many upstreams the load needs by what is known of it.
+func (s *Scaler) measured(service *matcher.Service) int {
 	reading := s.load.Asked * s.load.Each / busy
 	places := 0.0
 	if service.Engine != nil && service.Engine.Slots > 0 {
@@ -201,7 +230,8 @@
 			DataCentre:  centre,
 			Reclaimable: true,
 		}
-		plan[kind] = min(each, service.Scaling.Most)
+		// Upstreams that are still to be given back take places of the data centre.
+		plan[kind] = min(each, max(0, service.Scaling.Most-stock[Kind{DataCentre: centre}]))
 		standing += s.standing(now, service, kind, plan[kind], stock)
 	}
 	// What reclaimable ones cannot carry now is ordered at the full price.
@@ -326,7 +356,8 @@
 		ready += count
 	}
 	const pause = 600 * time.Millisecond
-	if s.began.IsZero() || now.Sub(s.began) < settle || now.Sub(last.at) < pause || ready-1 < int(math.Ceil(margin*float64(needed))) {
+	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
+	if unknown || now.Sub(last.at) < pause || ready-1 < int(math.Ceil(margin*float64(needed))) {
 		return last.count
 	}
 	return max(want, last.count-1)
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -106,6 +106,45 @@
 	return Load{Asked: 300_000, Each: 1e-5 * queue, Running: 60 * queue}
 }
 
+// The system starts with the upstreams that its operators thought right, all at the
+// full price, some seconds before the first callers come. Reclaimable ones can stand
+// in for them by then, and as many must be there for the first burst.
+func TestStartIsMadeCheaperBeforeTheFirstCalls(t *testing.T) {
+	p := newPlatform(service())
+	s := &Scaler{}
+	first := p.total()
+	now, fewest := p.run(s, start, 9*time.Second, func(int) Load { return Load{} })
+	if fewest < first {
+		t.Errorf("upstreams before the first calls: got as few as %d, want %d", fewest, first)
+	}
+	if got, most := p.firm(), 8; got > most {
+		t.Errorf("upstreams at the full price when calls come: got %d, want at most %d", got, most)
+	}
+	_, fewest = p.run(s, now, 3*time.Second, evenLoad)
+	if fewest < first {
+		t.Errorf("upstreams for the first seconds of calls: got as few as %d, want %d", fewest, first)
+	}
+}
+
+// A leader takes over while calls run on reclaimable upstreams. What stands there is
+// no plan of the operators, and ordered as such it would grow with each leader.
+func TestNewLeaderKeepsTheFleet(t *testing.T) {
+	p := newPlatform(service())
+	now, _ := p.run(&Scaler{}, start, time.Minute, evenLoad)
+	before := p.total()
+	most := 0
+	_, fewest := p.run(&Scaler{}, now, 20*time.Second, func(upstreams int) Load {
+		most = max(most, upstreams)
+		return evenLoad(upstreams)
+	})
+	if most > before+2 {
+		t.Errorf("upstreams after a change of leaders: got %d, want no more than the %d before", most, before)
+	}
+	if fewest < 8 {
+		t.Errorf("upstreams after a change of leaders: got as few as %d, want 8", fewest)
+	}
+}
+
 // Upstreams that are not needed cost the full price; callers must not notice that
 // they go. All data centres keep their least number.
 func TestSteadyLoadIsServedAtLowerCost(t *testing.T) {
@@ -137,7 +176,7 @@
 	p.coming = nil
 	p.stock[Kind{DataCentre: "a", Reclaimable: true}] = 0
 	p.stock[Kind{DataCentre: "b", Reclaimable: true}] = 0
-	needed := s.needed(p.service)
+	needed := s.measured(p.service)
 	_, fewest := p.run(s, now, 13*time.Second, evenLoad)
 	if fewest < needed {
 		t.Errorf("upstreams that took calls: got as few as %d, want %d", fewest, needed)
@@ -154,7 +193,7 @@
 	p.coming = nil
 	p.stock[Kind{DataCentre: "a", Reclaimable: true}] = 0
 	_, _ = p.run(s, now, 6*time.Second, evenLoad)
-	if got, want := p.firm(), int(firmDry*float64(s.needed(p.service))); got < want {
+	if got, want := p.firm(), int(firmDry*float64(s.measured(p.service))); got < want {
 		t.Errorf("upstreams at the full price: got %d, want %d", got, want)
 	}
 }
@@ -178,7 +217,7 @@
 			ordered += order.Count - p.stock[order.Kind]
 		}
 	}
-	if missing := s.needed(p.service) - p.stock[Kind{DataCentre: "d", Reclaimable: true}] - firm; ordered < missing {
+	if missing := s.measured(p.service) - p.stock[Kind{DataCentre: "d", Reclaimable: true}] - firm; ordered < missing {
 		t.Errorf("ordered at the full price: got %d, want the %d that are missing", ordered, missing)
 	}
 }
@@ -200,11 +239,11 @@
 	p := newPlatform(service())
 	s := &Scaler{}
 	now, _ := p.run(s, start, 30*time.Second, evenLoad)
-	before := s.needed(p.service)
+	before := s.measured(p.service)
 	_, _ = p.run(s, now, 10*time.Second, func(int) Load {
 		return Load{Asked: 300_000, Each: 5e-4, Running: 900}
 	})
-	if got, most := s.needed(p.service), before*2; got > most {
+	if got, most := s.measured(p.service), before*2; got > most {
 		t.Errorf("needed while all queue: got %d, want at most %d", got, most)
 	}
 }
@@ -238,7 +277,7 @@
 				}
 			}
 		}
-		plan := s.plan(now, svc, s.needed(svc), stock)
+		plan := s.plan(now, svc, s.needed(now, svc), stock)
 		for centre := range svc.Scaling.Prices {
 			both := plan[Kind{DataCentre: centre}] + plan[Kind{DataCentre: centre, Reclaimable: true}]
 			if both < svc.Scaling.Least || both > svc.Scaling.Most {
