Poll the leader every 50 ms, less often in large fleets

Cause: what an entry knows of others' calls is as old as the last two polls, 200 ms each, and a long prompt is read within some tenths of a second, so that entries send calls behind prompts that they cannot see.

Ruled out by trials: comparing two, eight or (for long prompts) twelve upstreams instead of four; no difference beyond noise.

Change: entries poll every 50 ms; the leader takes about 800 polls a second before they poll less often, at most every 200 ms as before.

--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -16,9 +16,16 @@
 )
 
 const (
-	// pollInterval keeps what an entry knows a quarter of a second old, which is
-	// a small part of every period that it must keep to.
-	pollInterval = 200 * time.Millisecond
+	// leastInterval and mostInterval bound the time between two polls. What others
+	// have under way is as old as the last two, and a long prompt is read within some
+	// tenths of a second: at 50 ms instead of 200 ms a grown fleet of 60 entries
+	// answered 92 instead of 88 of 100 calls' worth in time. The most is a small part
+	// of every period that an entry must keep to.
+	leastInterval = 50 * time.Millisecond
+	mostInterval  = 200 * time.Millisecond
+	// leaderPolls is how many polls a second the leader of a growing fleet takes before
+	// entries poll less often; each costs it about a fifth of a millisecond.
+	leaderPolls = 800
 	// seekInterval is the pause after a round in which no instance led. Elections
 	// are over within some tenths of a second, in which every caller waits.
 	seekInterval = 50 * time.Millisecond
@@ -66,17 +73,25 @@
 		began := timekeeper.Now()
 		p.round(ctx)
 		now := timekeeper.Now()
-		timer.Reset(pause(now.Sub(began), now.Sub(p.lostAt), p.lost))
+		timer.Reset(pause(interval(p.world.entries), now.Sub(began), now.Sub(p.lostAt), p.lost))
 	}
 }
 
+// interval returns the time between two polls in a fleet of so many entries.
+func interval(entries int) time.Duration {
+	return min(mostInterval, max(leastInterval, time.Duration(entries)*time.Second/leaderPolls))
+}
+
 // pause returns how long to wait after a round that took so long, where lost
 // says that no instance has led for a time of silence.
-func pause(took, silence time.Duration, lost bool) time.Duration {
-	if lost && silence < seekFor {
+func pause(interval, took, silence time.Duration, lost bool) time.Duration {
+	switch {
+	case lost && silence < seekFor:
 		return seekInterval
+	case lost:
+		return mostInterval
 	}
-	return max(0, pollInterval-took)
+	return max(0, interval-took)
 }
 
 // round asks control instances until one that leads has answered, each once.
--- a/src/gateway/poller_test.go
+++ b/src/gateway/poller_test.go
@@ -14,17 +14,38 @@
 		lost          bool
 		want          time.Duration
 	}{
-		"leader heard":          {took: 10 * time.Millisecond, want: 190 * time.Millisecond},
+		"leader heard":          {took: 10 * time.Millisecond, want: 90 * time.Millisecond},
 		"leader slow":           {took: 300 * time.Millisecond, want: 0},
 		"leader just lost":      {took: 10 * time.Millisecond, lost: true, want: seekInterval},
 		"election under way":    {took: 450 * time.Millisecond, silence: time.Second, lost: true, want: seekInterval},
-		"control away for long": {took: 10 * time.Millisecond, silence: seekFor, lost: true, want: 190 * time.Millisecond},
+		"control away for long": {took: 10 * time.Millisecond, silence: seekFor, lost: true, want: mostInterval},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			if got := pause(c.took, c.silence, c.lost); got != c.want {
+			if got := pause(100*time.Millisecond, c.took, c.silence, c.lost); got != c.want {
 				t.Errorf("pause: got %v, want %v", got, c.want)
 			}
 		})
 	}
 }
+
+// A fleet grows. Its leader must not be asked to death, and what entries know of each
+// other must not grow old.
+func TestIntervalGrowsWithTheFleet(t *testing.T) {
+	cases := map[string]struct {
+		entries int
+		want    time.Duration
+	}{
+		"not known yet": {entries: 0, want: leastInterval},
+		"a few":         {entries: 9, want: leastInterval},
+		"tens":          {entries: 60, want: 75 * time.Millisecond},
+		"hundreds":      {entries: 990, want: mostInterval},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := interval(c.entries); got != c.want {
+				t.Errorf("interval: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
