Take out what no attempt waits by

The exchanger's Patience was wired nowhere, and with it went an error that no code path but a system timeout could give.

--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -40,7 +40,6 @@
 	batcher, _ := e.stream.Sink.(dispatcher.Batcher)
 	var event []byte
 	for {
-		e.await(true)
 		event, err = readEvent(reader, event[:0])
 		if err != nil && !errors.Is(err, io.EOF) {
 			return e.cut(ctx, err)
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,37 +55,17 @@
 	Check(call *dispatcher.Call) (left time.Duration, err error)
 }
 
-// Patience says how long an attempt waits for an upstream's next byte.
-type Patience interface {
-	// Wait returns how long to wait for the first event or answer, and for each
-	// event behind it; 0 stands for as long as the call has.
-	Wait(call *dispatcher.Call, upstream *tracker.Upstream, begun bool) time.Duration
-}
-
 // Exchanger runs attempts; its fields are set before use.
 type Exchanger struct {
 	Pool    *Pool
 	Dialect Dialect
 	// Guard is asked right before the first byte of an attempt goes out.
 	Guard Guard
-	// Patience may be nil.
-	Patience Patience
 	// Began is told that a call has begun to run, or may have: of one whose answer
 	// is lost nobody knows, and most have. It may be nil.
 	Began func(call *dispatcher.Call, upstream *tracker.Upstream)
 }
 
-// SilentError says that an upstream sent nothing for too long.
-type SilentError struct {
-	Upstream units.Upstream
-	Waited   time.Duration
-}
-
-// Error names the remedy.
-func (e *SilentError) Error() string {
-	return fmt.Sprintf("%s sent nothing for %v; see whether it runs and can be reached", e.Upstream, e.Waited)
-}
-
 // ForeignError says that bytes arrived that do not answer the attempt.
 type ForeignError struct {
 	Upstream units.Upstream
@@ -232,7 +211,6 @@
 
 // head reads the head of the answer, skipping those that only announce one.
 func (e *exchange) head(ctx context.Context) (*http.Response, dispatcher.Result) {
-	e.await(false)
 	request := &http.Request{Method: e.call.Method}
 	for {
 		response, err := http.ReadResponse(e.conn.reader, request)
@@ -245,18 +223,6 @@
 	}
 }
 
-// await sets how long the next read may take.
-func (e *exchange) await(begun bool) {
-	if e.Patience == nil {
-		return
-	}
-	if wait := e.Patience.Wait(e.call, e.upstream, begun); wait > 0 {
-		_ = e.conn.SetReadDeadline(time.Now().Add(wait))
-		return
-	}
-	_ = e.conn.SetReadDeadline(time.Time{})
-}
-
 func (e *exchange) answer(ctx context.Context, response *http.Response) dispatcher.Result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer+1))
 	if err == nil && len(body) > mostAnswer {
@@ -321,10 +287,6 @@
 	} else if ctx.Err() == nil {
 		e.began()
 	}
-	var timeout net.Error
-	if ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout() {
-		err = &SilentError{Upstream: e.upstream.Name}
-	}
 	return dispatcher.Result{
 		Kind: kind,
 		Err:  err,
