Tell all who may lead next that an upstream leaves before it is acknowledged

Cause: the leader took the mark at 0.963 s, acknowledged it and was suspended. Eight of nine entries had polled it within 45 ms; front-scot-central-a-2 had not, and the next leader, whom it asked from 2.0 s on, was never told: marks went to the others with the next batch, 40 ms later. Ruled out: a stale table at the entry (it asked the new leader from its own cursor and got all that this one knew). The interval of polls did not cause it; with 200 ms more entries would have missed the mark.

Change: what ends an upstream's work is handed to all other control instances at once, and acknowledged when the leader and a majority have it.

--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -1,6 +1,8 @@
 package governor
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"github.com/rosecroft/rosecroft/src/apportioner"
 	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/keeper"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -17,9 +20,9 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// newLeader returns a coordinator that has just won its election and has not
-// ticked since.
-func newLeader(t *testing.T) *coordinator {
+// newLeader returns a governor and its coordinator that has just won its election
+// and has not ticked since.
+func newLeader(t *testing.T) (*Governor, *coordinator) {
 	t.Helper()
 	g := &Governor{
 		Settings: &parser.Deployment{
@@ -38,12 +41,13 @@
 		Log:    zerolog.Nop(),
 		Client: &connector.Client{},
 	}
+	g.Prepare()
 	folder, kept, err := keeper.OpenUnnumbered(g.Settings.DataFolder, units.Instance(g.Settings.OwnPeerAddress()))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = folder.Close() })
-	c, err := newCoordinator(g, folder, kept, make(chan event, boxSize))
+	c, err := newCoordinator(g, folder, kept, g.box)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,14 +62,14 @@
 		// The voter's clock is the machine's; an election takes half a second of it.
 		time.Sleep(5 * time.Millisecond)
 	}
-	return c
+	return g, c
 }
 
 // A leader is elected, and an entry polls it before anything else happens there.
 // What the leader would say of limits is from before its time, or from nowhere: an
 // entry that takes it over admits all calls of an account that sends too many.
 func TestFirstPollAfterAnElectionTellsNoLimits(t *testing.T) {
-	c := newLeader(t)
+	_, c := newLeader(t)
 	c.declared = &matcher.Declaration{
 		Accounts: []matcher.Account{{Name: "hot", Rate: 1000, Burst: 1000}},
 	}
@@ -86,3 +90,55 @@
 		t.Errorf("shares of limits: got %v, want none before all entries were heard", got)
 	}
 }
+
+// An upstream says to the leader that it leaves, and the leader is suspended right
+// after its answer. Entries that have not polled since ask the next leader; they send
+// calls to an upstream that is gone unless every other control instance was told
+// before the answer, or the upstream was left to ask again.
+func TestLeavingIsToldBeforeItIsAcknowledged(t *testing.T) {
+	cases := map[string]struct {
+		reachable bool
+		wantErr   bool
+	}{
+		"others in reach":     {reachable: true},
+		"others out of reach": {wantErr: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, c := newLeader(t)
+			g.Settings.LostDisks = 1
+			told := make(chan string, 2)
+			for range 2 {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.node.Meet(units.Instance(listener.Addr().String()))
+				if !test.reachable {
+					_ = listener.Close()
+					continue
+				}
+				server := &connector.Server{Listener: listener}
+				connector.Handle(server, MethodSpread, func(_ context.Context, _ connector.Peer, m *messages.UpstreamBatch) (*messages.UpstreamBatchResponse, error) {
+					told <- m.GetUpstreams()[0].GetId()
+					return &messages.UpstreamBatchResponse{}, nil
+				})
+				go func() { _ = server.Run(t.Context()) }()
+			}
+			go func() { _ = c.run(t.Context()) }()
+			err := g.Announce(t.Context(), enroller.Registration{
+				ID:       "u1",
+				Service:  "s",
+				Address:  "127.0.0.1:1",
+				State:    enroller.Leaving,
+				Sequence: 1,
+			})
+			if (err != nil) != test.wantErr {
+				t.Errorf("announcement: got error %v, want one: %t", err, test.wantErr)
+			}
+			if got := len(told); test.reachable && got != 2 {
+				t.Errorf("control instances told before the acknowledgement: got %d, want 2", got)
+			}
+		})
+	}
+}
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -69,7 +69,10 @@
 type announceReply struct {
 	leader string
 	leads  bool
+	// urgent is what must be known elsewhere before it is acknowledged, nil for
+	// nothing, and others the control instances to tell.
 	urgent *messages.RegisteredUpstream
+	others []string
 }
 
 // spread is a batch from another control instance.
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -315,24 +315,50 @@
 	if err != nil {
 		return &NotSureError{}
 	}
-	if reply.leads {
-		return nil
-	}
-	if reply.leader == "" {
+	if !reply.leads && reply.leader == "" {
 		// An instance that is cut off would take heartbeats that nobody hears.
 		return &NotSureError{}
 	}
 	if reply.urgent == nil {
 		return nil
 	}
-	response := &messages.UpstreamBatchResponse{}
-	err = g.Client.Call(ctx, reply.leader, MethodSpread, &messages.UpstreamBatch{
+	return g.tell(ctx, reply)
+}
+
+// tell hands what ends an upstream's work to all other control instances, and
+// returns nil once the leader and a majority have it.
+//
+// Entries ask the leader alone. One that is suspended or killed right after it has
+// acknowledged would take the mark with it, and entries that have not polled since
+// go on using the upstream under the next leader; all that can lead next have it.
+func (g *Governor) tell(ctx context.Context, news announceReply) error {
+	batch := &messages.UpstreamBatch{
 		From:      g.Settings.OwnPeerAddress(),
 		WallNs:    time.Now().UnixNano(),
-		Upstreams: []*messages.RegisteredUpstream{reply.urgent},
-	}, response)
-	if err != nil || !response.GetLeads() {
-		return &NotSureError{Leader: reply.leader}
+		Upstreams: []*messages.RegisteredUpstream{news.urgent},
+	}
+	ctx, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	receipts := make(chan *messages.UpstreamBatchResponse, len(news.others))
+	for _, other := range news.others {
+		go func() {
+			response := &messages.UpstreamBatchResponse{}
+			if err := g.Client.Call(ctx, other, MethodSpread, batch, response); err != nil {
+				g.Log.Warn().Err(err).Str("control", other).Msg("upstream-not-told")
+				response = nil
+			}
+			receipts <- response
+		}()
+	}
+	told, leads := 1, news.leads
+	for range news.others {
+		if response := <-receipts; response != nil {
+			told++
+			leads = leads || response.GetLeads()
+		}
+	}
+	if !leads || told < min(g.Settings.Voters()/2+1, len(news.others)+1) {
+		return &NotSureError{Leader: news.leader}
 	}
 	return nil
 }
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -13,7 +13,8 @@
 )
 
 // announce takes a heartbeat or a goodbye. What ends an upstream's work must be
-// with the leader, whom all entries ask, before it is acknowledged.
+// with the leader, whom all entries ask, and with those who may lead next before it
+// is acknowledged.
 func (c *coordinator) announce(a announced) announceReply {
 	now := timekeeper.Now()
 	reply := announceReply{
@@ -45,6 +46,9 @@
 	}
 	if enroller.State(message.GetState()) != enroller.Ready {
 		reply.urgent = message
+		for _, instance := range c.node.Acquaintances() {
+			reply.others = append(reply.others, string(instance))
+		}
 	}
 	return reply
 }
