Let an account's urgent and large calls run at its limit

Ruled out: the rate; what runs over all entries is the whole limit. Change: a call needs room for one of the account's usual size, a larger one runs into debt while control is in touch; less urgent calls leave what more urgent ones ask for, a fifth of them go before that. The tests replay a hot account with small and large, urgent and other calls; both fail on the old code, and no window runs more than the limit allows.

--- a/src/apportioner/apportioner_test.go
+++ b/src/apportioner/apportioner_test.go
@@ -74,9 +74,13 @@
 func nameOf(i int) units.Instance { return units.Instance(fmt.Sprint(i)) }
 
 func (f *fleet) call(now time.Time, i int, size float64) bool {
-	_, admitted := f.meters[i].Admit(now, f.account, size)
+	return f.charge(now, i, Charge{Size: size})
+}
+
+func (f *fleet) charge(now time.Time, i int, charge Charge) bool {
+	_, admitted := f.meters[i].Admit(now, f.account, charge)
 	if admitted {
-		f.ran = append(f.ran, run{at: now, size: size})
+		f.ran = append(f.ran, run{at: now, size: charge.Size})
 	}
 	return admitted
 }
@@ -293,10 +297,10 @@
 	m := &Meter{Window: window}
 	account := &matcher.Account{Name: "a", ByTokens: true, Rate: 200_000, Burst: 200_000}
 	m.SetPart(start, account, 0.5, -200_000)
-	if _, admitted := m.Admit(start.Add(500*time.Millisecond), account, 1000); admitted {
+	if _, admitted := m.Admit(start.Add(500*time.Millisecond), account, Charge{Size: 1000}); admitted {
 		t.Error("call half a second after a second's debt: got admitted, want refused")
 	}
-	if _, admitted := m.Admit(start.Add(1200*time.Millisecond), account, 1000); !admitted {
+	if _, admitted := m.Admit(start.Add(1200*time.Millisecond), account, Charge{Size: 1000}); !admitted {
 		t.Error("call once the debt is paid: got refused, want admitted")
 	}
 }
@@ -305,14 +309,98 @@
 func TestLargeCallIsNotStarved(t *testing.T) {
 	m := &Meter{Window: window}
 	account := &matcher.Account{Name: "a", Rate: 1000, Burst: 1000}
-	if _, admitted := m.Admit(start, account, 1e9); !admitted {
+	if _, admitted := m.Admit(start, account, Charge{Size: 1e9}); !admitted {
 		t.Error("large call at a full bucket: got refused, want admitted")
 	}
-	if wait, admitted := m.Admit(start, account, 10); admitted || wait <= 0 {
+	if wait, admitted := m.Admit(start, account, Charge{Size: 10}); admitted || wait <= 0 {
 		t.Errorf("call behind it: got admitted %t after %v, want refused with a wait", admitted, wait)
 	}
 }
 
+// One account sends several times its limit in small and large calls through some
+// entries. Its level is near nothing all the time; by the room for the whole call the
+// small ones would take every refill and no large one would ever run.
+func TestLargeCallsRunBesideSmallOnes(t *testing.T) {
+	f := newFleet(8)
+	random := rand.New(rand.NewPCG(5, 5))
+	asked, ran := make(map[float64]int), make(map[float64]int)
+	now := start
+	for n := -400; n < 2000; n++ {
+		now = now.Add(10 * time.Millisecond)
+		f.turn(now, n+400)
+		if n < 0 {
+			continue
+		}
+		for _, size := range []float64{2_000, 20_000, 60_000} {
+			if random.Float64() < 3*f.account.Rate/3*0.01/size {
+				asked[size]++
+				if f.call(now, random.IntN(len(f.meters)), size) {
+					ran[size]++
+				}
+			}
+		}
+	}
+	smallest := float64(ran[2_000]) / float64(asked[2_000])
+	for size := range asked {
+		if got := float64(ran[size]) / float64(asked[size]); got < smallest/4 {
+			t.Errorf("calls of %.0f tokens that ran: got %.2f of them, want a quarter of the %.2f of small ones at least", size, got, smallest)
+		}
+	}
+	if got, want := f.most(), f.allowed(); got > want {
+		t.Errorf("ran in one window: got %.0f tokens, want at most %.0f", got, want)
+	}
+}
+
+// One account sends several times its limit, and most of that is work that can wait.
+// Its urgent calls are within the limit by themselves and must run; some of the others
+// must run too.
+func TestUrgentCallsRunFirstAtTheLimit(t *testing.T) {
+	cases := map[string]struct {
+		urgent float64
+		want   float64
+		other  float64
+	}{
+		"urgent calls within the limit":        {urgent: 0.4, want: 0.9, other: 0.1},
+		"urgent calls alone beyond the limit":  {urgent: 2, want: 0.35, other: 0.03},
+		"no urgent calls":                      {urgent: 0, other: 0.25},
+		"urgent calls that are nearly nothing": {urgent: 0.02, want: 0.9, other: 0.25},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(8)
+			random := rand.New(rand.NewPCG(9, 9))
+			const mean = 6000.0
+			var asked, ran [2]int
+			now := start
+			for n := -400; n < 3000; n++ {
+				now = now.Add(10 * time.Millisecond)
+				f.turn(now, n+400)
+				if n < 0 {
+					continue
+				}
+				for urgency, load := range []float64{c.urgent, 2.5} {
+					if random.Float64() >= load*f.account.Rate*0.01/mean {
+						continue
+					}
+					asked[urgency]++
+					if f.charge(now, random.IntN(len(f.meters)), Charge{Size: mean * 2 * random.Float64(), Urgency: urgency}) {
+						ran[urgency]++
+					}
+				}
+			}
+			if got := float64(ran[0]) / float64(max(1, asked[0])); got < c.want {
+				t.Errorf("urgent calls that ran: got %.2f of them, want %.2f", got, c.want)
+			}
+			if got := float64(ran[1]) / float64(asked[1]); got < c.other {
+				t.Errorf("other calls that ran: got %.2f of them, want %.2f", got, c.other)
+			}
+			if got, want := f.most(), f.allowed(); got > want {
+				t.Errorf("ran in one window: got %.0f tokens, want at most %.0f", got, want)
+			}
+		})
+	}
+}
+
 func TestNewLeaderLeavesPartsAlone(t *testing.T) {
 	d := &Divider{Lease: time.Second, Since: start, Window: window}
 	account := &matcher.Account{Name: "a", Rate: 1000, Burst: 1000}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/apportioner"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -169,7 +170,10 @@
 		if account == nil {
 			return nil, refuse(http.StatusUnauthorized, dispatcher.ProblemBadKey, "the account is no more", 0)
 		}
-		wait, admitted := g.quota.Admit(timekeeper.Now(), account, call.Size)
+		wait, admitted := g.quota.Admit(timekeeper.Now(), account, apportioner.Charge{
+			Size:    call.Size,
+			Urgency: call.Urgency,
+		})
 		if !admitted {
 			return nil, refuse(http.StatusTooManyRequests, dispatcher.ProblemLimit,
 				fmt.Sprintf("the account's limit of %.0f a second is reached; come back later or raise it", account.Rate), wait)
