Measure the load by totals of every poll, at arrival

Cause: the plan looked at the last poll before each step, 50 ms of each entry's calls in every 250 ms, and calls were told when they had ended. Change: entries tell totals since their start and count calls when they are let in; a survey at the leader turns the totals of all polls into rates. Fields that nobody read (pressed, waiting) are gone, and the check of waiting beyond the shortest wait is now one of reading beyond it.

--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -8,7 +8,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
-	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -22,19 +21,21 @@
 	connections tally.Counter
 
 	mu       sync.Mutex
-	since    time.Time
 	services map[units.Service]*serviceFigures
 	calls    map[string]tally.Counter
 	ends     map[string]tally.Counter
 	first    map[string]tally.Histogram
 }
 
+// serviceFigures is what this entry has seen of a service since its start.
 type serviceFigures struct {
-	calls   int
-	pressed int
-	running time.Duration
-	waiting time.Duration
-	tokens  int64
+	calls  float64
+	tokens float64
+	// inFlight is how many calls are under way, callTime how long all of them
+	// together were until at.
+	inFlight int
+	callTime time.Duration
+	at       time.Time
 	// each is a low quantile of how long a prompt token took to read, in seconds.
 	each float64
 	// least is the shortest wait for a first byte lately, which no upstream more
@@ -49,7 +50,6 @@
 	return &figures{
 		scope:       m.Scope,
 		connections: m.Scope.Counter("upstream_connections"),
-		since:       timekeeper.Now(),
 		services:    make(map[units.Service]*serviceFigures),
 		calls:       make(map[string]tally.Counter),
 		ends:        make(map[string]tally.Counter),
@@ -57,24 +57,44 @@
 	}
 }
 
-// served counts one call. Routes come and go with configurations, so that the
-// metrics go by the route's kind of urgency and not by its name.
-func (f *figures) served(call *dispatcher.Call, route *matcher.Route, outcome string, first, took time.Duration) {
+// admitted counts a call that was let in, at once: one that lasts for seconds
+// would else be told as load when it is over. What a limit refuses, or an entry
+// without control, is no work for upstreams and does not come here.
+func (f *figures) admitted(now time.Time, call *dispatcher.Call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(call.Service)
+	s.pass(now)
+	s.inFlight++
+	s.calls++
+	s.tokens += float64(call.Unread())
+}
+
+// left notes that a call that was let in is over.
+func (f *figures) left(now time.Time, service units.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.service(service)
+	s.pass(now)
+	s.inFlight--
+}
+
+// pass adds up the time of the calls under way.
+func (s *serviceFigures) pass(now time.Time) {
+	if passed := now.Sub(s.at); passed > 0 {
+		s.callTime += time.Duration(s.inFlight) * passed
+	}
+	s.at = now
+}
+
+// served counts the end of one call. Routes come and go with configurations, so that
+// the metrics go by its outcome and service and not by a route's name.
+func (f *figures) served(call *dispatcher.Call, outcome string, first time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.service(call.Service)
-	s.running += took
 	s.wait(first)
 	s.read(first, call.Unread())
-	// What a limit refuses, or an entry without control, is no work for upstreams;
-	// as work it would make each call seem to need less of them than it does.
-	if outcome != string(dispatcher.ProblemLimit) && outcome != string(dispatcher.ProblemUnready) {
-		s.calls++
-		s.tokens += int64(call.Unread())
-	}
-	if outcome == string(dispatcher.ProblemNoUpstream) || first > route.Target {
-		s.pressed++
-	}
 	counter := f.calls[outcome]
 	if counter == nil {
 		counter = f.scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls")
@@ -86,7 +106,7 @@
 	}
 }
 
-// wait adds one call's wait for its first byte, beyond what every call waits.
+// wait follows the shortest wait for a first byte.
 func (s *serviceFigures) wait(first time.Duration) {
 	if first <= 0 {
 		return
@@ -94,7 +114,6 @@
 	if s.least == 0 || first < s.least {
 		s.least = first
 	}
-	s.waiting += first - s.least
 	s.least = time.Duration(float64(s.least) * leastGrowth)
 }
 
@@ -159,31 +178,20 @@
 	counter.Inc(1)
 }
 
-// loads returns what was seen of each service since the last time, a second.
+// loads returns what was seen of each service since the start.
 func (f *figures) loads(now time.Time) []*messages.ServiceLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	passed := now.Sub(f.since).Seconds()
-	f.since = now
-	if passed <= 0 {
-		return nil
-	}
-	var loads []*messages.ServiceLoad
+	loads := make([]*messages.ServiceLoad, 0, len(f.services))
 	for name, s := range f.services {
+		s.pass(now)
 		loads = append(loads, &messages.ServiceLoad{
-			Service: string(name),
-			Running: s.running.Seconds() / passed,
-			Waiting: s.waiting.Seconds() / passed,
-			Calls:   float64(s.calls) / passed,
-			Pressed: float64(s.pressed) / passed,
-			Tokens:  float64(s.tokens) / passed,
-
+			Service:         string(name),
+			CallSeconds:     s.callTime.Seconds(),
+			Calls:           s.calls,
+			Tokens:          s.tokens,
 			SecondsPerToken: s.each,
 		})
-		*s = serviceFigures{
-			least: s.least,
-			each:  s.each,
-		}
 	}
 	return loads
 }
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -180,7 +180,8 @@
 		}
 	}
 	g.budget.Call(call.Service)
-	return func() {}, nil
+	g.figures.admitted(timekeeper.Now(), call)
+	return func() { g.figures.left(timekeeper.Now(), call.Service) }, nil
 }
 
 // permitted returns why a call may not go out now, or nil.
@@ -323,7 +324,7 @@
 	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && refusal.Status != http.StatusTooManyRequests && call.Account != nil {
 		g.quota.Refund(call.Account.Name, call.Size)
 	}
-	g.figures.served(call, route, outcome, s.first, now.Sub(s.began))
+	g.figures.served(call, outcome, s.first)
 	event.Str("call", string(call.ID)).
 		Str("route", route.Name).
 		Str("service", string(call.Service)).
--- a/src/governor/desk.go
+++ b/src/governor/desk.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -16,8 +15,6 @@
 const (
 	// planInterval is how often the plan is made anew; loads arrive with every poll.
 	planInterval = 250 * time.Millisecond
-	// loadExpiry is how long an entry's figures count without a poll.
-	loadExpiry = 1500 * time.Millisecond
 	// tellInterval is how often the load is logged.
 	tellInterval = 2 * time.Second
 	// mostCalls bounds the orders that are on their way to the platform at once.
@@ -26,7 +23,7 @@
 
 // orderDesk orders upstreams while this instance leads; the coordinator alone uses it.
 type orderDesk struct {
-	loads     map[units.Instance]entryLoad
+	survey    scaler.Survey
 	scalers   map[units.Service]*scaler.Scaler
 	plannedAt time.Time
 	toldAt    time.Time
@@ -35,11 +32,6 @@
 	fenced map[units.Service]bool
 }
 
-type entryLoad struct {
-	at       time.Time
-	services map[units.Service]scaler.Load
-}
-
 func (d *orderDesk) begin() {
 	d.scalers = make(map[units.Service]*scaler.Scaler)
 	d.fenced = make(map[units.Service]bool)
@@ -47,54 +39,17 @@
 }
 
 // hear takes what an entry has seen of the services.
-func (d *orderDesk) hear(now time.Time, entry units.Instance, loads []*messages.ServiceLoad) {
-	if d.loads == nil {
-		d.loads = make(map[units.Instance]entryLoad)
-	}
-	heard := entryLoad{
-		at:       now,
-		services: make(map[units.Service]scaler.Load),
-	}
+func (d *orderDesk) hear(now time.Time, entry units.Instance, incarnation units.Incarnation, loads []*messages.ServiceLoad) {
+	totals := make(map[units.Service]scaler.Totals, len(loads))
 	for _, l := range loads {
-		heard.services[units.Service(l.GetService())] = scaler.Load{
-			Asked:   askedOf(l),
-			Each:    l.GetSecondsPerToken(),
-			Running: l.GetRunning(),
-		}
-	}
-	d.loads[entry] = heard
-}
-
-// askedOf returns what callers asked for, in tokens where there are prompts.
-func askedOf(l *messages.ServiceLoad) float64 {
-	if tokens := l.GetTokens(); tokens > 0 {
-		return tokens
-	}
-	return l.GetCalls()
-}
-
-// load adds up what all entries have seen of a service lately.
-func (d *orderDesk) load(now time.Time, service units.Service) scaler.Load {
-	var sum scaler.Load
-	var each []float64
-	for entry, l := range d.loads {
-		if now.Sub(l.at) > loadExpiry {
-			delete(d.loads, entry)
-			continue
-		}
-		own := l.services[service]
-		sum.Asked += own.Asked
-		sum.Running += own.Running
-		if own.Each > 0 {
-			each = append(each, own.Each)
+		totals[units.Service(l.GetService())] = scaler.Totals{
+			Tokens:      l.GetTokens(),
+			Calls:       l.GetCalls(),
+			CallSeconds: l.GetCallSeconds(),
+			Each:        l.GetSecondsPerToken(),
 		}
 	}
-	if len(each) > 0 {
-		// The median: an entry that has seen few calls may be far off.
-		slices.Sort(each)
-		sum.Each = each[len(each)/2]
-	}
-	return sum
+	d.survey.Hear(now, entry, incarnation, totals)
 }
 
 // work makes the plan anew and gives the orders that are due.
@@ -104,6 +59,7 @@
 		return
 	}
 	d.plannedAt = now
+	loads := d.survey.Measure(now)
 	for i := range c.declared.Services {
 		service := &c.declared.Services[i]
 		if service.Scaling == nil || len(service.Scaling.Prices) == 0 || d.fenced[service.Name] || d.calls > mostCalls {
@@ -114,7 +70,7 @@
 			s = &scaler.Scaler{}
 			d.scalers[service.Name] = s
 		}
-		load := d.load(now, service.Name)
+		load := loads[service.Name]
 		stock := stockOf(c.table, service.Name)
 		d.tell(now, duties, service.Name, s.Load(), stock)
 		for _, order := range s.Step(now, service, load, stock) {
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -184,7 +184,7 @@
 		Entry:       entry,
 		Incarnation: units.Incarnation(poll.GetIncarnation()),
 	}, counts)
-	c.duties.desk.hear(now, entry, poll.GetLoads())
+	c.duties.desk.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.underWay.Hear(entry, DecodeLoads(poll.GetUnderWay()))
 	for _, other := range c.underWay.Entries() {
 		if !c.divider.Uses(other) {
