--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -233,8 +233,7 @@
 			DataCentre:  centre,
 			Reclaimable: true,
 		}
-		// Upstreams that are still to be given back take places of the data centre.
-		plan[kind] = min(each, max(0, service.Scaling.Most-stock[Kind{DataCentre: centre}]))
+		plan[kind] = min(each, s.room(now, service, kind, stock))
 		standing += s.standing(now, service, kind, plan[kind], stock)
 	}
 	// What reclaimable ones cannot carry now is ordered at the full price.
@@ -242,6 +241,27 @@
 	return plan
 }
 
+// room returns how many reclaimable upstreams a data centre may have.
+//
+// Places of those at the full price are taken until they have left. A kind that is
+// not to be had takes no more places than it has: kept free for it, they would lack
+// those that stand in for it, and a fleet whose data centres are full would order
+// nothing while half of it is taken back.
+func (s *Scaler) room(now time.Time, service *matcher.Service, kind Kind, stock Stock) int {
+	firm := Kind{DataCentre: kind.DataCentre}
+	room := max(0, service.Scaling.Most-max(stock[firm], s.ordered[firm].count))
+	if s.isDry(now, kind) {
+		return min(room, stock[kind])
+	}
+	return room
+}
+
+// isDry reports whether a kind was not to be had a moment ago.
+func (s *Scaler) isDry(now time.Time, kind Kind) bool {
+	at := s.dryAt[kind]
+	return !at.IsZero() && now.Sub(at) < dry
+}
+
 // firmPart returns the least part of what is needed at the full price.
 func (s *Scaler) firmPart(now time.Time) float64 {
 	for _, at := range s.dryAt {
@@ -263,7 +283,7 @@
 	if known && now.Sub(last.at) < repeat(service, true) {
 		coming = max(0, last.count-last.had)
 	}
-	if at := s.dryAt[kind]; !at.IsZero() && now.Sub(at) < dry {
+	if s.isDry(now, kind) {
 		coming = 0
 	}
 	return min(want, stock[kind]+coming)
@@ -320,7 +340,7 @@
 	if !known {
 		last.count = have
 	}
-	if at := s.dryAt[kind]; !at.IsZero() && now.Sub(at) < dry {
+	if s.isDry(now, kind) {
 		return Order{}, false
 	}
 	if want.Count < last.count {
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -243,6 +243,31 @@
 	}
 }
 
+// The load needs nearly all that a data centre may have, and half of them are taken
+// back while no reclaimable ones are to be had. Their places must go to upstreams at
+// the full price with the first refusal; kept for the others, they stay empty for as
+// long as the dry spell lasts, and callers wait ten times as long.
+func TestPlacesOfWhatIsNotToBeHadGoToTheFullPrice(t *testing.T) {
+	p := newPlatform(service())
+	s := &Scaler{}
+	heavy := func(int) Load { return Load{Asked: 900_000, Each: 1e-5, Running: 200} }
+	now, _ := p.run(s, start, time.Minute, heavy)
+	needed := s.measured(p.service)
+	p.dry = true
+	p.coming = nil
+	for _, centre := range []units.DataCentre{"a", "b"} {
+		p.stock[Kind{DataCentre: centre, Reclaimable: true}] = 0
+	}
+	now, _ = p.run(s, now, p.service.Scaling.Boot+time.Second, heavy)
+	if got := p.total(); got < needed {
+		t.Errorf("upstreams a start after the reclaim: got %d, want the %d that the load needs", got, needed)
+	}
+	_, fewest := p.run(s, now, 13*time.Second, heavy)
+	if fewest < needed {
+		t.Errorf("upstreams while none are to be had: got as few as %d, want %d", fewest, needed)
+	}
+}
+
 // Before the first calls, and after a new leader has taken over, nothing is known
 // of the load. An upstream given back then would be missing in a moment.
 func TestNothingIsGivenBackBeforeTheLoadIsKnown(t *testing.T) {
