Bound streams that go on elsewhere by the retry budget

Streams under way went on whatever the budget said, up to eight upstreams each, and the window was counted in slots that leave up to a twentieth of it out. Change: streams may use what new attempts may not, up to nine tenths of the bound in all, wait up to 2 s for room, and end then with a truthful answer; one more slot is counted. Tests: the bound holds for any mix of both over up to 40 entries; a stream waits for room and its refusal never denies it.

--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -47,6 +47,8 @@
 	return r.budget >= 0
 }
 
+func (r *refusing) Resume(service units.Service) bool { return r.Spend(service) }
+
 type noSink struct{}
 
 func (noSink) Answer(*Answer) error             { return nil }
@@ -78,3 +80,69 @@
 		}
 	})
 }
+
+// slow is a budget that has room for streams from then on.
+type slow struct {
+	from  time.Time
+	asked int
+}
+
+func (s *slow) Earn(units.Service) {}
+
+func (s *slow) Spend(units.Service) bool { return false }
+
+func (s *slow) Resume(units.Service) bool {
+	s.asked++
+	return !time.Now().Before(s.from)
+}
+
+// Many upstreams are lost at once with their streams, and the budget of all entries
+// is spent. A stream must wait for it and go on; where there is none for as long as
+// its caller waits, the caller is told so, and not that the call has not run.
+func TestStreamsWaitForTheBudget(t *testing.T) {
+	cases := map[string]struct {
+		room  time.Duration
+		whole bool
+	}{
+		"room at once":   {room: 0, whole: true},
+		"room in time":   {room: resumePatience / 2, whole: true},
+		"room too late":  {room: 2 * resumePatience},
+		"never any room": {room: time.Hour},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				budget := &slow{from: began.Add(c.room)}
+				fleet := &calm{back: began}
+				d := &Dispatcher{
+					Limiter:   fleet,
+					Recorder:  fleet,
+					Router:    fleet,
+					Exchanger: fleet,
+					Budget:    budget,
+				}
+				call := &Call{
+					ID:         "call-1",
+					Deadline:   began.Add(time.Minute),
+					Repeatable: true,
+					Stream:     true,
+				}
+				err := d.Do(t.Context(), call, sink{w: &world{call: call}})
+				if got := err == nil; got != c.whole {
+					t.Errorf("whole stream: got %t (%v), want %t", got, err, c.whole)
+				}
+				var refusal *Refusal
+				if errors.As(err, &refusal) && refusal.Executed != ExecutedUnknown {
+					t.Errorf("what the refusal says: got executed %s, want unknown", refusal.Executed)
+				}
+				if got, want := time.Since(began), min(c.room, resumePatience)+2*resumeWait; got > want {
+					t.Errorf("the call's end: got after %s, want within %s", got, want)
+				}
+				if budget.asked == 0 {
+					t.Error("budget: got not asked, want the attempt counted")
+				}
+			})
+		})
+	}
+}
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -327,12 +327,7 @@
 			return upstream, nil
 		}
 		so.tried = nil
-		timer := time.NewTimer(resumeWait)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		pause(ctx, resumeWait)
 	}
 }
 
--- a/src/limiter/budget.go
+++ b/src/limiter/budget.go
@@ -41,3 +41,10 @@
 	b.spent[service]++
 	return true
 }
+
+// Resume counts a stream that goes on at another upstream. It always may: its caller
+// has half an answer, and its work is not new.
+func (b *Budget) Resume(service units.Service) bool {
+	_ = b.Spend(service)
+	return true
+}
--- a/src/retrier/budget.go
+++ b/src/retrier/budget.go
@@ -8,11 +8,17 @@
 )
 
 const (
-	// use is the part of the bound that is spent: calls that go out while control
-	// renews the count of entries, and those whose arrival is late, need the rest.
+	// use is the part of the bound that new attempts of calls may take. Streams under
+	// way, whose callers have half an answer, find room beyond it.
 	use = 0.75
-	// slots divide the window for counting.
-	slots = 20
+	// resumeUse is the part that both together may take: calls that go out while
+	// control renews the count of entries, and those whose arrival is late, need the
+	// rest.
+	resumeUse = 0.9
+	// parts divide the window for counting; one more than these is kept, since the
+	// first of them is in the window in part.
+	parts = 20
+	slots = parts + 1
 )
 
 // Budget counts calls and further attempts of each service in a sliding window;
@@ -57,7 +63,18 @@
 func (b *Budget) Earn(units.Service) {}
 
 // Spend reports whether one more attempt may be made, and counts it if so.
-func (b *Budget) Spend(service units.Service) bool {
+func (b *Budget) Spend(service units.Service) bool { return b.spend(service, use) }
+
+// Resume reports whether a stream under way may go on at another upstream, and
+// counts it if so.
+//
+// Half of the upstreams of a full fleet are taken back at once, each with some tens
+// of streams, and those that are left refuse most of them. Without a bound each
+// stream knocked several times at all of them: 1,500 arrivals where 1,100 are
+// allowed, and the upstreams had that much less time for what they had taken in.
+func (b *Budget) Resume(service units.Service) bool { return b.spend(service, resumeUse) }
+
+func (b *Budget) spend(service units.Service, use float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, slot := b.counts(service)
@@ -66,12 +83,11 @@
 		calls += c.calls[i]
 		further += c.further[i]
 	}
-	c.further[slot]++
-	if further+1 <= use*(b.Ratio*calls+b.Slack/float64(max(1, b.entries))) {
-		return true
+	if further+1 > use*(b.Ratio*calls+b.Slack/float64(max(1, b.entries))) {
+		return false
 	}
-	c.further[slot]--
-	return false
+	c.further[slot]++
+	return true
 }
 
 // counts returns a service's counts with the slots of the past cleared.
@@ -79,7 +95,7 @@
 	if b.services == nil {
 		b.services = make(map[units.Service]*counts)
 	}
-	current := b.Now().UnixNano() / (b.Window.Nanoseconds() / slots)
+	current := b.Now().UnixNano() / (b.Window.Nanoseconds() / parts)
 	c = b.services[service]
 	if c == nil {
 		c = &counts{first: current - slots + 1}
--- a/src/retrier/budget_test.go
+++ b/src/retrier/budget_test.go
@@ -11,8 +11,9 @@
 // may hold more further attempts than the bound allows, whatever the load.
 func TestFurtherAttemptsStayWithinTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const entries = 3
+		entries := rapid.SampledFrom([]int{1, 3, 9, 40}).Draw(t, "entries")
 		const ratio, slack = 0.2, 30.0
+		streams := rapid.IntRange(0, 100).Draw(t, "streams of 100 retries")
 		window := 10 * time.Second
 		now := time.Unix(1000, 0)
 		budgets := make([]*Budget, entries)
@@ -31,7 +32,11 @@
 			b.Call("s")
 			events = append(events, event{at: now})
 			for range rapid.IntRange(0, 3).Draw(t, "refusals") {
-				if b.Spend("s") {
+				spend := b.Spend
+				if rapid.IntRange(1, 100).Draw(t, "retry") <= streams {
+					spend = b.Resume
+				}
+				if spend("s") {
 					events = append(events, event{at: now, further: true})
 				}
 			}
@@ -55,6 +60,29 @@
 	})
 }
 
+// A fifth of the upstreams is lost with its streams while new calls are refused and
+// tried again. Streams under way must find room beyond what the new calls may take.
+func TestStreamsGoOnWhereNewCallsMayNotBeRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 20, Now: func() time.Time { return now }}
+	for b.Spend("s") {
+		continue
+	}
+	if !b.Resume("s") {
+		t.Error("a stream beside retries that have used their part: got refused, want let on")
+	}
+	resumed := 1
+	for b.Resume("s") {
+		resumed++
+	}
+	if b.Spend("s") {
+		t.Error("a retry once streams have used all: got let on, want refused")
+	}
+	if got, most := resumed+int(use*20), 20; got > most {
+		t.Errorf("all further attempts: got %d, want at most %d", got, most)
+	}
+}
+
 // After a quiet time the old counts must be gone, and the slack there again.
 func TestOldCountsAreForgotten(t *testing.T) {
 	now := time.Unix(1000, 0)
