Fetch shared parts from where they live instead of reading them again

Change: an attempt names the upstream that the part lives at, or the next one where it goes there itself; upstreams that are leaving still give. What the chosen one has is not fetched, so nobody needs to know who holds what.

--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -40,11 +40,22 @@
 	RetryAfter time.Duration
 }
 
+// Sending is what the head of an attempt says beside its call.
+type Sending struct {
+	Upstream *tracker.Upstream
+	// Donor is the upstream that may hold what this one lacks of the prompt, nil for
+	// none.
+	Donor *tracker.Upstream
+	// Left is how long the caller waits.
+	Left time.Duration
+	// From is the event behind which a stream goes on.
+	From units.Tokens
+}
+
 // Dialect knows the heads of requests and answers in the upstreams' protocol.
 type Dialect interface {
-	// Head returns the header of an attempt that ends in left and goes on behind
-	// the event from.
-	Head(call *dispatcher.Call, upstream *tracker.Upstream, left time.Duration, from units.Tokens) http.Header
+	// Head returns the header of an attempt.
+	Head(call *dispatcher.Call, sending Sending) http.Header
 	// Read judges the head of an answer.
 	Read(call *dispatcher.Call, upstream *tracker.Upstream, status int, header http.Header) Verdict
 }
@@ -61,6 +72,9 @@
 	Dialect Dialect
 	// Guard is asked right before the first byte of an attempt goes out.
 	Guard Guard
+	// Donor returns the upstream that may hold what the chosen one lacks of the
+	// prompt, nil for none; it may be nil.
+	Donor func(call *dispatcher.Call, chosen *tracker.Upstream) *tracker.Upstream
 	// Began is told that a call has begun to run, or may have: of one whose answer
 	// is lost nobody knows, and most have. It may be nil.
 	Began func(call *dispatcher.Call, upstream *tracker.Upstream)
@@ -179,7 +193,15 @@
 			Err:  err,
 		}, false
 	}
-	header := e.Dialect.Head(e.call, e.upstream, left, e.stream.Offset())
+	sending := Sending{
+		Upstream: e.upstream,
+		Left:     left,
+		From:     e.stream.Offset(),
+	}
+	if e.Donor != nil {
+		sending.Donor = e.Donor(e.call, e.upstream)
+	}
+	header := e.Dialect.Head(e.call, sending)
 	buffer := heads.Get().(*[]byte)
 	defer heads.Put(buffer)
 	*buffer = appendHead((*buffer)[:0], e.call, header)
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -108,10 +108,10 @@
 // dialect is a protocol of three headers.
 type dialect struct{}
 
-func (dialect) Head(call *dispatcher.Call, _ *tracker.Upstream, _ time.Duration, from units.Tokens) http.Header {
+func (dialect) Head(call *dispatcher.Call, sending Sending) http.Header {
 	header := http.Header{"Id": {string(call.ID)}}
-	if from > 0 {
-		header["From"] = []string{strconv.FormatInt(int64(from), 10)}
+	if sending.From > 0 {
+		header["From"] = []string{strconv.FormatInt(int64(sending.From), 10)}
 	}
 	return header
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -75,6 +75,7 @@
 		DataCentre: g.Settings.DataCentre,
 		Now:        timekeeper.Now,
 		Fleet:      g.fleet,
+		Leaving:    g.leaving,
 		MostCalls:  g.connections,
 	}
 	g.quota = &apportioner.Meter{Window: apportioner.WindowOf(g.Settings.Quota)}
@@ -97,6 +98,7 @@
 			Pool:    g.pool,
 			Dialect: g.Dialect,
 			Guard:   (*guard)(g),
+			Donor:   g.placer.Donor,
 			Began:   g.began,
 		},
 		Observer: (*observer)(g),
@@ -175,6 +177,13 @@
 	return nil
 }
 
+func (g *Gateway) leaving() placer.Fleet {
+	if w := g.world.Load(); w != nil {
+		return w.leaving
+	}
+	return nil
+}
+
 // connections returns how many connections this entry may have to an upstream,
 // whose bound is on all entries together.
 func (g *Gateway) connections(u *tracker.Upstream) int {
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -198,8 +198,8 @@
 		p.obey(now, sentAt, r)
 	}
 	if changed || p.world.fleet == nil {
-		p.world.fleet = p.upstreams.fleet(now, p.table, p.gateway.placer)
-		p.gateway.placer.Keep(p.world.fleet)
+		p.world.fleet, p.world.leaving = p.upstreams.fleet(now, p.table, p.gateway.placer)
+		p.gateway.placer.Keep(p.world.fleet, p.world.leaving)
 	}
 	next := p.world
 	p.gateway.world.Store(&next)
--- a/src/gateway/world.go
+++ b/src/gateway/world.go
@@ -12,8 +12,10 @@
 
 // world is what an entry goes by; it is not changed once published.
 type world struct {
-	table   *matcher.Table
+	table *matcher.Table
+	// fleet takes new calls, leaving does not and still holds what it has read.
 	fleet   placer.Fleet
+	leaving placer.Fleet
 	entries int
 	// lease is until when calls with keys may be served, on the clock that goes
 	// on while the instance is suspended.
@@ -33,9 +35,10 @@
 	born units.Incarnation
 }
 
-// fleet returns the upstreams that take new calls.
-func (u *upstreams) fleet(now time.Time, table *enroller.Table, p *placer.Placer) placer.Fleet {
-	fleet := make(placer.Fleet)
+// fleet returns the upstreams that take new calls, and those that leave.
+func (u *upstreams) fleet(now time.Time, table *enroller.Table, p *placer.Placer) (fleet, leaving placer.Fleet) {
+	fleet = make(placer.Fleet)
+	leaving = make(placer.Fleet)
 	kept := make(map[liveKey]*tracker.Live)
 	for _, e := range table.Entries() {
 		key := liveKey{
@@ -47,10 +50,10 @@
 			live = &tracker.Live{Since: now}
 		}
 		kept[key] = live
-		if e.State != enroller.Ready {
+		if e.State == enroller.Gone {
 			continue
 		}
-		fleet[e.Service] = append(fleet[e.Service], p.Candidate(&tracker.Upstream{
+		candidate := p.Candidate(&tracker.Upstream{
 			Name:        e.ID,
 			Service:     e.Service,
 			Address:     e.Address,
@@ -61,8 +64,13 @@
 			Slots:       e.Slots,
 			HeardAt:     e.HeardAt,
 			Live:        live,
-		}, e.ColdFor > 0, e.Silent))
+		}, e.ColdFor > 0, e.Silent)
+		if e.State == enroller.Ready {
+			fleet[e.Service] = append(fleet[e.Service], candidate)
+			continue
+		}
+		leaving[e.Service] = append(leaving[e.Service], candidate)
 	}
 	u.live = kept
-	return fleet
+	return fleet, leaving
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -91,6 +91,9 @@
 	Now func() time.Time
 	// Fleet returns the upstreams of the moment.
 	Fleet func() Fleet
+	// Leaving returns those that take no more calls and still hold what they have
+	// read; it may be nil.
+	Leaving func() Fleet
 	// MostCalls returns how many calls this entry may have at an upstream at once.
 	MostCalls func(upstream *tracker.Upstream) int
 
@@ -131,12 +134,14 @@
 	}
 }
 
-// Keep forgets all upstreams but those of a fleet.
-func (p *Placer) Keep(fleet Fleet) {
+// Keep forgets all upstreams but those of some fleets.
+func (p *Placer) Keep(fleets ...Fleet) {
 	kept := make(map[ejector.Key]bool)
-	for _, candidates := range fleet {
-		for _, c := range candidates {
-			kept[keyOf(c.Upstream)] = true
+	for _, fleet := range fleets {
+		for _, candidates := range fleet {
+			for _, c := range candidates {
+				kept[keyOf(c.Upstream)] = true
+			}
 		}
 	}
 	p.mu.Lock()
