Fetch nothing from upstreams that have left

An upstream that leaves gives what it has read as long as it runs; its entry in the table outlives it by seconds. A donor is asked only until the time that its notice states, or 2 s where it states none.

--- a/src/gateway/world.go
+++ b/src/gateway/world.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -10,6 +11,10 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+// leavingFor is how long an upstream that leaves is taken to go on where it does not
+// say: those that drain finish what they have for about that time.
+const leavingFor = 2 * time.Second
+
 // world is what an entry goes by; it is not changed once published.
 type world struct {
 	table *matcher.Table
@@ -69,6 +74,7 @@
 			fleet[e.Service] = append(fleet[e.Service], candidate)
 			continue
 		}
+		candidate.Until = e.HeardAt.Add(cmp.Or(e.LeavesIn, leavingFor))
 		leaving[e.Service] = append(leaving[e.Service], candidate)
 	}
 	u.live = kept
--- a/src/placer/donor.go
+++ b/src/placer/donor.go
@@ -28,7 +28,8 @@
 	now := p.Now()
 	consider := func(candidates []*Candidate) {
 		for _, c := range candidates {
-			if c.Name == chosen.Name || c.Silent && !c.answered(now) || p.ejected(now, c.Upstream) {
+			gone := !c.Until.IsZero() && !now.Before(c.Until)
+			if c.Name == chosen.Name || gone || c.Silent && !c.answered(now) || p.ejected(now, c.Upstream) {
 				continue
 			}
 			if r := rank(part, c.hash); best == nil || r > highest {
--- a/src/placer/donor_test.go
+++ b/src/placer/donor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -35,8 +36,9 @@
 
 func TestDonor(t *testing.T) {
 	call := prompt(7)
-	leave := func(w *world) {
+	leave := func(w *world, until time.Time) {
 		home := homesOf(7, w.fleet["s"])[0]
+		home.Until = until
 		w.Leaving = func() Fleet { return Fleet{"s": {home}} }
 		var left []*Candidate
 		for _, c := range w.fleet["s"] {
@@ -53,7 +55,8 @@
 		want int
 	}{
 		"the home":                     {call: call},
-		"the home that is leaving":     {call: call, change: leave},
+		"the home that is leaving":     {call: call, change: func(w *world) { leave(w, w.now.Add(time.Second)) }},
+		"not the home that has left":   {call: call, change: func(w *world) { leave(w, w.now) }, want: 1},
 		"not one that is silent":       {call: call, change: func(w *world) { homesOf(7, w.fleet["s"])[0].Silent = true }, want: 1},
 		"not one that fails":           {call: call, change: func(w *world) { w.fail(homesOf(7, w.fleet["s"])[0].Upstream) }, want: 1},
 		"none for a call by itself":    {call: &dispatcher.Call{Service: "s", Prompt: 5000, Parts: call.Parts[2:]}, want: -1},
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -62,8 +62,10 @@
 	Cold bool
 	// Silent says that control has not heard it lately.
 	Silent bool
-	stats  *stats
-	hash   Hash
+	// Until is when one that leaves will be gone, as far as is known.
+	Until time.Time
+	stats *stats
+	hash  Hash
 }
 
 // stats is what this entry knows of one incarnation from its own calls.
