Count the usage of entries that are cut off or lose their leader

Change: every control instance keeps what entries tell, since entries ask all of them while none leads; a window waits for entries that may have counts of it, up to three quarters of the time within which it is wanted.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -85,7 +85,11 @@
 		decode:   g.Decode,
 		keeper:   folder,
 		state: &state{
-			ledger: &tallier.Ledger{Length: g.Settings.Usage.Window},
+			ledger: &tallier.Ledger{
+				Length:   g.Settings.Usage.Window,
+				Patience: time.Duration(reportUse * float64(g.Settings.Usage.Lateness)),
+				Serves:   g.Settings.Revocation,
+			},
 		},
 		outbox: &outbox{client: g.Client},
 		box:    box,
--- a/src/governor/duties.go
+++ b/src/governor/duties.go
@@ -12,8 +12,14 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// cloudTimeout bounds one call to the platform.
-const cloudTimeout = 2 * time.Second
+const (
+	// cloudTimeout bounds one call to the platform.
+	cloudTimeout = 2 * time.Second
+	// reportUse is the part of the time within which a window's usage is wanted that
+	// it waits for entries that are not heard; the rest is for the call, once again
+	// where it gets no answer.
+	reportUse = 0.75
+)
 
 // Cloud is the platform's interface for what one instance does for all.
 type Cloud interface {
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -97,6 +97,10 @@
 	if c.packed.GetVersion() > poll.GetDeclarationVersion() {
 		response.Declaration = c.packed
 	}
+	// Any instance may lead next. Counts that only the last leader heard are lost with
+	// it where their entries are killed before there is another: a quarter of a
+	// window's calls in one fault of both.
+	c.hearUsage(now, poll)
 	if !response.GetLeads() {
 		return response
 	}
@@ -155,6 +159,22 @@
 	return loads
 }
 
+// hearUsage takes what an entry has counted.
+func (c *coordinator) hearUsage(now time.Time, poll *messages.EntryPoll) {
+	counts := make([]tallier.Count, 0, len(poll.GetUsage()))
+	for _, u := range poll.GetUsage() {
+		counts = append(counts, tallier.Count{
+			Window:  tallier.Window(u.GetWindow()),
+			Account: units.Account(u.GetAccount()),
+			Calls:   u.GetCount(),
+		})
+	}
+	c.state.ledger.Hear(c.trueTime(now), tallier.Life{
+		Entry:       units.Instance(poll.GetEntry()),
+		Incarnation: units.Incarnation(poll.GetIncarnation()),
+	}, counts)
+}
+
 // hearEntry takes what an entry has seen.
 func (c *coordinator) hearEntry(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
 	demand := make(map[units.Account]apportioner.Demand, len(poll.GetDemand()))
@@ -172,18 +192,6 @@
 	} else {
 		c.divider.Forget(entry)
 	}
-	counts := make([]tallier.Count, 0, len(poll.GetUsage()))
-	for _, u := range poll.GetUsage() {
-		counts = append(counts, tallier.Count{
-			Window:  tallier.Window(u.GetWindow()),
-			Account: units.Account(u.GetAccount()),
-			Calls:   u.GetCount(),
-		})
-	}
-	c.state.ledger.Hear(tallier.Life{
-		Entry:       entry,
-		Incarnation: units.Incarnation(poll.GetIncarnation()),
-	}, counts)
 	c.duties.desk.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.underWay.Hear(entry, DecodeLoads(poll.GetUnderWay()))
 	for _, other := range c.underWay.Entries() {
--- a/src/tallier/ledger.go
+++ b/src/tallier/ledger.go
@@ -31,18 +31,27 @@
 // Ledger adds up what entries count; it is a state machine without a clock.
 type Ledger struct {
 	Length time.Duration
+	// Patience is how long after its end a window waits for entries that may have
+	// counts of it and are not heard.
+	Patience time.Duration
+	// Serves is how long an entry goes on serving after it was last heard.
+	Serves time.Duration
 
-	heard map[Window]map[Life]map[units.Account]int64
+	// entries holds when each entry was last heard, in true time.
+	entries map[units.Instance]time.Time
+	heard   map[Window]map[Life]map[units.Account]int64
 	// fixed are the reports that stand in the log, by window.
 	fixed map[Window]Report
 	last  Window
 }
 
 // Hear takes the counts of one life of an entry; a lower one than before is old.
-func (l *Ledger) Hear(from Life, counts []Count) {
+func (l *Ledger) Hear(trueTime time.Time, from Life, counts []Count) {
 	if l.heard == nil {
 		l.heard = make(map[Window]map[Life]map[units.Account]int64)
+		l.entries = make(map[units.Instance]time.Time)
 	}
+	l.entries[from.Entry] = trueTime
 	for _, c := range counts {
 		if c.Window <= l.last {
 			continue
@@ -64,7 +73,7 @@
 // Due returns the next window whose counts are to be fixed, with their sums.
 func (l *Ledger) Due(trueTime time.Time) (Report, bool) {
 	next, found := l.next()
-	if !found || trueTime.Before(next.End(l.Length).Add(settleTime)) {
+	if !found || trueTime.Before(next.End(l.Length).Add(settleTime)) || l.waits(trueTime, next) {
 		return Report{}, false
 	}
 	sums := make(map[units.Account]int64)
@@ -79,6 +88,30 @@
 	}, true
 }
 
+// waits reports whether a window is held open for an entry that is not heard.
+//
+// An entry that is cut off from control serves for some seconds on and tells its
+// counts when the cut is over. By then its window was closed without them: two of
+// eight entries cut off for ten seconds left a quarter of a window's calls out, though
+// they were back three seconds before the report was wanted.
+func (l *Ledger) waits(trueTime time.Time, w Window) bool {
+	end := w.End(l.Length)
+	if !trueTime.Before(end.Add(l.Patience)) {
+		return false
+	}
+	began := end.Add(-l.Length)
+	for entry, at := range l.entries {
+		if at.Add(l.Serves).Before(began) {
+			delete(l.entries, entry)
+			continue
+		}
+		if at.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the first window that is not fixed: the one behind the last, or
 // the earliest heard of where none was.
 func (l *Ledger) next() (Window, bool) {
--- a/src/tallier/tallier_test.go
+++ b/src/tallier/tallier_test.go
@@ -38,18 +38,18 @@
 				want[window][account]++
 			case 3:
 				sent[i] = counters[i].Counts(now)
-				ledger.Hear(life, sent[i])
+				ledger.Hear(now, life, sent[i])
 			case 4:
-				ledger.Hear(life, sent[i])
+				ledger.Hear(now, life, sent[i])
 			case 5:
-				ledger.Hear(life, counters[i].Counts(now))
+				ledger.Hear(now, life, counters[i].Counts(now))
 				counters[i] = &Counter{Length: length}
 				sent[i] = nil
 				lives[i]++
 			}
 		}
 		for i, c := range counters {
-			ledger.Hear(Life{Entry: units.Instance(rune('a' + i)), Incarnation: lives[i]}, c.Counts(now))
+			ledger.Hear(now, Life{Entry: units.Instance(rune('a' + i)), Incarnation: lives[i]}, c.Counts(now))
 		}
 		for {
 			report, due := ledger.Due(now.Add(time.Minute))
@@ -73,7 +73,7 @@
 	ledger := &Ledger{Length: length}
 	window := WindowAt(start, length)
 	ledger.Fix(Report{Window: window, Counts: map[units.Account]int64{"x": 3}})
-	ledger.Hear(Life{Entry: "a"}, []Count{{Window: window, Account: "x", Calls: 9}})
+	ledger.Hear(start, Life{Entry: "a"}, []Count{{Window: window, Account: "x", Calls: 9}})
 	ledger.Fix(Report{Window: window, Counts: map[units.Account]int64{"x": 9}})
 	if got, want := ledger.Fixed()[0].Counts["x"], int64(3); got != want {
 		t.Errorf("calls: got %d, want %d", got, want)
@@ -86,7 +86,7 @@
 func TestWindowIsNotDueBeforeItSettled(t *testing.T) {
 	ledger := &Ledger{Length: length}
 	window := WindowAt(start, length)
-	ledger.Hear(Life{Entry: "a"}, []Count{{Window: window, Account: "x", Calls: 1}})
+	ledger.Hear(start, Life{Entry: "a"}, []Count{{Window: window, Account: "x", Calls: 1}})
 	end := window.End(length)
 	if _, due := ledger.Due(end.Add(settleTime - time.Millisecond)); due {
 		t.Error("due before the counts settled: got true, want false")
@@ -95,3 +95,46 @@
 		t.Error("due after the counts settled: got false, want true")
 	}
 }
+
+// Two of some entries are cut off from control, serve on for a while, and are back
+// before the report is wanted. Their counts must be in it; an entry that is gone for
+// good must not hold up a window that it cannot have counted in.
+func TestWindowWaitsForWhoeverMayHaveCounted(t *testing.T) {
+	const patience, serves = 7 * time.Second, 4 * time.Second
+	window := WindowAt(start, length)
+	began, end := window.End(length).Add(-length), window.End(length)
+	cases := map[string]struct {
+		// last is when the cut entry was heard last, back when it is heard again.
+		last time.Time
+		back time.Time
+		at   time.Time
+		due  bool
+		want int64
+	}{
+		"heard after the end":        {last: end.Add(time.Second), at: end.Add(settleTime), due: true, want: 5},
+		"cut off within it":          {last: end.Add(-time.Second), at: end.Add(settleTime)},
+		"cut off before, and serves": {last: began.Add(-serves), at: end.Add(settleTime)},
+		"cut off long before":        {last: began.Add(-serves - time.Second), at: end.Add(settleTime), due: true, want: 2},
+		"cut off for too long":       {last: end.Add(-time.Second), at: end.Add(patience), due: true, want: 2},
+		"back in time":               {last: end.Add(-time.Second), back: end.Add(6 * time.Second), at: end.Add(6 * time.Second), due: true, want: 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ledger := &Ledger{Length: length, Patience: patience, Serves: serves}
+			ledger.Hear(end.Add(time.Second), Life{Entry: "a"}, []Count{{Window: window, Account: "x", Calls: 2}})
+			counts := []Count{{Window: window, Account: "x", Calls: 3}}
+			if c.last.Before(end) {
+				ledger.Hear(c.last, Life{Entry: "b"}, nil)
+			} else {
+				ledger.Hear(c.last, Life{Entry: "b"}, counts)
+			}
+			if !c.back.IsZero() {
+				ledger.Hear(c.back, Life{Entry: "b"}, counts)
+			}
+			report, due := ledger.Due(c.at)
+			if due != c.due || report.Counts["x"] != c.want {
+				t.Errorf("report: got %d calls, due %t, want %d, %t", report.Counts["x"], due, c.want, c.due)
+			}
+		})
+	}
+}
