Learn the speed of reading faster from the first prompts

Twice as many upstreams were held meanwhile. Change: the first prompts move the measure by more, with the root of their number. Replayed by TestFirstPromptsAreSoonForgotten.

--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -36,8 +37,10 @@
 	inFlight int
 	callTime time.Duration
 	at       time.Time
-	// each is a low quantile of how long a prompt token took to read, in seconds.
+	// each is a low quantile of how long a prompt token took to read, in seconds,
+	// learnt from so many prompts.
 	each float64
+	read int
 	// least is the shortest wait for a first byte lately, which no upstream more
 	// would shorten.
 	least time.Duration
@@ -94,7 +97,7 @@
 	defer f.mu.Unlock()
 	s := f.service(call.Service)
 	s.wait(first)
-	s.read(first, call.Unread())
+	s.learn(first, call.Unread())
 	counter := f.calls[outcome]
 	if counter == nil {
 		counter = f.scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls")
@@ -124,23 +127,29 @@
 	// readQuantile is the part of prompts that were read without a queue before
 	// them, as far as may be said at any load that meets its objective.
 	readQuantile = 0.25
-	// readStep is how far one prompt moves the measure.
-	readStep = 0.08
+	// readStep is how far one prompt moves the measure at least, firstStep how far the
+	// first ones do, less with the root of their number. The first prompts find nothing
+	// kept and take three times as long as later ones; an entry of a large fleet gets
+	// one a second, and by readStep alone told that for half a minute.
+	readStep  = 0.08
+	firstStep = 0.5
 )
 
-// read moves the measure of the speed of reading towards its quantile.
-func (s *serviceFigures) read(first time.Duration, unread units.Tokens) {
+// learn moves the measure of the speed of reading towards its quantile.
+func (s *serviceFigures) learn(first time.Duration, unread units.Tokens) {
 	if first <= s.least || unread < longPrompt {
 		return
 	}
 	each := (first - s.least).Seconds() / float64(unread)
+	s.read++
+	step := max(readStep, firstStep/math.Sqrt(float64(s.read)))
 	switch {
 	case s.each == 0:
 		s.each = each
 	case each < s.each:
-		s.each *= 1 - readStep*(1-readQuantile)
+		s.each = max(each, s.each*(1-step*(1-readQuantile)))
 	default:
-		s.each *= 1 + readStep*readQuantile
+		s.each = min(each, s.each*(1+step*readQuantile))
 	}
 }
 
--- a/src/gateway/figures_test.go
+++ b/src/gateway/figures_test.go
@@ -102,13 +102,28 @@
 	s := &serviceFigures{least: 10 * time.Millisecond}
 	for n := range 400 {
 		queue := time.Duration(n%4) * 40 * time.Millisecond
-		s.read(s.least+100*time.Millisecond+queue, 10_000)
+		s.learn(s.least+100*time.Millisecond+queue, 10_000)
 	}
 	if got := s.each; got < 0.8e-5 || got > 1.5e-5 {
 		t.Errorf("seconds for a token: got %.2e, want about 1e-5", got)
 	}
 }
 
+// The first prompts find nothing kept at the upstreams and take three times as long.
+// An entry of a large fleet gets one prompt a second; by then its word on how many
+// upstreams are needed must not go by the first ones any more.
+func TestFirstPromptsAreSoonForgotten(t *testing.T) {
+	s := &serviceFigures{least: 10 * time.Millisecond}
+	s.learn(s.least+300*time.Millisecond, 10_000)
+	for n := range 15 {
+		queue := time.Duration(n%4) * 40 * time.Millisecond
+		s.learn(s.least+100*time.Millisecond+queue, 10_000)
+	}
+	if got := s.each; got < 0.8e-5 || got > 1.5e-5 {
+		t.Errorf("seconds for a token after 15 prompts: got %.2e, want about 1e-5", got)
+	}
+}
+
 // The shortest wait is what every call waits, whatever its prompt; only what is
 // beyond it is reading.
 func TestReadingIsBeyondTheShortestWait(t *testing.T) {
