Plan upstreams by the square root of their work

Cause: a third of an upstream's time was planned for reading whatever the fleet's size. Change: what is held beyond the work grows with its root, three and a half times it; surplus is given back a tenth of a kind at a time, not one. Tests: prompts of lognormal length at the planned size, 3 to 80 upstreams' work, at most 3 in 100 wait for 0.3 s; the full price ends within 20 s of a dry spell.

--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -11,15 +11,16 @@
 )
 
 const (
-	// busy is the part of an upstream's time that reading prompts may take. Prompts
-	// differ a hundredfold in length, and the queue behind a long one at half or
-	// more outlasts the objective of the short ones; a third leaves room for the
-	// clumps.
-	busy = 0.33
+	// safety is how many upstreams there are beyond those that reading alone keeps
+	// busy, in square roots of that number: the clumps of a larger load are a smaller
+	// part of it. Prompts differ a hundredfold in length, and the queue behind a long
+	// one outlasts the objective of the short ones; with 3.5 three busy upstreams
+	// become nine and twenty become thirty-six.
+	safety = 3.5
 	// full is the part of an upstream's places that may be taken.
 	full = 0.5
-	// spare is added to what the load needs: a clump of long prompts at one
-	// upstream is more than the mean.
+	// spare is added to what the places need: a clump of calls at one upstream is more
+	// than the mean.
 	spare = 0.7
 	// firmDry is the least part of what is needed that is ordered at the full price
 	// while reclaimable ones are not to be had: those that are left may be taken back
@@ -39,6 +40,10 @@
 	// margin is how much more than what is needed takes calls before one that
 	// costs the full price is given back.
 	margin = 1.2
+	// backPause is the time between two orders for fewer of a kind, in which the load
+	// shows whether they are missed, and 1 in backPart of them may go in one.
+	backPause = 600 * time.Millisecond
+	backPart  = 10
 	// steady takes the noise of single clumps out of the measure of load, fall
 	// lets it go down: over a good part of a wave, so that an ebb of some seconds
 	// gives nothing back that the next clump needs.
@@ -211,12 +216,13 @@
 
 // measured returns how many upstreams the load needs by what is known of it.
 func (s *Scaler) measured(service *matcher.Service) int {
-	reading := s.load.Asked * s.load.Each / busy
-	places := 0.0
+	work := s.load.Asked * s.load.Each
+	reading := work + safety*math.Sqrt(work)
+	places := spare
 	if service.Engine != nil && service.Engine.Slots > 0 {
-		places = s.load.Running / (full * float64(service.Engine.Slots))
+		places += s.load.Running / (full * float64(service.Engine.Slots))
 	}
-	return int(math.Ceil(max(reading, places) + spare))
+	return int(math.Ceil(max(reading, places)))
 }
 
 // plan spreads what is needed over kinds.
@@ -366,11 +372,12 @@
 	return slow
 }
 
-// giveBack returns the lower number to order: one at a time, and only while more
-// than what is needed takes calls without it.
+// giveBack returns the lower number to order: a few at a time, and only while more
+// than what is needed takes calls without them.
 //
 // Without the wait the upstreams at the start would go before those that stand in
-// for them have come, and every caller of those seconds would be late.
+// for them have come, and every caller of those seconds would be late. One at a time,
+// a large fleet would pay the full price for a minute after a dry spell of seconds.
 func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed int) int {
 	ready := 0
 	for kind, count := range stock {
@@ -380,12 +387,12 @@
 		}
 		ready += count
 	}
-	const pause = 600 * time.Millisecond
 	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
-	if unknown || now.Sub(last.at) < pause || ready-1 < int(math.Ceil(margin*float64(needed))) {
+	surplus := ready - int(math.Ceil(margin*float64(needed)))
+	if unknown || now.Sub(last.at) < backPause || surplus < 1 {
 		return last.count
 	}
-	return max(want, last.count-1)
+	return max(want, last.count-min(surplus, 1+last.count/backPart))
 }
 
 // Refused notes that a kind is not to be had now.
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -268,6 +269,89 @@
 	}
 }
 
+// Prompts of very different lengths come at random to a small and to a large fleet of
+// the planned size, each to the least busy of a few upstreams. Few of them may wait for
+// long behind others, and the large fleet must not stand idle for most of its time.
+func TestPlanIsEnoughAtAnySize(t *testing.T) {
+	cases := map[string]struct {
+		work float64
+		// most is how many times the work the plan may hold.
+		most float64
+	}{
+		"a few":   {work: 3, most: 3.5},
+		"some":    {work: 8, most: 2.5},
+		"many":    {work: 20, most: 2},
+		"a crowd": {work: 80, most: 1.5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &Scaler{load: Load{Asked: c.work * 1e5, Each: 1e-5}}
+			planned := s.measured(service())
+			if most := int(math.Ceil(c.most * c.work)); planned > most {
+				t.Errorf("planned: got %d upstreams, want at most %d", planned, most)
+			}
+			if got, most := lateShare(planned, c.work), 0.03; got > most {
+				t.Errorf("prompts that wait for 0.3 s and more: got %.3f of them, want at most %.3f", got, most)
+			}
+		})
+	}
+}
+
+// lateShare plays prompts at so many upstreams, which they keep busy for work of
+// them, and returns the part that waits for 0.3 s and more.
+func lateShare(upstreams int, work float64) float64 {
+	random := rand.New(rand.NewPCG(1, 2))
+	const mean, spread, calls = 0.2, 1.2, 40_000
+	free := make([]float64, upstreams)
+	now, late := 0.0, 0
+	for range calls {
+		now += random.ExpFloat64() * mean / work
+		best := random.IntN(upstreams)
+		for range 5 {
+			if other := random.IntN(upstreams); free[other] < free[best] {
+				best = other
+			}
+		}
+		wait := max(0, free[best]-now)
+		if wait >= 0.3 {
+			late++
+		}
+		read := mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
+		free[best] = now + wait + read
+	}
+	return float64(late) / calls
+}
+
+// Nearly all upstreams of a large fleet have been ordered at the full price in a dry
+// spell. Once reclaimable ones are to be had, they must take their places within
+// seconds, though each data centre is full and the load needs what is there.
+func TestFullPriceEndsWithTheDrySpell(t *testing.T) {
+	svc := service()
+	svc.Scaling.Most = 30
+	p := newPlatform(svc)
+	s := &Scaler{}
+	heavy := func(int) Load { return Load{Asked: 2_000_000, Each: 1e-5, Running: 200} }
+	now, _ := p.run(s, start, time.Minute, heavy)
+	p.dry = true
+	p.coming = nil
+	for centre := range svc.Scaling.Prices {
+		p.stock[Kind{DataCentre: centre, Reclaimable: true}] = 0
+	}
+	now, _ = p.run(s, now, 20*time.Second, heavy)
+	needed := s.measured(svc)
+	if got := p.firm(); got < needed {
+		t.Fatalf("upstreams at the full price in the dry spell: got %d, want the %d that the load needs", got, needed)
+	}
+	p.dry = false
+	_, fewest := p.run(s, now, 20*time.Second, heavy)
+	if got, most := p.firm(), needed/4; got > most {
+		t.Errorf("upstreams at the full price 20 s after the dry spell: got %d, want at most %d", got, most)
+	}
+	if fewest < needed {
+		t.Errorf("upstreams on the way: got as few as %d, want %d", fewest, needed)
+	}
+}
+
 // Before the first calls, and after a new leader has taken over, nothing is known
 // of the load. An upstream given back then would be missing in a moment.
 func TestNothingIsGivenBackBeforeTheLoadIsKnown(t *testing.T) {
