Order what stands in for the first upstreams at once

Cause: the first leader waited 3 s for the calls of a predecessor that it cannot have, while the operators' whole fleet stood at the full price. Change: a leader of the first term acts at once; it orders reclaimable ones by what has announced itself so far, and none at the full price for 3 s, since an order is for a number in all and those that have not announced themselves would be given back.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -196,12 +196,25 @@
 func (c *coordinator) lead(ctx context.Context, now time.Time) error {
 	// The holder before may still act: its calls under way arrive late. Holders
 	// that took turns within the span would contradict each other.
-	if !c.leads(now) || now.Sub(c.leadSince) < c.settings.DutyLease {
+	if !c.leads(now) || now.Sub(c.leadSince) < dutyWait(c.node.Term(), c.settings.DutyLease) {
 		return nil
 	}
 	return c.duties.work(ctx, now)
 }
 
+// firstTerm is the term of the first leader that a log can have.
+const firstTerm units.Term = 1
+
+// dutyWait returns how long a leader leaves what it does for all alone: the one before
+// may have sent something that is still on its way. Nobody was before the first, and
+// each second that it waits a whole fleet stands at the full price.
+func dutyWait(term units.Term, lease time.Duration) time.Duration {
+	if term == firstTerm {
+		return 0
+	}
+	return lease
+}
+
 // leads reports whether this instance leads, and makes anew what a leader keeps of
 // the entries.
 //
--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -16,13 +16,13 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/replicator"
+	"github.com/rosecroft/rosecroft/src/tallier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// newLeader returns a governor and its coordinator that has just won its election
-// and has not ticked since.
-func newLeader(t *testing.T) (*Governor, *coordinator) {
+// newInstance returns a governor and its coordinator that has not ticked.
+func newInstance(t *testing.T) (*Governor, *coordinator) {
 	t.Helper()
 	g := &Governor{
 		Settings: &parser.Deployment{
@@ -37,6 +37,10 @@
 			Quota: parser.Quota{
 				Window: 8 * time.Second,
 			},
+			Usage: parser.Usage{
+				Window:   5 * time.Second,
+				Lateness: 10 * time.Second,
+			},
 		},
 		Log:    zerolog.Nop(),
 		Client: &connector.Client{},
@@ -52,6 +56,14 @@
 		t.Fatal(err)
 	}
 	c.ctx = t.Context()
+	return g, c
+}
+
+// newLeader returns a governor and its coordinator that has just won its election
+// and has not ticked since.
+func newLeader(t *testing.T) (*Governor, *coordinator) {
+	t.Helper()
+	g, c := newInstance(t)
 	// The voter's time is stepped on by hand, past the silence that an election takes.
 	now := timekeeper.Now()
 	for range 500 {
@@ -97,6 +109,50 @@
 	}
 }
 
+// The first leader of all has no predecessor whose orders may still be on their way,
+// and each second that it waits costs a whole fleet at the full price. Later ones wait.
+func TestOnlyTheFirstLeaderActsAtOnce(t *testing.T) {
+	const lease = 3 * time.Second
+	_, c := newLeader(t)
+	cases := map[string]struct {
+		term units.Term
+		want time.Duration
+	}{
+		"the only leader there was": {term: c.node.Term()},
+		"its successor":             {term: c.node.Term() + 1, want: lease},
+		"a much later one":          {term: 40, want: lease},
+	}
+	for name, test := range cases {
+		if got := dutyWait(test.term, lease); got != test.want {
+			t.Errorf("wait of %s: got %s, want %s", name, got, test.want)
+		}
+	}
+}
+
+// The leader is lost, and an entry is killed before there is another. What the entry
+// has counted since it told the leader is gone with both, and its callers' usage is
+// reported too low, unless the others that it asked meanwhile have kept it.
+func TestUsageIsHeardWithoutALeader(t *testing.T) {
+	g, c := newInstance(t)
+	window := tallier.WindowAt(time.Now(), g.Settings.Usage.Window)
+	response := c.poll(&messages.EntryPoll{
+		Entry:       "e1",
+		Incarnation: 1,
+		Usage: []*messages.WindowUsage{{
+			Window:  int64(window),
+			Account: "a",
+			Count:   7,
+		}},
+	})
+	if response.GetLeads() {
+		t.Fatal("leads: got true, want an instance that does not")
+	}
+	report, due := c.state.ledger.Due(time.Now().Add(time.Minute))
+	if got, want := report.Counts["a"], int64(7); !due || got != want {
+		t.Errorf("calls in the window: got %d, due %t, want %d", got, due, want)
+	}
+}
+
 // An upstream says to the leader that it leaves, and the leader is suspended right
 // after its answer. Entries that have not polled since ask the next leader; they send
 // calls to an upstream that is gone unless every other control instance was told
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -62,6 +62,10 @@
 	slow = 8 * time.Second
 	// dry is how long a kind that was not to be had is left alone.
 	dry = 3 * time.Second
+	// announced is how long the upstreams of the start may take to announce themselves:
+	// some heartbeats. An order is for a number in all, and one by those that have
+	// would give the others back.
+	announced = 3 * time.Second
 	// settle is how long the load is measured before it counts as known: it is
 	// smoothed over seconds, and rises from nothing.
 	settle = 8 * time.Second
@@ -99,8 +103,12 @@
 	// began is when the first calls were seen; before it nothing is known of the load.
 	began time.Time
 	at    time.Time
-	// first is how many upstreams the operators started with, where that is known.
-	first int
+	// first is how many upstreams the operators started with, where that is known:
+	// fresh says that there was no call when this began. They announce themselves over
+	// some seconds, in which the orders for those that stand in for them go out.
+	first   int
+	fresh   bool
+	stepped time.Time
 	// recent is the load without its noise, load what the plan goes by.
 	recent Load
 	load   Load
@@ -125,7 +133,11 @@
 		s.ordered = make(map[Kind]placed)
 		s.dryAt = make(map[Kind]time.Time)
 		s.at = now
-		s.first = firstOf(load, stock)
+		s.stepped = now
+		s.fresh = load.Running == 0
+	}
+	if s.fresh && s.began.IsZero() {
+		s.first = max(s.first, firstOf(stock))
 	}
 	if s.began.IsZero() && load.Running > 0 {
 		s.began = now
@@ -191,10 +203,7 @@
 // firstOf returns how many upstreams there are before the first call, where all of
 // them are at the full price: the operators' guess of what the load will need. The
 // stock that a new leader finds while calls run is what an earlier plan made of it.
-func firstOf(load Load, stock Stock) int {
-	if load.Running > 0 {
-		return 0
-	}
+func firstOf(stock Stock) int {
 	total := 0
 	for kind, count := range stock {
 		if kind.Reclaimable {
@@ -346,7 +355,7 @@
 	if !known {
 		last.count = have
 	}
-	if s.isDry(now, kind) {
+	if s.isDry(now, kind) || !kind.Reclaimable && s.fresh && now.Sub(s.stepped) < announced {
 		return Order{}, false
 	}
 	if want.Count < last.count {
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -127,6 +127,38 @@
 	}
 }
 
+// The upstreams of the start announce themselves one after the other while the leader
+// plans already. Those that stand in for them must be ordered at once, and in the end
+// for all of them.
+func TestStartIsPlannedWhileUpstreamsAnnounceThemselves(t *testing.T) {
+	svc := service()
+	s := &Scaler{}
+	stock := make(Stock)
+	ordered := 0
+	now := start
+	for range 20 {
+		for _, centre := range []units.DataCentre{"a", "b", "c", "d"} {
+			if stock[Kind{DataCentre: centre}] < startEach {
+				stock[Kind{DataCentre: centre}]++
+				break
+			}
+		}
+		for _, order := range s.Step(now, svc, Load{}, stock) {
+			if !order.Reclaimable {
+				t.Fatalf("ordered before any stand-in has come: got %+v, want reclaimable ones alone", order)
+			}
+			ordered++
+		}
+		if ordered == 0 {
+			t.Fatal("orders once the first has announced itself: got none, want some")
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got, want := s.needed(now, svc), 4*startEach; got != want {
+		t.Errorf("needed once all have announced themselves: got %d, want %d", got, want)
+	}
+}
+
 // A leader takes over while calls run on reclaimable upstreams. What stands there is
 // no plan of the operators, and ordered as such it would grow with each leader.
 func TestNewLeaderKeepsTheFleet(t *testing.T) {
