--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -283,7 +283,7 @@
 func TestPlacesOfWhatIsNotToBeHadGoToTheFullPrice(t *testing.T) {
 	p := newPlatform(service())
 	s := &Scaler{}
-	heavy := func(int) Load { return Load{Asked: 900_000, Each: 1e-5, Running: 200} }
+	heavy := func(int) Load { return Load{Asked: 2_000_000, Each: 1e-5, Running: 200} }
 	now, _ := p.run(s, start, time.Minute, heavy)
 	needed := s.measured(p.service)
 	p.dry = true
@@ -359,10 +359,10 @@
 // seconds, though each data centre is full and the load needs what is there.
 func TestFullPriceEndsWithTheDrySpell(t *testing.T) {
 	svc := service()
-	svc.Scaling.Most = 30
+	svc.Scaling.Most = 60
 	p := newPlatform(svc)
 	s := &Scaler{}
-	heavy := func(int) Load { return Load{Asked: 2_000_000, Each: 1e-5, Running: 200} }
+	heavy := func(int) Load { return Load{Asked: 6_000_000, Each: 1e-5, Running: 200} }
 	now, _ := p.run(s, start, time.Minute, heavy)
 	p.dry = true
 	p.coming = nil
@@ -375,9 +375,9 @@
 		t.Fatalf("upstreams at the full price in the dry spell: got %d, want the %d that the load needs", got, needed)
 	}
 	p.dry = false
-	_, fewest := p.run(s, now, 20*time.Second, heavy)
+	_, fewest := p.run(s, now, 13*time.Second, heavy)
 	if got, most := p.firm(), needed/4; got > most {
-		t.Errorf("upstreams at the full price 20 s after the dry spell: got %d, want at most %d", got, most)
+		t.Errorf("upstreams at the full price 13 s after the dry spell: got %d, want at most %d", got, most)
 	}
 	if fewest < needed {
 		t.Errorf("upstreams on the way: got as few as %d, want %d", fewest, needed)
