--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -11,9 +11,11 @@
 	// evenPart is the part of each limit that is shared evenly, so that an entry
 	// without lately any call of an account can serve its first ones.
 	evenPart = 0.2
-	// settleAfter is how long a new leader leaves parts as they are: after
-	// several poll intervals it has heard every entry in reach.
-	settleAfter = 1200 * time.Millisecond
+	// settleAfter is how long a new leader leaves parts as they are: after a poll
+	// that waited for the last leader in vain, and some more, it has heard every
+	// entry in reach. Each second longer, large calls of accounts far from their
+	// limits are refused: 25 after one lost leader at eight entries.
+	settleAfter = 800 * time.Millisecond
 	// firstLevel is the part of a bucket that a leader takes to be full where no
 	// entry was told of its level by one before.
 	firstLevel = 0.1
