Refuse what cannot be met by the speed of reading that was learnt

All calls of an account with an urgency of its own have that urgency, so that it concerns the most valuable ones too. Change: the wait is what is to be read before the call's first byte at the speed that this entry has learnt. Replayed by TestHopelessCallsAreRefused with slow and fast upstreams; a mutant takes the speed out.

--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -153,6 +153,16 @@
 	}
 }
 
+// each returns how long a service's upstreams take to read a token, 0 where nobody knows.
+func (f *figures) each(service units.Service) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.services[service]; s != nil {
+		return time.Duration(s.each * float64(time.Second))
+	}
+	return 0
+}
+
 func (f *figures) latency(service units.Service) tally.Histogram {
 	h := f.first[string(service)]
 	if h == nil {
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -76,6 +76,7 @@
 		Now:        timekeeper.Now,
 		Fleet:      g.fleet,
 		Leaving:    g.leaving,
+		Each:       g.figures.each,
 		MostCalls:  g.connections,
 	}
 	g.quota = &apportioner.Meter{Window: apportioner.WindowOf(g.Settings.Quota)}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -33,8 +33,8 @@
 	// tokensEach is how many prompt tokens weigh as much as all places of an
 	// upstream: a tenth of a second's reading.
 	tokensEach = 8000
-	// readTime is how long tokensEach tokens take to read at the upstreams of today.
-	readTime = 85 * time.Millisecond
+	// readEach is how long a token takes to read where this entry has not learnt it yet.
+	readEach = 12 * time.Microsecond
 	// patience is how many times the wanted time a call may have to wait for its
 	// first byte before it is refused: what is known of the wait is rough.
 	patience = 1.6
@@ -96,6 +96,9 @@
 	// Leaving returns those that take no more calls and still hold what they have
 	// read; it may be nil.
 	Leaving func() Fleet
+	// Each returns how long a service's upstreams take to read a token, 0 where it is
+	// not known; it may be nil.
+	Each func(service units.Service) time.Duration
 	// MostCalls returns how many calls this entry may have at an upstream at once.
 	MostCalls func(upstream *tracker.Upstream) int
 
@@ -163,10 +166,12 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	best, least := (*Candidate)(nil), 0.0
+	best, least, ahead := (*Candidate)(nil), 0.0, int64(0)
 	compare := func(c *Candidate, unread units.Tokens) {
-		if score := p.score(now, c, unread); best == nil || score < least {
-			best, least = c, score
+		calls, prefill := c.busy(now, p.others.Load())
+		prefill += int64(unread)
+		if score := p.score(c, calls, prefill); best == nil || score < least {
+			best, least, ahead = c, score, prefill
 		}
 	}
 	if len(call.Parts) > 1 {
@@ -182,32 +187,44 @@
 		// A step that is drawn too would visit one twice; neighbours do as well.
 		compare(candidates[(first+i*stride(len(candidates)))%len(candidates)], call.Prompt)
 	}
-	if len(tried) == 0 && hopeless(call, least) {
+	if len(tried) == 0 && hopeless(call, time.Duration(ahead)*p.each(call.Service)) {
 		return nil
 	}
 	return best.Upstream
 }
 
+func (p *Placer) each(service units.Service) time.Duration {
+	if p.Each != nil {
+		if each := p.Each(service); each > 0 {
+			return each
+		}
+	}
+	return readEach
+}
+
 // hopeless reports whether a call would wait far beyond what its caller wants,
 // at the best of several upstreams. Its answer would come late and cost the calls
 // behind it their time; refused at once, its caller can come back when the burst
 // is over. The most urgent calls go before what waits, and are never refused.
-func hopeless(call *dispatcher.Call, score float64) bool {
-	wait := time.Duration(score * float64(readTime))
+//
+// The wait is what is to be read before its first byte, at the speed that this entry
+// has seen: upstreams that read at half the speed of others took on twice what they
+// could answer in time.
+func hopeless(call *dispatcher.Call, wait time.Duration) bool {
 	return call.Urgency > 0 && call.Target > 0 && len(call.Parts) > 0 && wait > time.Duration(patience*float64(call.Target))
 }
 
 // stride spreads the drawn candidates over the list, which is sorted by name.
 func stride(count int) int { return max(1, count/drawn) }
 
-// score returns what a call would wait for at an upstream, in its places.
-func (p *Placer) score(now time.Time, c *Candidate, unread units.Tokens) float64 {
-	calls, prefill := c.busy(now, p.others.Load())
+// score returns what a call would wait for at an upstream that has so many calls and
+// so many tokens to read, the call's own among them, in its places.
+func (p *Placer) score(c *Candidate, calls, prefill int64) float64 {
 	slots := c.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	score := float64(calls)/float64(slots) + float64(prefill+int64(unread))/tokensEach + noise*rand.Float64()
+	score := float64(calls)/float64(slots) + float64(prefill)/tokensEach + noise*rand.Float64()
 	if calls >= int64(slots) {
 		score += overfull
 	}
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -182,11 +182,14 @@
 func TestHopelessCallsAreRefused(t *testing.T) {
 	cases := map[string]struct {
 		backlog int64
+		each    time.Duration
 		urgency int
 		tried   []units.Upstream
 		want    bool
 	}{
 		"a short wait":         {backlog: 20_000, urgency: 2, want: true},
+		"long at slow ones":    {backlog: 20_000, each: 40 * time.Microsecond, urgency: 2},
+		"short at fast ones":   {backlog: 200_000, each: 3 * time.Microsecond, urgency: 2, want: true},
 		"far too long":         {backlog: 200_000, urgency: 2},
 		"far too long, urgent": {backlog: 200_000, urgency: 0, want: true},
 		"under way":            {backlog: 200_000, urgency: 2, tried: []units.Upstream{"u0"}, want: true},
@@ -194,6 +197,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(4)
+			w.Each = func(units.Service) time.Duration { return c.each }
 			for _, candidate := range w.fleet["s"] {
 				candidate.Live.Prefill.Store(c.backlog)
 			}
