Elect without a wait where disks are lost with all processes

Ruled out: a shorter election timeout, which slow disks would turn into false elections; word in hellos, which may be from an earlier life. Change: a question of a start carries a number drawn at that start; an empty instance that gets it for the voter whose place it has taken answers so. Less than a majority may be gone; then each majority that could have elected a later leader holds a voter that kept its term and would have said that.

Take out what was held at the full price in a dry spell

--- a/src/replicator/node.go
+++ b/src/replicator/node.go
@@ -158,7 +158,8 @@
 		// answer; counting the start as a heartbeat keeps the lease true.
 		heardAt: now,
 		start: start{
-			at: now,
+			at:    now,
+			nonce: options.Random.Uint64(),
 		},
 	}
 	if n.founded() {
--- a/src/replicator/receive.go
+++ b/src/replicator/receive.go
@@ -9,6 +9,10 @@
 )
 
 func (n *Node) receive(now time.Time, m *messages.LogMessage) {
+	if n.replaces(m) {
+		n.tellReplaced(m)
+		return
+	}
 	if !n.isFor(m) {
 		return
 	}
--- a/src/replicator/scenario_test.go
+++ b/src/replicator/scenario_test.go
@@ -136,6 +136,53 @@
 	})
 }
 
+// All voters are killed at the same moment, and one starts again with an empty disk. It
+// cannot say that it has heard no leader since, and callers would wait for an election
+// timeout; that it runs in the other's place shows that the other is gone.
+func TestLeaderSoonAfterAllHaveStartedAndADiskIsLost(t *testing.T) {
+	inTrio(t, func(s *trio) {
+		for _, m := range s.members {
+			m.node = nil
+		}
+		s.bag = nil
+		s.other.loseDisk()
+		for _, m := range s.members {
+			s.calm(10)
+			m.start(3)
+		}
+		s.calm(20)
+		if s.leader() == nil {
+			t.Errorf("no leader 200 ms after the last process has started, want one")
+		}
+		s.calm(100)
+		s.checkClaims()
+	})
+}
+
+// Word that a voter's place is taken was held up since an earlier start, and the voter
+// that it is about may lead by now. It must count for nothing, or that one's lease and
+// the next leader's overlap.
+func TestOldWordOfAReplacedVoterProvesNothing(t *testing.T) {
+	inTrio(t, func(s *trio) {
+		s.follower.node = nil
+		s.bag = nil
+		s.follower.start(3)
+		s.follower.step(Received{Message: &messages.LogMessage{
+			From: string(s.other.id.Instance()) + "#stranger",
+			To:   string(s.follower.id),
+			Body: &messages.LogMessage_Start{
+				Start: &messages.Start{
+					Nonce:    s.follower.node.start.nonce + 1,
+					Replaced: true,
+				},
+			},
+		}}, -1)
+		if got := len(s.follower.node.start.replaced); got != 0 {
+			t.Errorf("voters taken for gone: got %d, want none", got)
+		}
+	})
+}
+
 // All voters have voted in a term and start again, and none holds a record of it. Its
 // leader may be one that they do not know, taken in by a record that they lack; its
 // lease would still run. So they wait as long as after any start.
--- a/src/replicator/start.go
+++ b/src/replicator/start.go
@@ -31,8 +31,18 @@
 // of earlier terms lost their leases before this one was elected. A leader of a
 // later term needs a majority of which at least one voter refuses the candidate,
 // whose term is not later. So what they said holds for as long as the term does.
+//
+// A voter whose disk was lost with its process cannot say so any more, but the empty
+// one in its place can: the old process is gone, and with its disk what it might lead
+// by. Less than a majority may be gone so. Then each majority that could have elected
+// a later leader holds a voter that has kept its term, and would have said that one.
+// Without it, power lost together with two disks cost callers half a second more.
 type start struct {
 	at time.Time
+	// nonce tells answers to this start from those that an earlier one asked for.
+	nonce uint64
+	// replaced are the voters in whose place an empty one runs.
+	replaced map[units.VoterID]bool
 	// over says that this voter has heard a leader or led since its start.
 	over  bool
 	askAt time.Time
@@ -82,16 +92,61 @@
 				LastIndex: uint64(n.log.lastIndex()),
 				LastTerm:  uint64(n.log.lastTerm()),
 				Asks:      asks,
+				Nonce:     n.start.nonce,
+			},
+		},
+	})
+}
+
+// replaces reports whether a question of a start is for a voter in whose place this
+// instance runs, with an empty disk.
+func (n *Node) replaces(m *messages.LogMessage) bool {
+	to := units.VoterID(m.GetTo())
+	asked := m.GetStart().GetAsks() && to.Instance() == n.options.ID.Instance() && to != n.options.ID
+	return asked && !n.founded()
+}
+
+// tellReplaced answers for the voter whose place this instance has taken.
+func (n *Node) tellReplaced(m *messages.LogMessage) {
+	n.sendTo(units.VoterID(m.GetFrom()), n.term, &messages.LogMessage{
+		Body: &messages.LogMessage_Start{
+			Start: &messages.Start{
+				Nonce:    m.GetStart().GetNonce(),
+				Replaced: true,
 			},
 		},
 	})
 }
 
+// countReplaced notes that a voter is gone with its disk. Only an answer to this start
+// counts: one that was held up since an earlier life of the instance would speak of
+// a voter that runs there now.
+func (n *Node) countReplaced(now time.Time, m *messages.LogMessage) {
+	s := &n.start
+	from := units.VoterID(m.GetFrom())
+	if s.over || m.GetStart().GetNonce() != s.nonce {
+		return
+	}
+	for _, voter := range n.voters {
+		if voter.Instance() == from.Instance() && voter != from && voter != n.options.ID {
+			if s.replaced == nil {
+				s.replaced = make(map[units.VoterID]bool)
+			}
+			s.replaced[voter] = true
+		}
+	}
+	n.campaignAsFirst(now)
+}
+
 // countStart campaigns once all voters have started and this one is the first of
 // those with the longest log. With no such order, several that learn of the last
 // start at once would take each other's votes, and all would wait for a timeout.
 func (n *Node) countStart(now time.Time, m *messages.LogMessage, other *messages.Start) {
 	s := &n.start
+	if other.GetReplaced() {
+		n.countReplaced(now, m)
+		return
+	}
 	if s.over || !n.holds(n.options.ID) || units.Term(m.GetTerm()) != n.term {
 		return
 	}
@@ -107,7 +162,13 @@
 		term:  units.Term(other.GetLastTerm()),
 		index: units.Index(other.GetLastIndex()),
 	}
-	if n.log.lastTerm() != n.term || !n.isVoter() || !n.firstOfStarted() {
+	n.campaignAsFirst(now)
+}
+
+// campaignAsFirst campaigns where all voters have started and none goes before this one.
+func (n *Node) campaignAsFirst(now time.Time) {
+	s := &n.start
+	if s.term != n.term || n.log.lastTerm() != n.term || !n.isVoter() || !n.firstOfStarted() {
 		return
 	}
 	s.proved = true
@@ -121,16 +182,21 @@
 		term:  n.log.lastTerm(),
 		index: n.log.lastIndex(),
 	}
+	replaced := 0
 	for _, voter := range n.voters {
-		end, started := n.start.ends[voter]
 		if voter == n.options.ID {
 			continue
 		}
+		if n.start.replaced[voter] {
+			replaced++
+			continue
+		}
+		end, started := n.start.ends[voter]
 		if !started || cmp.Or(own.compare(end), cmp.Compare(voter, n.options.ID)) < 0 {
 			return false
 		}
 	}
-	return true
+	return 2*replaced < len(n.voters)
 }
 
 // leaseless reports whether a vote request proves that no leader's lease is left
--- a/src/scaler/doc.go
+++ b/src/scaler/doc.go
@@ -13,5 +13,5 @@
 // several times what is needed. The plan holds so many reclaimable upstreams in each
 // data centre that the loss of any two leaves the whole objective; what is then
 // missing is ordered at the full price from the notice on, which a good part of the
-// time to start goes before, and with it a few that are not taken back.
+// time to start goes before.
 package scaler
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -22,13 +22,6 @@
 	// spare is added to what the places need: a clump of calls at one upstream is more
 	// than the mean.
 	spare = 0.7
-	// firmDry is the least part of what is needed that is ordered at the full price
-	// while reclaimable ones are not to be had: those that are left may be taken back
-	// too, and what stands in for them takes seconds to start. At other times what is
-	// lost is made up for at either price from its notice on; a part that is always
-	// held at the full price cost 0.01 to 0.02 of what callers' answers were worth
-	// and saved less.
-	firmDry = 0.3
 	// lostCentres is how many data centres of reclaimable upstreams may be gone at
 	// once while what is needed still stands: a second is taken back while the
 	// first is not to be had again.
@@ -240,10 +233,9 @@
 func (s *Scaler) plan(now time.Time, service *matcher.Service, needed int, stock Stock) Stock {
 	plan := make(Stock)
 	centres := byPrice(service)
-	firmly := int(math.Ceil(s.firmPart(now) * float64(needed)))
 	// Reclaimable ones go evenly to all data centres: any one may be taken back.
 	left := max(1, len(centres)-lostCentres)
-	each := max(leastEach, int(math.Ceil(float64(needed-firmly)/float64(left))))
+	each := max(leastEach, int(math.Ceil(float64(needed)/float64(left))))
 	standing := 0
 	for _, centre := range centres {
 		kind := Kind{
@@ -254,7 +246,7 @@
 		standing += s.standing(now, service, kind, plan[kind], stock)
 	}
 	// What reclaimable ones cannot carry now is ordered at the full price.
-	s.firm(plan, centres, max(firmly, needed-standing), service.Scaling)
+	s.firm(plan, centres, max(0, needed-standing), service.Scaling)
 	return plan
 }
 
@@ -279,16 +271,6 @@
 	return !at.IsZero() && now.Sub(at) < dry
 }
 
-// firmPart returns the least part of what is needed at the full price.
-func (s *Scaler) firmPart(now time.Time) float64 {
-	for _, at := range s.dryAt {
-		if now.Sub(at) < 2*dry {
-			return firmDry
-		}
-	}
-	return 0
-}
-
 // standing returns how many of a kind take calls or are about to.
 //
 // Only what an order asked for beyond those that were there is about to come, and
