--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -1,9 +1,7 @@
 package scaler
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/matcher"
@@ -70,12 +68,6 @@
 	Reclaimable bool
 }
 
-// Order asks for a number of upstreams of one kind.
-type Order struct {
-	Kind
-	Count int
-}
-
 // Load is what a service's callers ask for, over all entries.
 type Load struct {
 	// Asked is what callers ask for, in prompt tokens a second, or in calls a
@@ -113,13 +105,6 @@
 	dryAt       map[Kind]time.Time
 }
 
-// placed is the last order of a kind, given when there were had of it.
-type placed struct {
-	count int
-	had   int
-	at    time.Time
-}
-
 // Step takes the load and the stock of the moment and returns what to order now.
 func (s *Scaler) Step(now time.Time, service *matcher.Service, load Load, stock Stock) []Order {
 	if s.ordered == nil {
@@ -228,173 +213,3 @@
 	}
 	return int(math.Ceil(max(reading, places)))
 }
-
-// plan spreads what is needed over kinds.
-func (s *Scaler) plan(now time.Time, service *matcher.Service, needed int, stock Stock) Stock {
-	plan := make(Stock)
-	centres := byPrice(service)
-	// Reclaimable ones go evenly to all data centres: any one may be taken back.
-	left := max(1, len(centres)-lostCentres)
-	each := max(leastEach, int(math.Ceil(float64(needed)/float64(left))))
-	standing := 0
-	for _, centre := range centres {
-		kind := Kind{
-			DataCentre:  centre,
-			Reclaimable: true,
-		}
-		plan[kind] = min(each, s.room(now, service, kind, stock))
-		standing += s.standing(now, service, kind, plan[kind], stock)
-	}
-	// What reclaimable ones cannot carry now is ordered at the full price.
-	s.firm(plan, centres, max(0, needed-standing), service.Scaling)
-	return plan
-}
-
-// room returns how many reclaimable upstreams a data centre may have.
-//
-// Places of those at the full price are taken until they have left. A kind that is
-// not to be had takes no more places than it has: kept free for it, they would lack
-// those that stand in for it, and a fleet whose data centres are full would order
-// nothing while half of it is taken back.
-func (s *Scaler) room(now time.Time, service *matcher.Service, kind Kind, stock Stock) int {
-	firm := Kind{DataCentre: kind.DataCentre}
-	room := max(0, service.Scaling.Most-max(stock[firm], s.ordered[firm].count))
-	if s.isDry(now, kind) {
-		return min(room, stock[kind])
-	}
-	return room
-}
-
-// isDry reports whether a kind was not to be had a moment ago.
-func (s *Scaler) isDry(now time.Time, kind Kind) bool {
-	at := s.dryAt[kind]
-	return !at.IsZero() && now.Sub(at) < dry
-}
-
-// standing returns how many of a kind take calls or are about to.
-//
-// Only what an order asked for beyond those that were there is about to come, and
-// only for as long as it may take to start. Counted for more, upstreams that were
-// taken back since would be missed by nobody.
-func (s *Scaler) standing(now time.Time, service *matcher.Service, kind Kind, want int, stock Stock) int {
-	last, known := s.ordered[kind]
-	coming := 0
-	if known && now.Sub(last.at) < repeat(service, true) {
-		coming = max(0, last.count-last.had)
-	}
-	if s.isDry(now, kind) {
-		coming = 0
-	}
-	return min(want, stock[kind]+coming)
-}
-
-// firm places the upstreams of the full price, the cheapest data centres first
-// but no more than half of them in one, so that no fault of one takes them all.
-func (s *Scaler) firm(plan Stock, centres []units.DataCentre, count int, scaling *matcher.Scaling) {
-	half := (count + 1) / 2
-	for _, centre := range centres {
-		reclaimable := plan[Kind{
-			DataCentre:  centre,
-			Reclaimable: true,
-		}]
-		part := min(count, half, max(0, scaling.Most-reclaimable))
-		part = max(part, scaling.Least-reclaimable)
-		plan[Kind{DataCentre: centre}] = part
-		count = max(0, count-part)
-	}
-}
-
-// byPrice returns the data centres, the cheapest first.
-func byPrice(service *matcher.Service) []units.DataCentre {
-	centres := make([]units.DataCentre, 0, len(service.Scaling.Prices))
-	for centre := range service.Scaling.Prices {
-		centres = append(centres, centre)
-	}
-	slices.SortFunc(centres, func(a, b units.DataCentre) int {
-		return cmp.Or(cmp.Compare(service.Scaling.Prices[a], service.Scaling.Prices[b]), cmp.Compare(a, b))
-	})
-	return centres
-}
-
-// kindsOf returns all kinds, the reclaimable first: they stand in for those at
-// the full price that are given back.
-func kindsOf(service *matcher.Service) []Kind {
-	var kinds []Kind
-	for _, reclaimable := range []bool{true, false} {
-		for _, centre := range byPrice(service) {
-			kinds = append(kinds, Kind{
-				DataCentre:  centre,
-				Reclaimable: reclaimable,
-			})
-		}
-	}
-	return kinds
-}
-
-// order says whether a kind's order is to be given now.
-func (s *Scaler) order(now time.Time, service *matcher.Service, want Order, stock Stock, needed int) (Order, bool) {
-	kind := want.Kind
-	last, known := s.ordered[kind]
-	have := stock[kind]
-	if !known {
-		last.count = have
-	}
-	if s.isDry(now, kind) || !kind.Reclaimable && s.fresh && now.Sub(s.stepped) < announced {
-		return Order{}, false
-	}
-	if want.Count < last.count {
-		want.Count = s.giveBack(now, last, want.Count, stock, needed)
-	}
-	settled := have == want.Count || known && now.Sub(last.at) < repeat(service, have < want.Count)
-	if want.Count == last.count && settled {
-		return Order{}, false
-	}
-	s.ordered[kind] = placed{
-		count: want.Count,
-		had:   have,
-		at:    now,
-	}
-	return want, true
-}
-
-// repeat returns how long an order may take to show.
-func repeat(service *matcher.Service, missing bool) time.Duration {
-	if missing {
-		return service.Scaling.Boot + late
-	}
-	return slow
-}
-
-// giveBack returns the lower number to order: a few at a time, and only while more
-// than what is needed takes calls without them.
-//
-// Without the wait the upstreams at the start would go before those that stand in
-// for them have come, and every caller of those seconds would be late. One at a time,
-// a large fleet would pay the full price for a minute after a dry spell of seconds.
-func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed int) int {
-	ready := 0
-	for kind, count := range stock {
-		if ordered, known := s.ordered[kind]; known {
-			// What was given back may still take calls for a moment.
-			count = min(count, ordered.count)
-		}
-		ready += count
-	}
-	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
-	surplus := ready - int(math.Ceil(margin*float64(needed)))
-	if unknown || now.Sub(last.at) < backPause || surplus < 1 {
-		return last.count
-	}
-	return max(want, last.count-min(surplus, 1+last.count/backPart))
-}
-
-// Refused notes that a kind is not to be had now.
-func (s *Scaler) Refused(now time.Time, kind Kind) {
-	if kind.Reclaimable {
-		s.dryAt[kind] = now
-	}
-	delete(s.ordered, kind)
-}
-
-// Failed notes that nobody knows what became of an order; it is given again.
-func (s *Scaler) Failed(kind Kind) { delete(s.ordered, kind) }
