--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -129,7 +129,7 @@
 	readQuantile = 0.25
 	// readStep is how far one prompt moves the measure at least, firstStep how far the
 	// first ones do, less with the root of their number. The first prompts find nothing
-	// kept and take three times as long as later ones; an entry of a large fleet gets
+	// kept and take more than twice as long as later ones; an entry of a large fleet gets
 	// one a second, and by readStep alone told that for half a minute.
 	readStep  = 0.08
 	firstStep = 0.5
