--- a/src/apportioner/apportioner_test.go
+++ b/src/apportioner/apportioner_test.go
@@ -216,7 +216,7 @@
 		times := rapid.Float64Range(2, 8).Draw(t, "times")
 		first := rapid.IntRange(400, 700).Draw(t, "first lost at")
 		second := first + rapid.IntRange(100, 500).Draw(t, "second lost after")
-		gone := rapid.IntRange(30, 120).Draw(t, "lost for")
+		gone := rapid.IntRange(30, 250).Draw(t, "lost for")
 		hot := first + rapid.IntRange(-150, 100).Draw(t, "hot from")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		weights := make([]float64, len(f.meters))
--- a/src/apportioner/window.go
+++ b/src/apportioner/window.go
@@ -28,7 +28,7 @@
 	// windowUse is the part of what a window allows that is given out; the rest
 	// covers what entries admit between two polls. Of a small account that may be a
 	// few calls, each as large as any: of the slack, slackUse is kept for them.
-	windowUse = 0.92
+	windowUse = 0.88
 	slackUse  = 0.5
 	// steadyUse is the part of this that is given out as a steady rate where that is
 	// more than the account's own. All of it at once would be used up in the first
