Let a poll cost the leader the same in a fleet of any size

Each poll cost its coordinator the square of the fleet: parts of 19 accounts summed over all entries anew, the entries of the load sum looked through, the median of all clocks, the names of all upstreams sorted, loads without the asking entry's own.

Change: one digest for the polls of 20 ms, with the load of all entries, from which an entry takes out what it told itself, by the number of the poll that is counted; sums kept as they are heard; messages beside their JSON-RPC objects (protocol 2); usage told only where it was not heard; a cursor and ledger for each instance that is asked, so that entries that look for a leader get nothing twice. Polls wait in a box of their own behind everything else, and those that were given up are not answered. A new leader that has not heard all entries no longer makes each of them take the whole fleet's retry budget.

Conclusion: what fell over was the leader, by what polls cost it.

--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -22,6 +22,9 @@
 	// silentAfter is the time without a poll after which an entry is taken to
 	// admit its whole part of the rate.
 	silentAfter = 600 * time.Millisecond
+	// reviewInterval is how often all entries are looked through: a small part of
+	// the time between two polls of one.
+	reviewInterval = 20 * time.Millisecond
 )
 
 // Demand is what an entry's callers asked of an account.
@@ -49,6 +52,11 @@
 
 	entries map[units.Instance]*entry
 	buckets map[units.Account]*pool
+	// asked is the sum of the entries' rates, and silent the entries without a poll
+	// for silentAfter; both are made anew at reviewedAt.
+	asked      map[units.Account]float64
+	silent     []*entry
+	reviewedAt time.Time
 }
 
 type entry struct {
@@ -60,6 +68,14 @@
 	parts   map[units.Account]float64
 }
 
+// assume notes what was charged for the entry while it is silent.
+func (e *entry) assume(account units.Account, tokens float64) {
+	if e.assumed == nil {
+		e.assumed = make(map[units.Account]float64)
+	}
+	e.assumed[account] += tokens
+}
+
 // pool is one account's bucket for all entries.
 type pool struct {
 	level float64
@@ -71,51 +87,77 @@
 	if d.entries == nil {
 		d.entries = make(map[units.Instance]*entry)
 		d.buckets = make(map[units.Account]*pool)
+		d.asked = make(map[units.Account]float64)
+	}
+	e, known := d.entries[name]
+	if !known {
+		e = &entry{parts: make(map[units.Account]float64)}
+		d.entries[name] = e
 	}
-	known := d.entries[name]
 	for account, demand := range accounts {
+		d.asked[account] += demand.Rate - e.accounts[account].Rate
 		bucket := d.buckets[account]
 		switch {
 		case bucket == nil:
-		case known == nil:
+		case !known:
 			// What it admitted since it heard a leader before this one was charged
 			// by nobody. What this one has forgotten with the entry's lease is.
 			if demand.LevelAge == 0 || demand.LevelAge > now.Sub(d.Since) {
 				bucket.level -= demand.Unheard
 			}
-		case known.incarnation != incarnation:
+		case e.incarnation != incarnation:
 			bucket.level -= demand.Spent
 		default:
-			bucket.level -= demand.Spent - known.accounts[account].Spent - known.assumed[account]
+			bucket.level -= demand.Spent - e.accounts[account].Spent - e.assumed[account]
 		}
 	}
-	parts := make(map[units.Account]float64)
-	if known != nil {
-		parts = known.parts
-	}
-	d.entries[name] = &entry{
-		incarnation: incarnation,
-		heardAt:     now,
-		accounts:    accounts,
-		assumed:     make(map[units.Account]float64),
-		parts:       parts,
-	}
+	e.incarnation = incarnation
+	e.heardAt = now
+	e.accounts = accounts
+	clear(e.assumed)
 }
 
 // Forget takes out an entry that has said that it stops.
-func (d *Divider) Forget(name units.Instance) { delete(d.entries, name) }
+func (d *Divider) Forget(name units.Instance) {
+	delete(d.entries, name)
+	d.reviewedAt = time.Time{}
+}
 
 // Uses reports whether an entry uses parts.
 func (d *Divider) Uses(name units.Instance) bool { return d.entries[name] != nil }
 
 // Entries returns how many entries use parts now.
 func (d *Divider) Entries(now time.Time) int {
+	d.review(now)
+	return len(d.entries)
+}
+
+// Settled reports whether every entry in reach has been heard.
+func (d *Divider) Settled(now time.Time) bool { return now.Sub(d.Since) >= settleAfter }
+
+// review looks through all entries: at each poll it would cost the leader the square
+// of their number, and a leader of two hundred would have time for nothing else.
+func (d *Divider) review(now time.Time) {
+	if !d.reviewedAt.IsZero() && now.Sub(d.reviewedAt) < reviewInterval {
+		return
+	}
+	d.reviewedAt = now
+	d.silent = d.silent[:0]
+	// Made anew, the sums do not keep what rounding leaves.
+	clear(d.asked)
 	for name, e := range d.entries {
-		if now.Sub(e.heardAt) > d.Lease {
+		age := now.Sub(e.heardAt)
+		if age > d.Lease {
 			delete(d.entries, name)
+			continue
+		}
+		if age > silentAfter {
+			d.silent = append(d.silent, e)
+		}
+		for account, demand := range e.accounts {
+			d.asked[account] += demand.Rate
 		}
 	}
-	return len(d.entries)
 }
 
 // Part returns an entry's part of an account's limit, from 0 to 1, and what all
@@ -127,17 +169,13 @@
 	if own == nil {
 		return 0, 0, false
 	}
-	if now.Sub(d.Since) < settleAfter {
+	if !d.Settled(now) {
 		return 0, 0, false
 	}
 	level = d.refill(now, account)
-	total := 0.0
-	for _, e := range d.entries {
-		total += e.accounts[account.Name].Rate
-	}
 	part = 1 / float64(count)
-	if total > 0 {
-		part = evenPart*part + (1-evenPart)*own.accounts[account.Name].Rate/total
+	if total := d.asked[account.Name]; total > 0 {
+		part = evenPart*part + (1-evenPart)*min(1, own.accounts[account.Name].Rate/total)
 	}
 	own.parts[account.Name] = part
 	return part, level, true
@@ -157,11 +195,11 @@
 	passed := now.Sub(bucket.at).Seconds()
 	bucket.at = now
 	bucket.level = min(burst, bucket.level+rate*passed)
-	for _, e := range d.entries {
+	for _, e := range d.silent {
 		if now.Sub(e.heardAt) > silentAfter {
 			admitted := rate * passed * e.parts[account.Name]
 			bucket.level -= admitted
-			e.assumed[account.Name] += admitted
+			e.assume(account.Name, admitted)
 		}
 	}
 	return bucket.level
--- a/src/connector/client.go
+++ b/src/connector/client.go
@@ -32,7 +32,13 @@
 	Traffic *Traffic
 
 	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	conns map[string]*line
+}
+
+// line is one connection to another process.
+type line struct {
+	*jsonrpc2.Conn
+	stream *stream
 }
 
 // Call sends a request and fills response with the answer.
@@ -40,7 +46,7 @@
 // A call that runs into its deadline closes the connection: one that has gone
 // silent stays so, and each later call would wait in vain on it.
 func (c *Client) Call(ctx context.Context, address string, method Method, request, response proto.Message) error {
-	params, err := encode(request)
+	content, err := encode(request)
 	if err != nil {
 		return err
 	}
@@ -49,17 +55,21 @@
 		return err
 	}
 	var result json.RawMessage
-	err = conn.Call(ctx, string(method), params, &result, versioned)
+	err = conn.Call(ctx, string(method), conn.stream.attach(content), &result, versioned)
 	if err != nil {
 		c.dropUnlessAnswered(address, conn, err)
 		return fmt.Errorf("call %s at %s: %w", method, address, err)
 	}
-	return decode(&result, response)
+	answer, err := conn.stream.take(&result)
+	if err != nil {
+		return fmt.Errorf("call %s at %s: %w", method, address, err)
+	}
+	return decode(answer, response)
 }
 
 // Notify sends a message without waiting for an answer; it may be lost.
 func (c *Client) Notify(ctx context.Context, address string, method Method, message proto.Message) error {
-	params, err := encode(message)
+	content, err := encode(message)
 	if err != nil {
 		return err
 	}
@@ -67,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if err := conn.Notify(ctx, string(method), params, versioned); err != nil {
+	if err := conn.Notify(ctx, string(method), conn.stream.attach(content), versioned); err != nil {
 		c.drop(address, conn)
 		return fmt.Errorf("notify %s at %s: %w", method, address, err)
 	}
@@ -84,18 +94,22 @@
 	c.conns = nil
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*line, error) {
 	c.mu.Lock()
 	conn := c.conns[address]
 	c.mu.Unlock()
 	if conn != nil {
 		return conn, nil
 	}
-	stream, err := c.dial(ctx, address)
+	dialed, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(stream), refuser{}, quiet)
+	carried := newStream(dialed)
+	conn = &line{
+		Conn:   jsonrpc2.NewConn(context.WithoutCancel(ctx), carried, refuser{}, quiet),
+		stream: carried,
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
@@ -103,7 +117,7 @@
 		return other, nil
 	}
 	if c.conns == nil {
-		c.conns = make(map[string]*jsonrpc2.Conn)
+		c.conns = make(map[string]*line)
 	}
 	c.conns[address] = conn
 	go c.dropAtEnd(address, conn)
@@ -112,7 +126,7 @@
 
 // dropAtEnd forgets a connection that the other end has closed, so that the
 // next message to a restarted process is not lost on it.
-func (c *Client) dropAtEnd(address string, conn *jsonrpc2.Conn) {
+func (c *Client) dropAtEnd(address string, conn *line) {
 	<-conn.DisconnectNotify()
 	c.drop(address, conn)
 }
@@ -157,7 +171,7 @@
 	return secured, c.Check(address, &state)
 }
 
-func (c *Client) dropUnlessAnswered(address string, conn *jsonrpc2.Conn, err error) {
+func (c *Client) dropUnlessAnswered(address string, conn *line, err error) {
 	var answered *jsonrpc2.Error
 	if errors.As(err, &answered) {
 		return
@@ -165,7 +179,7 @@
 	c.drop(address, conn)
 }
 
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+func (c *Client) drop(address string, conn *line) {
 	c.mu.Lock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
--- a/src/connector/codec.go
+++ b/src/connector/codec.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
@@ -11,30 +10,18 @@
 // Method names one kind of message between processes, such as "log/message".
 type Method string
 
-// encode returns a message in protobuf's binary form, as a JSON string in base64.
-func encode(message proto.Message) (*json.RawMessage, error) {
+// encode returns a message in protobuf's binary form.
+func encode(message proto.Message) ([]byte, error) {
 	content, err := proto.Marshal(message)
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", nameOf(message), err)
 	}
-	quoted, err := json.Marshal(content)
-	if err != nil {
-		return nil, fmt.Errorf("encode %s: %w", nameOf(message), err)
-	}
-	raw := json.RawMessage(quoted)
-	return &raw, nil
+	return content, nil
 }
 
 // decode fills message from its encoded form; an unknown field is an error.
-func decode(content *json.RawMessage, message proto.Message) error {
-	if content == nil {
-		return fmt.Errorf("decode %s: the message is empty", nameOf(message))
-	}
-	var binary []byte
-	if err := json.Unmarshal(*content, &binary); err != nil {
-		return fmt.Errorf("decode %s: %w", nameOf(message), err)
-	}
-	if err := proto.Unmarshal(binary, message); err != nil {
+func decode(content []byte, message proto.Message) error {
+	if err := proto.Unmarshal(content, message); err != nil {
 		return fmt.Errorf("decode %s: %w", nameOf(message), err)
 	}
 	if field, found := unknownField(message.ProtoReflect()); found {
--- a/src/connector/doc.go
+++ b/src/connector/doc.go
@@ -1,5 +1,6 @@
 // Package connector carries messages between the system's own processes by JSON-RPC 2.0.
 //
-// Messages are the generated ones, in protobuf's binary form as a base64 string,
-// since their JSON form took three times as much to send; an unknown field or method is refused.
+// Each frame holds a JSON-RPC object and, beside it, the message in protobuf's binary
+// form, for which a number stands in the object's params or result. An unknown field or
+// method is refused.
 package connector
--- a/src/connector/protocol.go
+++ b/src/connector/protocol.go
@@ -9,7 +9,7 @@
 
 const (
 	// protocolVersion rises with each change that an older process would misread.
-	protocolVersion = 1
+	protocolVersion = 2
 	// The codes are in the range that JSON-RPC leaves to applications.
 	codeForbidden    = -32001
 	codeWrongVersion = -32002
--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -20,8 +19,8 @@
 // that connect and say nothing cannot pile up.
 const handshakeTimeout = 2 * time.Second
 
-// Handler answers one request; a nil response answers a notification.
-type Handler func(ctx context.Context, peer Peer, params *json.RawMessage) (proto.Message, error)
+// Handler answers one request, which came encoded; a nil response answers a notification.
+type Handler func(ctx context.Context, peer Peer, content []byte) (proto.Message, error)
 
 // Peer is what a connection proved about its other end.
 type Peer struct {
@@ -72,9 +71,9 @@
 	if s.handlers == nil {
 		s.handlers = make(map[Method]Handler)
 	}
-	s.handlers[method] = func(ctx context.Context, peer Peer, params *json.RawMessage) (proto.Message, error) {
+	s.handlers[method] = func(ctx context.Context, peer Peer, content []byte) (proto.Message, error) {
 		request := RequestPointer(new(Request))
-		if err := decode(params, request); err != nil {
+		if err := decode(content, request); err != nil {
 			return nil, refused(jsonrpc2.CodeInvalidParams, err)
 		}
 		return handle(ctx, peer, request)
@@ -115,10 +114,11 @@
 		_ = conn.Close()
 		return
 	}
+	carried := newStream(secured)
 	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
-		return s.answer(ctx, peer, request)
+		return s.answer(ctx, peer, carried, request)
 	})
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(secured), jsonrpc2.AsyncHandler(handler.SuppressErrClosed()), quiet)
+	rpc := jsonrpc2.NewConn(ctx, carried, jsonrpc2.AsyncHandler(handler.SuppressErrClosed()), quiet)
 	s.track(rpc)
 	<-rpc.DisconnectNotify()
 	s.forget(rpc)
@@ -161,7 +161,8 @@
 
 var defaultRoles = []certifier.Role{certifier.Control, certifier.Entry}
 
-func (s *Server) answer(ctx context.Context, peer Peer, request *jsonrpc2.Request) (any, error) {
+func (s *Server) answer(ctx context.Context, peer Peer, carried *stream, request *jsonrpc2.Request) (any, error) {
+	content, missing := carried.take(request.Params)
 	handle, known := s.handlers[Method(request.Method)]
 	if !known {
 		return nil, &jsonrpc2.Error{
@@ -175,11 +176,18 @@
 	if err := s.authorize(peer, Method(request.Method)); err != nil {
 		return nil, refused(codeForbidden, err)
 	}
-	response, err := handle(ctx, peer, request.Params)
+	if missing != nil {
+		return nil, refused(jsonrpc2.CodeInvalidParams, missing)
+	}
+	response, err := handle(ctx, peer, content)
 	if err != nil || request.Notif {
 		return nil, err
 	}
-	return encode(response)
+	answer, err := encode(response)
+	if err != nil {
+		return nil, err
+	}
+	return carried.attach(answer), nil
 }
 
 func (s *Server) track(conn *jsonrpc2.Conn) {
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -158,13 +158,21 @@
 	if id != t.ID {
 		cursor = 0
 	}
-	var changes []*messages.RegisteredUpstream
-	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		entry := t.entries[name]
+	if cursor == t.cursor {
+		return nil
+	}
+	var names []units.Upstream
+	for name, entry := range t.entries {
 		if entry.changed > cursor {
-			changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
+			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
+	changes := make([]*messages.RegisteredUpstream, 0, len(names))
+	for _, name := range names {
+		entry := t.entries[name]
+		changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
+	}
 	return changes
 }
 
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -33,6 +33,9 @@
 	// seekFor is how long it stays that short: all entries asking all instances
 	// for longer would keep control from what it has to do.
 	seekFor = 2 * time.Second
+	// toldPolls is how many polls are remembered: the leader counts the last or the one
+	// before, and polls that got no answer may lie between.
+	toldPolls = 16
 	// pollTimeout lets a control instance that does not answer cost two polls.
 	pollTimeout = 450 * time.Millisecond
 	// leaseUse is the part of the revocation period for which an entry serves
@@ -52,17 +55,23 @@
 	controls  []string
 	next      int
 	leader    string
-	tableID   uint64
-	cursor    uint64
-	declared  *matcher.Table
-	version   units.Version
-	world     world
-	lost      bool
-	lostAt    time.Time
+	// exchanges holds, by its address, what was exchanged with each instance.
+	exchanges map[string]*exchange
+	// followed is the table of the last instance that led.
+	followed uint64
+	declared *matcher.Table
+	version  units.Version
+	world    world
+	// number counts the polls, and told holds what the last ones said is under way.
+	number placer.Report
+	told   map[placer.Report]map[placer.Hash]placer.UnderWay
+	lost   bool
+	lostAt time.Time
 }
 
 func (p *poller) run(ctx context.Context) {
 	p.controls = slices.Clone(*p.gateway.seeds.Load())
+	p.exchanges = make(map[string]*exchange)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -133,18 +142,33 @@
 	callContext, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	response := &messages.EntryPollResponse{}
-	if err := p.gateway.Client.Call(callContext, address, governor.MethodPoll, p.poll(sentAt), response); err != nil {
+	e := p.exchange(address)
+	if err := p.gateway.Client.Call(callContext, address, governor.MethodPoll, p.poll(sentAt, e), response); err != nil {
 		if p.leader == address {
 			p.gateway.Log.Warn().Err(err).Str("control", address).Msg("leader-not-reached")
 			p.leader = ""
 		}
 		return false
 	}
+	e.take(response)
+	if response.GetLeads() && response.GetTableId() != p.followed {
+		e.follow()
+		p.followed = response.GetTableId()
+	}
 	p.take(sentAt, response)
 	return response.GetLeads()
 }
 
-func (p *poller) poll(now time.Time) *messages.EntryPoll {
+func (p *poller) exchange(address string) *exchange {
+	e := p.exchanges[address]
+	if e == nil {
+		e = &exchange{}
+		p.exchanges[address] = e
+	}
+	return e
+}
+
+func (p *poller) poll(now time.Time, e *exchange) *messages.EntryPoll {
 	g := p.gateway
 	poll := &messages.EntryPoll{
 		Entry:              string(g.Settings.Name),
@@ -152,11 +176,13 @@
 		DataCentre:         string(g.Settings.DataCentre),
 		WallNs:             time.Now().UnixNano(),
 		DeclarationVersion: uint64(p.version),
-		TableId:            p.tableID,
-		TableCursor:        p.cursor,
+		TableId:            e.tableID,
+		TableCursor:        e.cursor,
 		Serving:            !g.stopping.Load(),
 	}
-	for _, c := range g.counter.Counts(now.Add(p.world.trueOffset)) {
+	e.counts = g.counter.Counts(now.Add(p.world.trueOffset))
+	e.fresh = e.usage.Fresh(e.counts)
+	for _, c := range e.fresh {
 		poll.Usage = append(poll.Usage, &messages.WindowUsage{
 			Window:  int64(c.Window),
 			Account: string(c.Account),
@@ -174,10 +200,23 @@
 		})
 	}
 	poll.Loads = g.figures.loads(now)
-	poll.UnderWay = governor.EncodeLoads(g.placer.UnderWay())
+	poll.UnderWay = governor.EncodeLoads(p.tell())
+	poll.Number = uint64(p.number)
 	return poll
 }
 
+// tell returns what is under way and keeps it as told by the next poll.
+func (p *poller) tell() map[placer.Hash]placer.UnderWay {
+	if p.number == 0 {
+		p.number = placer.Report(p.gateway.incarnation)
+		p.told = make(map[placer.Report]map[placer.Hash]placer.UnderWay)
+	}
+	p.number++
+	p.told[p.number] = p.gateway.placer.UnderWay()
+	delete(p.told, p.number-toldPolls)
+	return p.told[p.number]
+}
+
 // take adopts what an instance answered. Upstreams and configurations count from
 // any of them, since they never go back; the lease, the parts of limits and the
 // time only from the one that leads.
@@ -192,8 +231,6 @@
 			p.gateway.logUpstream(m)
 		}
 	}
-	p.tableID = r.GetTableId()
-	p.cursor = r.GetTableCursor()
 	if r.GetLeads() {
 		p.obey(now, sentAt, r)
 	}
@@ -213,11 +250,11 @@
 	// changed by the time its answer arrives.
 	p.world.lease = sentAt.Add(time.Duration(leaseUse * float64(p.gateway.Settings.Revocation)))
 	p.world.trueOffset = time.Unix(0, r.GetTrueTimeNs()).Sub(now)
-	p.world.entries = max(1, int(r.GetEntries()))
+	p.world.entries = countOf(p.world.entries, r)
 	p.gateway.budget.SetEntries(p.world.entries)
 	p.gateway.placer.SetOthers(&placer.Others{
 		At:    now,
-		Loads: governor.DecodeLoads(r.GetOthers()),
+		Loads: placer.Less(governor.DecodeLoads(r.GetUnderWay()), p.told[placer.Report(r.GetCounted())]),
 	})
 	if p.declared == nil {
 		return
@@ -230,6 +267,18 @@
 	}
 }
 
+// countOf returns how many entries there are.
+//
+// A new leader hears them one after another. Each entry that took its first count for
+// all would use the whole fleet's retry budget, and connections of the others.
+func countOf(known int, r *messages.EntryPollResponse) int {
+	told := max(1, int(r.GetEntries()))
+	if r.GetSettled() {
+		return told
+	}
+	return max(known, told)
+}
+
 // learn remembers control instances, those of the settings first: they may be
 // gone, and may be all that is left after the others are.
 func (p *poller) learn(controls []string) {
@@ -243,6 +292,11 @@
 		}
 	}
 	p.controls = known
+	for address := range p.exchanges {
+		if !slices.Contains(known, address) {
+			delete(p.exchanges, address)
+		}
+	}
 }
 
 // adopt takes over a newer configuration; one that cannot be read leaves the last
--- a/src/gateway/poller_test.go
+++ b/src/gateway/poller_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/rosecroft/rosecroft/src/messages"
 )
 
 // A leader is lost, and its entries look for the next: soon and often at first,
@@ -49,3 +51,27 @@
 		})
 	}
 }
+
+// A leader is lost, and the next one has heard three of two hundred entries when it
+// answers one of them. An entry that believed in a fleet of three would take a third of
+// the retry budget, and all entries together many times what is allowed.
+func TestCountOfEntriesSurvivesANewLeader(t *testing.T) {
+	cases := map[string]struct {
+		known    int
+		response *messages.EntryPollResponse
+		want     int
+	}{
+		"new leader":        {known: 200, response: &messages.EntryPollResponse{Entries: 3}, want: 200},
+		"more than before":  {known: 2, response: &messages.EntryPollResponse{Entries: 3}, want: 3},
+		"settled":           {known: 200, response: &messages.EntryPollResponse{Entries: 150, Settled: true}, want: 150},
+		"nobody heard yet":  {response: &messages.EntryPollResponse{}, want: 1},
+		"all gone but this": {known: 9, response: &messages.EntryPollResponse{Settled: true}, want: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := countOf(c.known, c.response); got != c.want {
+				t.Errorf("entries: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -23,7 +23,11 @@
 )
 
 const (
-	boxSize      = 1024
+	boxSize = 1024
+	// pollsSize is how many polls wait at most; more wait at their connections.
+	pollsSize = 256
+	// pollPatience is how long a poll is worth an answer: by then its entry asks again.
+	pollPatience = 400 * time.Millisecond
 	tickInterval = 20 * time.Millisecond
 	// spreadTicks is how many ticks gather heartbeats into one batch.
 	spreadTicks = 2
@@ -49,6 +53,7 @@
 	state    *state
 	outbox   *outbox
 	box      chan event
+	polls    chan polled
 	// ctx ends what the coordinator sends on its own account.
 	ctx context.Context
 
@@ -58,6 +63,7 @@
 	divider   *apportioner.Divider
 	estimator timekeeper.Estimator
 	underWay  placer.Sum
+	digest    *digest
 	// declared is the configuration in force, packed its form for entries.
 	declared  *matcher.Declaration
 	packed    *messages.Declaration
@@ -78,7 +84,7 @@
 	reply chan<- declareReply
 }
 
-func newCoordinator(g *Governor, folder *keeper.Keeper, kept *keeper.Kept, box chan event) (*coordinator, error) {
+func newCoordinator(g *Governor, folder *keeper.Keeper, kept *keeper.Kept) (*coordinator, error) {
 	c := &coordinator{
 		settings: g.Settings,
 		log:      g.Log,
@@ -92,7 +98,8 @@
 			},
 		},
 		outbox: &outbox{client: g.Client},
-		box:    box,
+		box:    g.box,
+		polls:  g.polls,
 		table: &enroller.Table{
 			ID:       rand.Uint64(),
 			Interval: g.Settings.HeartbeatInterval,
@@ -162,21 +169,44 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		var err error
-		select {
-		case <-ctx.Done():
+		e := c.next(ctx, ticker.C)
+		if e == nil {
 			return nil
-		case <-ticker.C:
-			err = c.tick(ctx)
-		case e := <-c.box:
-			err = c.take(e)
 		}
-		if err != nil {
+		if err := c.take(e); err != nil {
 			return err
 		}
 	}
 }
 
+// next returns what is to be done next, nil once ctx ends. Polls go last.
+//
+// With one box for all, the polls of two hundred entries stood before the voters'
+// messages: the leader sent its heartbeats late, lost its majority on a day without
+// faults, and all entries asked all the others who leads. Polls that wait a little longer
+// cost nothing that an election does not cost many times.
+func (c *coordinator) next(ctx context.Context, ticks <-chan time.Time) event {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-ticks:
+		return ticked{}
+	case e := <-c.box:
+		return e
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-ticks:
+		return ticked{}
+	case e := <-c.box:
+		return e
+	case p := <-c.polls:
+		return p
+	}
+}
+
 func (c *coordinator) tick(ctx context.Context) error {
 	if err := c.step(replicator.Ticked{}); err != nil {
 		return err
@@ -236,6 +266,8 @@
 			Window: apportioner.WindowOf(c.settings.Quota),
 			Since:  now,
 		}
+		// The last digest has the entries of an earlier leadership.
+		c.digest = nil
 		c.duties.begin()
 	}
 	return true
@@ -249,8 +281,10 @@
 		return c.declare(e)
 	case asked:
 		e.reply <- c.read()
+	case ticked:
+		return c.tick(c.ctx)
 	case polled:
-		e.reply <- c.poll(e.poll)
+		c.answer(e)
 	case announced:
 		e.reply <- c.announce(e)
 	case spread:
--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -22,7 +22,7 @@
 )
 
 // newInstance returns a governor and its coordinator that has not ticked.
-func newInstance(t *testing.T) (*Governor, *coordinator) {
+func newInstance(t testing.TB) (*Governor, *coordinator) {
 	t.Helper()
 	g := &Governor{
 		Settings: &parser.Deployment{
@@ -51,7 +51,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = folder.Close() })
-	c, err := newCoordinator(g, folder, kept, g.box)
+	c, err := newCoordinator(g, folder, kept)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +61,7 @@
 
 // newLeader returns a governor and its coordinator that has just won its election
 // and has not ticked since.
-func newLeader(t *testing.T) (*Governor, *coordinator) {
+func newLeader(t testing.TB) (*Governor, *coordinator) {
 	t.Helper()
 	g, c := newInstance(t)
 	// The voter's time is stepped on by hand, past the silence that an election takes.
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -24,6 +24,9 @@
 // event is something the coordinator takes from its box.
 type event interface{ event() }
 
+// ticked says that time has passed.
+type ticked struct{}
+
 // arrived is a log message from another voter.
 type arrived struct {
 	message *messages.LogMessage
@@ -54,7 +57,9 @@
 
 // polled is an entry's poll.
 type polled struct {
-	poll  *messages.EntryPoll
+	poll *messages.EntryPoll
+	// at is when it arrived.
+	at    time.Time
 	reply chan<- *messages.EntryPollResponse
 }
 
@@ -105,6 +110,7 @@
 	reply chan<- *Dump
 }
 
+func (ticked) event()      {}
 func (arrived) event()     {}
 func (declared) event()    {}
 func (asked) event()       {}
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -18,6 +18,7 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -55,6 +56,8 @@
 	Metrics net.Listener
 
 	box chan event
+	// polls is a box of its own, so that no number of entries holds up anything else.
+	polls chan polled
 }
 
 // Prepare is called once, before Run and any call.
@@ -63,6 +66,7 @@
 		g.Client = &connector.Client{}
 	}
 	g.box = make(chan event, boxSize)
+	g.polls = make(chan polled, pollsSize)
 }
 
 // Run serves until ctx ends. A voter whose disk fails does not end the process:
@@ -85,7 +89,7 @@
 		for ctx.Err() == nil {
 			if err := g.vote(ctx); err != nil {
 				g.Log.Error().Err(err).Msg("voter-stopped")
-				g.wait(ctx)
+				g.rest(ctx)
 			}
 		}
 		return nil
@@ -100,7 +104,7 @@
 		return fmt.Errorf("open the data folder: %w", err)
 	}
 	defer func() { err = errors.Join(err, folder.Close()) }()
-	c, err := newCoordinator(g, folder, kept, g.box)
+	c, err := newCoordinator(g, folder, kept)
 	if err != nil {
 		return err
 	}
@@ -116,8 +120,8 @@
 	return c.run(ctx)
 }
 
-// wait lets a failed disk recover, and turns away whoever asks meanwhile.
-func (g *Governor) wait(ctx context.Context) {
+// rest lets a failed disk recover, and turns away whoever asks meanwhile.
+func (g *Governor) rest(ctx context.Context) {
 	timer := time.NewTimer(reopenPause)
 	defer timer.Stop()
 	for {
@@ -128,6 +132,8 @@
 			return
 		case e := <-g.box:
 			turnAway(e)
+		case p := <-g.polls:
+			turnAway(p)
 		}
 	}
 }
@@ -147,7 +153,7 @@
 		e.reply <- &messages.UpstreamBatchResponse{}
 	case dumpAsked:
 		e.reply <- &Dump{}
-	case arrived, reportEnded, orderEnded, reloaded:
+	case ticked, arrived, reportEnded, orderEnded, reloaded:
 	}
 }
 
@@ -157,12 +163,7 @@
 		return &messages.LogMessage{}, g.post(ctx, arrived{message: m})
 	})
 	connector.Handle(server, MethodPoll, func(ctx context.Context, _ connector.Peer, m *messages.EntryPoll) (*messages.EntryPollResponse, error) {
-		return ask(ctx, g, func(reply chan<- *messages.EntryPollResponse) event {
-			return polled{
-				poll:  m,
-				reply: reply,
-			}
-		})
+		return g.poll(ctx, m)
 	})
 	connector.Handle(server, MethodSpread, func(ctx context.Context, _ connector.Peer, m *messages.UpstreamBatch) (*messages.UpstreamBatchResponse, error) {
 		return ask(ctx, g, func(reply chan<- *messages.UpstreamBatchResponse) event {
@@ -189,6 +190,22 @@
 	return server
 }
 
+// poll brings an entry's poll to the coordinator and waits for its reply.
+func (g *Governor) poll(ctx context.Context, m *messages.EntryPoll) (*messages.EntryPollResponse, error) {
+	reply := make(chan *messages.EntryPollResponse, 1)
+	p := polled{
+		poll:  m,
+		at:    timekeeper.Now(),
+		reply: reply,
+	}
+	select {
+	case g.polls <- p:
+		return wait(ctx, reply)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // ask brings an event to the coordinator and waits for its reply.
 func ask[T any](ctx context.Context, g *Governor, form func(chan<- T) event) (T, error) {
 	reply := make(chan T, 1)
@@ -196,6 +213,11 @@
 		var none T
 		return none, err
 	}
+	return wait(ctx, reply)
+}
+
+// wait returns the coordinator's reply.
+func wait[T any](ctx context.Context, reply <-chan T) (T, error) {
 	select {
 	case answer := <-reply:
 		return answer, nil
--- /dev/null
+++ b/src/governor/poll_test.go
@@ -0,0 +1,171 @@
+package governor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// crowd is a fleet as its leader hears it.
+type crowd struct {
+	entries   int
+	upstreams int
+	accounts  int
+}
+
+// declare gives the leader a configuration, upstreams and accounts of the crowd's number.
+func (f crowd) declare(c *coordinator) {
+	c.declared = &matcher.Declaration{}
+	for i := range f.accounts {
+		c.declared.Accounts = append(c.declared.Accounts, matcher.Account{
+			Name:  units.Account(fmt.Sprintf("account-%d", i)),
+			Rate:  36_000,
+			Burst: 36_000,
+		})
+	}
+	now := timekeeper.Now()
+	for i := range f.upstreams {
+		c.table.Hear(now, enroller.Registration{
+			ID:       units.Upstream(fmt.Sprintf("i-%08d", i)),
+			Service:  "s",
+			Address:  fmt.Sprintf("10.1.0.%d:8080", i),
+			Slots:    12,
+			State:    enroller.Ready,
+			Born:     1,
+			Sequence: 1,
+		}, 0)
+	}
+}
+
+// poll returns the n-th poll of an entry.
+func (f crowd) poll(c *coordinator, entry, n int) *messages.EntryPoll {
+	loads := make(map[placer.Hash]placer.UnderWay)
+	for i := range 4 {
+		loads[placer.HashOf(units.Upstream(fmt.Sprintf("i-%08d", (entry*7+n+i*31)%f.upstreams)))] = placer.UnderWay{
+			Calls:   1,
+			Prefill: 3000,
+		}
+	}
+	poll := &messages.EntryPoll{
+		Entry:       fmt.Sprintf("e-%d", entry),
+		Incarnation: 1,
+		Serving:     true,
+		WallNs:      time.Now().UnixNano(),
+		TableId:     c.table.ID,
+		TableCursor: c.table.Cursor(),
+		UnderWay:    EncodeLoads(loads),
+		Loads: []*messages.ServiceLoad{{
+			Service:     "s",
+			CallSeconds: float64(n),
+			Calls:       float64(n),
+			Tokens:      float64(n) * 3000,
+		}},
+	}
+	for i := range f.accounts {
+		poll.Demand = append(poll.Demand, &messages.AccountDemand{
+			Account:         fmt.Sprintf("account-%d", i),
+			TokensPerSecond: float64(n % 100),
+			Spent:           float64(n * 100),
+			Level:           36_000,
+			LevelAgeNs:      int64(200 * time.Millisecond),
+		})
+		poll.Usage = append(poll.Usage, &messages.WindowUsage{
+			Window:  1,
+			Account: fmt.Sprintf("account-%d", i),
+			Count:   int64(n),
+		})
+	}
+	return poll
+}
+
+// Two hundred entries poll a leader faster than it answers, ten polls of each waiting.
+// Heartbeats of the log behind them come too late, and the leader loses its majority on a
+// day without faults; callers are refused until another one leads. Whatever else there is
+// to do goes before all polls.
+func TestPollsHoldUpNothingElse(t *testing.T) {
+	const urgent = 40
+	g, c := newLeader(t)
+	for entry := range cap(g.polls) {
+		g.polls <- polled{
+			poll:  &messages.EntryPoll{Entry: fmt.Sprint(entry)},
+			at:    timekeeper.Now(),
+			reply: make(chan *messages.EntryPollResponse, 1),
+		}
+	}
+	for range urgent {
+		g.box <- arrived{message: &messages.LogMessage{}}
+	}
+	ticks := make(chan time.Time, 1)
+	ticks <- time.Now()
+	for i := range urgent + 1 {
+		if e, isPoll := c.next(t.Context(), ticks).(polled); isPoll {
+			t.Fatalf("event %d: got the poll of %s, want what goes before it", i, e.poll.GetEntry())
+		}
+	}
+	if got := c.next(t.Context(), ticks); got.(polled).poll.GetEntry() != "0" {
+		t.Errorf("event with nothing else to do: got %v, want the first poll", got)
+	}
+}
+
+// A leader was held up for half a second. The entries have given those polls up and sent
+// others; worked through first, the old ones would make the next ones late as well.
+func TestPollsThatWereGivenUpAreNotAnswered(t *testing.T) {
+	cases := map[string]struct {
+		age  time.Duration
+		want bool
+	}{
+		"fresh":    {age: 100 * time.Millisecond, want: true},
+		"given up": {age: 500 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, leader := newLeader(t)
+			reply := make(chan *messages.EntryPollResponse, 1)
+			if err := leader.take(polled{
+				poll:  &messages.EntryPoll{Entry: "e", Serving: true},
+				at:    timekeeper.Now().Add(-c.age),
+				reply: reply,
+			}); err != nil {
+				t.Fatal(err)
+			}
+			if got := (<-reply).GetLeads(); got != c.want {
+				t.Errorf("answered as the leader: got %t, want %t", got, c.want)
+			}
+			if got := leader.divider.Uses("e"); got != c.want {
+				t.Errorf("heard: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// BenchmarkPoll is what one poll costs the leader's coordinator by the size of the fleet.
+func BenchmarkPoll(b *testing.B) {
+	for _, entries := range []int{8, 60, 195, 990} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			f := crowd{
+				entries:   entries,
+				upstreams: 150,
+				accounts:  19,
+			}
+			_, c := newLeader(b)
+			f.declare(c)
+			for entry := range entries {
+				c.poll(f.poll(c, entry, 1))
+			}
+			c.divider.Since = c.divider.Since.Add(-time.Minute)
+			b.ReportAllocs()
+			n := 1
+			for b.Loop() {
+				n++
+				c.poll(f.poll(c, n%entries, n/entries))
+			}
+		})
+	}
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -83,13 +83,25 @@
 	return &messages.UpstreamBatchResponse{Leads: c.node.Lead(now)}
 }
 
+// answer answers a poll, unless its entry has given it up: an instance that is behind
+// would answer nothing else until all of them are through.
+func (c *coordinator) answer(p polled) {
+	if timekeeper.Now().Sub(p.at) > pollPatience {
+		p.reply <- &messages.EntryPollResponse{}
+		return
+	}
+	p.reply <- c.poll(p.poll)
+}
+
 // poll answers an entry.
 func (c *coordinator) poll(poll *messages.EntryPoll) *messages.EntryPollResponse {
 	now := timekeeper.Now()
+	leads := c.leads(now)
+	summary := c.summary(now)
 	response := &messages.EntryPollResponse{
-		Leads:       c.leads(now),
+		Leads:       leads,
 		Leader:      string(c.node.LeaderID()),
-		Controls:    c.controls(),
+		Controls:    summary.controls,
 		TableId:     c.table.ID,
 		TableCursor: c.table.Cursor(),
 		Upstreams:   c.table.Since(now, poll.GetTableId(), poll.GetTableCursor()),
@@ -97,19 +109,22 @@
 	if c.packed.GetVersion() > poll.GetDeclarationVersion() {
 		response.Declaration = c.packed
 	}
+	trueTime := summary.trueTime.Add(now.Sub(summary.at))
 	// Any instance may lead next. Counts that only the last leader heard are lost with
 	// it where their entries are killed before there is another: a quarter of a
 	// window's calls in one fault of both.
-	c.hearUsage(now, poll)
-	if !response.GetLeads() {
+	c.hearUsage(trueTime, poll)
+	if !leads {
 		return response
 	}
 	entry := units.Instance(poll.GetEntry())
+	response.Counted = uint64(c.underWay.Counted(entry))
 	c.estimator.Take(now, entry, time.Unix(0, poll.GetWallNs()))
 	c.hearEntry(now, entry, poll)
-	response.TrueTimeNs = c.trueTime(now).UnixNano()
-	response.Entries = uint32(c.divider.Entries(now))
-	response.Others = EncodeLoads(c.underWay.But(entry))
+	response.TrueTimeNs = trueTime.UnixNano()
+	response.Entries = summary.entries
+	response.Settled = c.divider.Settled(now)
+	response.UnderWay = summary.underWay
 	if c.declared == nil {
 		return response
 	}
@@ -160,7 +175,7 @@
 }
 
 // hearUsage takes what an entry has counted.
-func (c *coordinator) hearUsage(now time.Time, poll *messages.EntryPoll) {
+func (c *coordinator) hearUsage(trueTime time.Time, poll *messages.EntryPoll) {
 	counts := make([]tallier.Count, 0, len(poll.GetUsage()))
 	for _, u := range poll.GetUsage() {
 		counts = append(counts, tallier.Count{
@@ -169,7 +184,7 @@
 			Calls:   u.GetCount(),
 		})
 	}
-	c.state.ledger.Hear(c.trueTime(now), tallier.Life{
+	c.state.ledger.Hear(trueTime, tallier.Life{
 		Entry:       units.Instance(poll.GetEntry()),
 		Incarnation: units.Incarnation(poll.GetIncarnation()),
 	}, counts)
@@ -193,10 +208,5 @@
 		c.divider.Forget(entry)
 	}
 	c.duties.desk.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
-	c.underWay.Hear(entry, DecodeLoads(poll.GetUnderWay()))
-	for _, other := range c.underWay.Entries() {
-		if !c.divider.Uses(other) {
-			c.underWay.Hear(other, nil)
-		}
-	}
+	c.underWay.Hear(entry, placer.Report(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/placer/others.go
+++ b/src/placer/others.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,25 +28,62 @@
 	Loads map[Hash]UnderWay
 }
 
+// Less returns the loads without a part of them, such as an entry's own.
+func Less(loads, part map[Hash]UnderWay) map[Hash]UnderWay {
+	rest := make(map[Hash]UnderWay, len(loads))
+	for hash, load := range loads {
+		load.Calls -= part[hash].Calls
+		load.Prefill -= part[hash].Prefill
+		if load != (UnderWay{}) {
+			rest[hash] = load
+		}
+	}
+	return rest
+}
+
+// Report numbers what an entry says of itself, in the order in which it says it.
+type Report uint64
+
 // Sum adds up what entries have under way; it is a state machine without a clock.
+//
+// All entries get the same total and take out their own part themselves, so that one
+// message serves a whole fleet.
 type Sum struct {
-	entries map[units.Instance]map[Hash]UnderWay
+	entries map[units.Instance]*summed
 	total   map[Hash]UnderWay
+	// frozen counts how often a total was taken.
+	frozen uint64
 }
 
-// Hear takes what an entry has under way now, nil for an entry that is gone.
-func (s *Sum) Hear(entry units.Instance, loads map[Hash]UnderWay) {
+// summed is one entry's part of the total.
+type summed struct {
+	loads  map[Hash]UnderWay
+	report Report
+	// frozen is how often a total had been taken at the last report, before the report
+	// that was in the last of them.
+	frozen uint64
+	before Report
+}
+
+// Hear takes what an entry has under way now.
+func (s *Sum) Hear(entry units.Instance, report Report, loads map[Hash]UnderWay) {
 	if s.entries == nil {
-		s.entries = make(map[units.Instance]map[Hash]UnderWay)
+		s.entries = make(map[units.Instance]*summed)
 		s.total = make(map[Hash]UnderWay)
 	}
-	s.add(s.entries[entry], -1)
-	s.add(loads, 1)
-	if loads == nil {
-		delete(s.entries, entry)
-		return
+	e := s.entries[entry]
+	if e == nil {
+		e = &summed{frozen: s.frozen}
+		s.entries[entry] = e
+	}
+	if e.frozen < s.frozen {
+		e.before = e.report
+		e.frozen = s.frozen
 	}
-	s.entries[entry] = loads
+	s.add(e.loads, -1)
+	s.add(loads, 1)
+	e.report = report
+	e.loads = loads
 }
 
 func (s *Sum) add(loads map[Hash]UnderWay, sign int64) {
@@ -61,25 +99,27 @@
 	}
 }
 
-// Entries returns the entries that were heard.
-func (s *Sum) Entries() []units.Instance {
-	entries := make([]units.Instance, 0, len(s.entries))
-	for entry := range s.entries {
-		entries = append(entries, entry)
+// Freeze returns what the entries that are still there have under way now.
+func (s *Sum) Freeze(there func(units.Instance) bool) map[Hash]UnderWay {
+	for entry, e := range s.entries {
+		if !there(entry) {
+			s.add(e.loads, -1)
+			delete(s.entries, entry)
+		}
 	}
-	return entries
+	s.frozen++
+	return maps.Clone(s.total)
 }
 
-// But returns what all entries but one have under way.
-func (s *Sum) But(entry units.Instance) map[Hash]UnderWay {
-	own := s.entries[entry]
-	others := make(map[Hash]UnderWay, len(s.total))
-	for hash, sum := range s.total {
-		sum.Calls -= own[hash].Calls
-		sum.Prefill -= own[hash].Prefill
-		if sum != (UnderWay{}) {
-			others[hash] = sum
-		}
+// Counted returns which report of an entry is in the total that was taken last, 0
+// for none.
+func (s *Sum) Counted(entry units.Instance) Report {
+	e := s.entries[entry]
+	switch {
+	case e == nil:
+		return 0
+	case e.frozen < s.frozen:
+		return e.report
 	}
-	return others
+	return e.before
 }
--- a/src/placer/placer_test.go
+++ b/src/placer/placer_test.go
@@ -211,25 +211,6 @@
 	}
 }
 
-// What an entry hears of the others must be their sum without its own part, and
-// entries that are gone must leave nothing behind.
-func TestSumLeavesOutOnesOwn(t *testing.T) {
-	var s Sum
-	s.Hear("a", map[Hash]UnderWay{1: {Calls: 2, Prefill: 10}})
-	s.Hear("b", map[Hash]UnderWay{1: {Calls: 3, Prefill: 5}, 2: {Calls: 1}})
-	s.Hear("b", map[Hash]UnderWay{1: {Calls: 4}})
-	if got, want := s.But("a")[1], (UnderWay{Calls: 4}); got != want {
-		t.Errorf("others of a: got %+v, want %+v", got, want)
-	}
-	if got, want := len(s.But("a")), 1; got != want {
-		t.Errorf("upstreams of others of a: got %d, want %d", got, want)
-	}
-	s.Hear("b", nil)
-	if got := s.But("a"); len(got) != 0 {
-		t.Errorf("others of a after b is gone: got %v, want none", got)
-	}
-}
-
 func BenchmarkPick(b *testing.B) {
 	w := newWorld(18)
 	call := prompt(7)
