Place calls where connections are

Cause: 195 entries place four calls a second each among a hundred upstreams.

Change: a connection that has to be made adds to an upstream's fill, and two of those that a connection waits for are compared beside the homes and those drawn by lot. The pool counts idle connections in the upstream's live state.

--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -64,6 +64,7 @@
 	net.Conn
 	reader *bufio.Reader
 	key    hostKey
+	live   *tracker.Live
 	// reused says that an earlier call went over it.
 	reused bool
 	idleAt time.Time
@@ -114,6 +115,7 @@
 		Conn:   c,
 		reader: bufio.NewReaderSize(c, readBuffer),
 		key:    key,
+		live:   upstream.Live,
 		idle:   defaultIdle,
 	}, nil
 }
@@ -128,6 +130,7 @@
 	}
 	c := h.idle[len(h.idle)-1]
 	h.idle = h.idle[:len(h.idle)-1]
+	c.live.Idle.Add(-1)
 	return c
 }
 
@@ -166,6 +169,7 @@
 	defer p.mu.Unlock()
 	h := p.hosts[c.key]
 	h.idle = append(h.idle, c)
+	c.live.Idle.Add(1)
 }
 
 // drop closes a connection.
@@ -204,6 +208,7 @@
 				continue
 			}
 			stale = append(stale, c)
+			c.live.Idle.Add(-1)
 		}
 		h.idle = kept
 	}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -22,6 +22,9 @@
 	distance = 0.05
 	// coldness is what an upstream that has just started adds to its fill.
 	coldness = 0.3
+	// connecting is what a connection that has to be made first adds to an upstream's
+	// fill: the set-up takes the upstream's time and keeps the caller waiting.
+	connecting = 0.2
 	// homes is how many upstreams a part may live at.
 	homes = 2
 	// secondMisses is the part of a shared part that its second home is taken to
@@ -30,6 +33,10 @@
 	// drawn is how many upstreams are compared beside the homes. With stale loads,
 	// two are much better than one, and more than a few make entries choose alike.
 	drawn = 4
+	// connected is how many are compared, beside these, of those that this entry has a
+	// connection to. Of a hundred upstreams, those drawn by lot are hardly ever among the
+	// few that one entry of hundreds is connected to.
+	connected = 2
 	// tokensEach is how many prompt tokens weigh as much as all places of an
 	// upstream: a tenth of a second's reading.
 	tokensEach = 8000
@@ -170,6 +177,9 @@
 		// A step that is drawn too would visit one twice; neighbours do as well.
 		compare(candidates[(first+i*stride(len(candidates)))%len(candidates)], call.Prompt)
 	}
+	for _, c := range connectedOf(candidates, first) {
+		compare(c, call.Prompt)
+	}
 	if len(tried) == 0 && hopeless(call, time.Duration(ahead)*p.each(call.Service)) {
 		return nil
 	}
@@ -217,9 +227,28 @@
 	if c.Cold {
 		score += coldness
 	}
+	if c.Live.Idle.Load() <= 0 {
+		score += connecting
+	}
 	return score
 }
 
+// connectedOf returns a few of the upstreams that a connection waits for, from a place
+// in the list on.
+func connectedOf(candidates []*Candidate, first int) []*Candidate {
+	var found []*Candidate
+	for i := range candidates {
+		c := candidates[(first+i)%len(candidates)]
+		if c.Live.Idle.Load() <= 0 {
+			continue
+		}
+		if found = append(found, c); len(found) == connected {
+			break
+		}
+	}
+	return found
+}
+
 // homesOf returns the upstreams that a shared part belongs to.
 func homesOf(part uint64, candidates []*Candidate) []*Candidate {
 	var best [homes]*Candidate
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -70,6 +70,8 @@
 	InFlight atomic.Int64
 	// Prefill counts prompt tokens sent and not yet answered by a first token.
 	Prefill atomic.Int64
+	// Idle counts connections of this process that wait for a call.
+	Idle atomic.Int64
 	// Number identifies the incarnation within this process, from 1.
 	Number uint32
 	// Since is when the incarnation was first heard of.
