Let other data centres stand in for those without reclaimable upstreams

Those of the start were given back a tenth at a time though nobody called yet. In a data centre without any, each new try every 3 s gave the one at the full price back and ordered it again when the try was refused.

Change: a data centre holds so many that what is left is enough after lostCentres in all and one more at least, by how many are dry; before the first call all go that have a stand-in; the least of a data centre counts what stands there. Tests first: TestOtherDataCentresStandInForDryOnes, TestStartIsGivenBackOnceItsStandInsAreThere, TestLeastOfADryDataCentreStays.

--- a/src/scaler/order.go
+++ b/src/scaler/order.go
@@ -1,7 +1,6 @@
 package scaler
 
 import (
-	"math"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/matcher"
@@ -21,7 +20,7 @@
 }
 
 // order says whether a kind's order is to be given now.
-func (s *Scaler) order(now time.Time, service *matcher.Service, want Order, stock Stock, needed int) (Order, bool) {
+func (s *Scaler) order(now time.Time, service *matcher.Service, want Order, stock Stock, needed need) (Order, bool) {
 	kind := want.Kind
 	last, known := s.ordered[kind]
 	have := stock[kind]
@@ -60,7 +59,7 @@
 // Without the wait the upstreams at the start would go before those that stand in
 // for them have come, and every caller of those seconds would be late. One at a time,
 // a large fleet would pay the full price for a minute after a dry spell of seconds.
-func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed int) int {
+func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed need) int {
 	ready := 0
 	for kind, count := range stock {
 		if ordered, known := s.ordered[kind]; known {
@@ -70,7 +69,11 @@
 		ready += count
 	}
 	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
-	surplus := ready - int(math.Ceil(margin*float64(needed)))
+	surplus := ready - needed.kept()
+	if s.fresh && s.began.IsZero() {
+		// Nobody calls yet, and what takes their place is there.
+		return max(want, last.count-max(0, surplus))
+	}
 	if unknown || now.Sub(last.at) < backPause || surplus < 1 {
 		return last.count
 	}
--- a/src/scaler/plan.go
+++ b/src/scaler/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -11,23 +10,24 @@
 )
 
 // plan spreads what is needed over kinds.
-func (s *Scaler) plan(now time.Time, service *matcher.Service, needed int, stock Stock) Stock {
+func (s *Scaler) plan(now time.Time, service *matcher.Service, needed need, stock Stock) Stock {
 	plan := make(Stock)
 	centres := byPrice(service)
-	// Reclaimable ones go evenly to all data centres: any one may be taken back.
-	left := max(1, len(centres)-lostCentres)
-	each := max(leastEach, int(math.Ceil(float64(needed)/float64(left))))
-	standing := 0
+	dry := s.dryCentres(centres, stock)
+	each := needed.each(len(centres)-dry, dry)
+	standing := make(map[units.DataCentre]int)
+	total := 0
 	for _, centre := range centres {
 		kind := Kind{
 			DataCentre:  centre,
 			Reclaimable: true,
 		}
 		plan[kind] = min(each, s.room(now, service, kind, stock))
-		standing += s.standing(now, service, kind, plan[kind], stock)
+		standing[centre] = s.standing(now, service, kind, plan[kind], stock)
+		total += standing[centre]
 	}
 	// What reclaimable ones cannot carry now is ordered at the full price.
-	s.firm(plan, centres, max(0, needed-standing), service.Scaling)
+	s.firm(plan, centres, standing, max(0, needed.least()-total), service.Scaling)
 	return plan
 }
 
@@ -52,6 +52,26 @@
 	return !at.IsZero() && now.Sub(at) < dry
 }
 
+// dryCentres returns how many data centres have no reclaimable upstreams and had none to
+// give when asked last. They count until some have come: each try would else spread the
+// plan over data centres that give none, and take it back at the refusal.
+func (s *Scaler) dryCentres(centres []units.DataCentre, stock Stock) int {
+	dry := 0
+	for _, centre := range centres {
+		kind := Kind{
+			DataCentre:  centre,
+			Reclaimable: true,
+		}
+		if stock[kind] > 0 {
+			continue
+		}
+		if !s.dryAt[kind].IsZero() {
+			dry++
+		}
+	}
+	return dry
+}
+
 // standing returns how many of a kind take calls or are about to.
 //
 // Only what an order asked for beyond those that were there is about to come, and
@@ -71,7 +91,11 @@
 
 // firm places the upstreams of the full price, the cheapest data centres first
 // but no more than half of them in one, so that no fault of one takes them all.
-func (s *Scaler) firm(plan Stock, centres []units.DataCentre, count int, scaling *matcher.Scaling) {
+//
+// The least that a data centre must have counts what stands there, and not what is
+// wanted: while none are to be had, each new try for reclaimable ones would give the one
+// at the full price back, and order it again when the try is refused.
+func (s *Scaler) firm(plan Stock, centres []units.DataCentre, standing map[units.DataCentre]int, count int, scaling *matcher.Scaling) {
 	half := (count + 1) / 2
 	for _, centre := range centres {
 		reclaimable := plan[Kind{
@@ -79,7 +103,7 @@
 			Reclaimable: true,
 		}]
 		part := min(count, half, max(0, scaling.Most-reclaimable))
-		part = max(part, scaling.Least-reclaimable)
+		part = max(part, min(scaling.Least-standing[centre], scaling.Most-reclaimable))
 		plan[Kind{DataCentre: centre}] = part
 		count = max(0, count-part)
 	}
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -121,7 +121,7 @@
 		s.began = now
 	}
 	s.follow(now, load)
-	needed := s.needed(now, service)
+	needed := s.need(now, service)
 	plan := s.plan(now, service, needed, stock)
 	var orders []Order
 	for _, kind := range kindsOf(service) {
@@ -194,15 +194,6 @@
 	return total
 }
 
-// needed returns how many upstreams the load needs to meet its objective.
-func (s *Scaler) needed(now time.Time, service *matcher.Service) int {
-	needed := s.measured(service)
-	if s.began.IsZero() || now.Sub(s.began) < settle {
-		return max(needed, s.first)
-	}
-	return needed
-}
-
 // measured returns how many upstreams the load needs by what is known of it.
 func (s *Scaler) measured(service *matcher.Service) int {
 	work := s.load.Asked * s.load.Each
--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -39,6 +39,8 @@
 	coming  []coming
 	service *matcher.Service
 	dry     bool
+	// none are the data centres that have no reclaimable upstreams to give.
+	none map[units.DataCentre]bool
 }
 
 type coming struct {
@@ -65,7 +67,7 @@
 		}
 		fewest = min(fewest, p.total())
 		for _, order := range s.Step(now, p.service, load(p.total()), p.stock) {
-			if p.dry && order.Reclaimable {
+			if order.Reclaimable && (p.dry || p.none[order.DataCentre]) {
 				s.Refused(now, order.Kind)
 				continue
 			}
@@ -154,11 +156,88 @@
 		}
 		now = now.Add(100 * time.Millisecond)
 	}
-	if got, want := s.needed(now, svc), 4*startEach; got != want {
+	if got, want := s.need(now, svc).least(), 4*startEach; got != want {
 		t.Errorf("needed once all have announced themselves: got %d, want %d", got, want)
 	}
 }
 
+// sixCentres is a service of more data centres.
+func sixCentres() *matcher.Service {
+	svc := service()
+	svc.Scaling.Most = 40
+	for _, centre := range []units.DataCentre{"e", "f"} {
+		svc.Scaling.Prices[centre] = 1
+	}
+	return svc
+}
+
+// The upstreams of the start are at the full price, and nobody calls yet. Once those that
+// stand in for them take calls, a slow return of each would pay for both.
+func TestStartIsGivenBackOnceItsStandInsAreThere(t *testing.T) {
+	p := newPlatform(sixCentres())
+	first := p.total()
+	_, fewest := p.run(&Scaler{}, start, 8*time.Second, func(int) Load { return Load{} })
+	if fewest < first {
+		t.Errorf("upstreams before the first calls: got as few as %d, want %d", fewest, first)
+	}
+	if got := p.firm(); got > 0 {
+		t.Errorf("upstreams at the full price 4 s after their stand-ins: got %d, want none", got)
+	}
+}
+
+// Half of the data centres are taken back one after the other and have none to give. What
+// they lack stands in the others, at a fraction of the full price, so that one more loss
+// still leaves what the load needs.
+func TestOtherDataCentresStandInForDryOnes(t *testing.T) {
+	p := newPlatform(sixCentres())
+	s := &Scaler{}
+	now, _ := p.run(s, start, time.Minute, evenLoad)
+	needed := s.measured(p.service)
+	p.none = make(map[units.DataCentre]bool)
+	for _, centre := range []units.DataCentre{"a", "b", "c"} {
+		p.none[centre] = true
+		p.stock[Kind{DataCentre: centre, Reclaimable: true}] = 0
+		now, _ = p.run(s, now, 10*time.Second, evenLoad)
+		reclaimable, largest := 0, 0
+		for kind, count := range p.stock {
+			if kind.Reclaimable {
+				reclaimable += count
+				largest = max(largest, count)
+			}
+		}
+		if got := reclaimable - largest; got < needed {
+			t.Errorf("reclaimable upstreams without %s, less one more data centre: got %d, want at least %d", centre, got, needed)
+		}
+		if got, most := p.firm(), len(p.none); got > most {
+			t.Errorf("upstreams at the full price without %s: got %d, want at most the least of each dry data centre, %d", centre, got, most)
+		}
+	}
+}
+
+// A data centre's reclaimable upstreams are taken back, and none are to be had there for
+// half a minute. The one at the full price that must be there meanwhile was given back
+// at each new try and ordered again at its refusal; its calls ended each time.
+func TestLeastOfADryDataCentreStays(t *testing.T) {
+	light := func(int) Load { return Load{Asked: 10_000, Each: 1e-5, Running: 2} }
+	p := newPlatform(service())
+	s := &Scaler{}
+	now, _ := p.run(s, start, time.Minute, light)
+	p.dry = true
+	p.coming = nil
+	p.stock[Kind{DataCentre: "b", Reclaimable: true}] = 0
+	now, _ = p.run(s, now, 6*time.Second, light)
+	firm := Kind{DataCentre: "b"}
+	if got, want := p.stock[firm], 1; got != want {
+		t.Fatalf("upstreams at the full price in the dry data centre: got %d, want %d", got, want)
+	}
+	for end := now.Add(30 * time.Second); now.Before(end); {
+		now, _ = p.run(s, now, step, light)
+		if got, want := p.stock[firm], 1; got != want {
+			t.Fatalf("upstreams at the full price after %v: got %d, want %d", now.Sub(end.Add(-30*time.Second)), got, want)
+		}
+	}
+}
+
 // A leader takes over while calls run on reclaimable upstreams. What stands there is
 // no plan of the operators, and ordered as such it would grow with each leader.
 func TestNewLeaderKeepsTheFleet(t *testing.T) {
@@ -458,7 +537,7 @@
 				}
 			}
 		}
-		plan := s.plan(now, svc, s.needed(now, svc), stock)
+		plan := s.plan(now, svc, s.need(now, svc), stock)
 		for centre := range svc.Scaling.Prices {
 			both := plan[Kind{DataCentre: centre}] + plan[Kind{DataCentre: centre, Reclaimable: true}]
 			if both < svc.Scaling.Least || both > svc.Scaling.Most {
