Take no retry budget for attempts that arrive nowhere

Change: an attempt of which nothing has left counts as no arrival, so that the next one stands for it. The bound on what arrives is as before. TestAttemptsThatArriveNowhereTakeNoBudget failed first (2 attempts for 4).

--- a/src/dispatcher/backoff.go
+++ b/src/dispatcher/backoff.go
@@ -30,11 +30,19 @@
 // for its time.
 //
 // Without the budget, upstreams that refuse under load would get each call
-// several times over and refuse more.
+// several times over and refuse more. An attempt that has not arrived anywhere takes
+// nothing of it: dozens of upstreams that end at once refuse connections until each of
+// hundreds of entries has tried each of them, and an entry of a large fleet has the
+// budget of a few attempts. Charged for these, its callers were refused while the other
+// upstreams had places free.
 func (d *Dispatcher) mayRetry(ctx context.Context, call *Call, stream *Stream, so *attempts) bool {
 	if so.next != nil {
 		return true
 	}
+	if so.paid {
+		pause(ctx, backoff(so.fruitless, rand.Float64()))
+		return true
+	}
 	if stream.Offset() > call.From {
 		return d.mayResume(ctx, call)
 	}
--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -17,6 +17,8 @@
 	attempts int
 	budget   int
 	earned   int
+	// unsent is how many attempts find no connection before one arrives.
+	unsent int
 }
 
 func (r *refusing) Admit(context.Context, *Call) (func(), error) { return func() {}, nil }
@@ -37,6 +39,9 @@
 
 func (r *refusing) Exchange(context.Context, *Call, units.Attempt, *tracker.Upstream, *Stream) Result {
 	r.attempts++
+	if r.attempts <= r.unsent {
+		return Result{Kind: NotRun, Unreached: true, Unsent: true}
+	}
 	return Result{Kind: NotRun, RetryAfter: 3 * time.Second}
 }
 
@@ -81,6 +86,36 @@
 	})
 }
 
+// Dozens of upstreams end at once, and the entry finds one after the other gone. None of
+// these attempts arrives anywhere; its callers must not be refused for want of a budget
+// that bounds arrivals. Those that arrive and are refused count as before.
+func TestAttemptsThatArriveNowhereTakeNoBudget(t *testing.T) {
+	cases := map[string]struct {
+		unsent, budget, want int
+	}{
+		"no budget left":          {unsent: 3, want: 4},
+		"then one that is spent":  {unsent: 2, budget: 1, want: 4},
+		"all arrive":              {budget: 1, want: 2},
+		"nobody can be connected": {unsent: 100, want: maxFruitless},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &refusing{budget: c.budget, unsent: c.unsent}
+				d := &Dispatcher{Limiter: fake, Recorder: fake, Router: fake, Exchanger: fake, Budget: fake}
+				err := d.Do(t.Context(), &Call{Deadline: time.Now().Add(time.Minute)}, noSink{})
+				var refusal *Refusal
+				if !errors.As(err, &refusal) || refusal.Executed != ExecutedNo {
+					t.Errorf("answer: got %v, want a refusal, not run", err)
+				}
+				if got := fake.attempts; got != c.want {
+					t.Errorf("attempts: got %d, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // slow is a budget that has room for streams from then on.
 type slow struct {
 	from  time.Time
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -47,6 +47,8 @@
 	Answer *Answer
 	// Unreached says that no connection could be made.
 	Unreached bool
+	// Unsent says that nothing of the call has left, so that it has not arrived there.
+	Unsent bool
 	// RetryAfter is what a refusing upstream asked for.
 	RetryAfter time.Duration
 	// Next is the upstream that a moved stream goes on at, nil for any.
@@ -200,6 +202,9 @@
 	// next is the upstream that a planned move leads to.
 	next      *tracker.Upstream
 	fruitless int
+	// paid says that the last attempt has not arrived at its upstream, so that the next
+	// one stands for it in the budget.
+	paid bool
 	// used is how many attempts may have run.
 	used int
 	// failure is an upstream's own failure, which is a better answer than a
@@ -263,6 +268,7 @@
 // take notes how an attempt failed; an error ends the call.
 func (so *attempts) take(ctx context.Context, call *Call, upstream *tracker.Upstream, result Result) error {
 	so.next = nil
+	so.paid = result.Unsent
 	so.tried = append(so.tried, upstream.Name)
 	switch result.Kind {
 	case CallerGone:
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -101,6 +101,7 @@
 		return dispatcher.Result{
 			Kind:      dispatcher.NotRun,
 			Unreached: !errors.As(err, &full) && ctx.Err() == nil,
+			Unsent:    true,
 			Err:       err,
 		}
 	}
@@ -217,8 +218,9 @@
 			kind = dispatcher.NotRun
 		}
 		return dispatcher.Result{
-			Kind: kind,
-			Err:  fmt.Errorf("send to %s: %w", e.upstream.Name, err),
+			Kind:   kind,
+			Unsent: n == 0,
+			Err:    fmt.Errorf("send to %s: %w", e.upstream.Name, err),
 		}, false
 	}
 	if len(body) > 0 {
--- a/src/forwarder/forwarder.go
+++ b/src/forwarder/forwarder.go
@@ -97,6 +97,7 @@
 	if errors.As(err, &operation) && operation.Op == "dial" {
 		result := notRun(err)
 		result.Unreached = true
+		result.Unsent = true
 		return result
 	}
 	return lost(err)
