Keep long prompts away from other streams

Change: a prompt whose reading takes three quarters of the allowed pause leans to one end of an order of upstreams that all entries work out alike, all other calls to the other; long ones compare all upstreams. No message, and no share is fixed: load decides where it outweighs the order.

--- a/src/apportioner/apportioner_test.go
+++ b/src/apportioner/apportioner_test.go
@@ -448,3 +448,54 @@
 		t.Errorf("level after an entry was silent: got %.0f, want %.0f as without", got, want)
 	}
 }
+
+// An account of a large fleet sends several times its limit through all of two hundred
+// entries, with calls of all sizes. Each entry's part is less than one call. What the
+// limit allows must run all the same: callers are refused for nothing else.
+func TestHotAccountUsesItsLimitInALargeFleet(t *testing.T) {
+	cases := map[string]struct {
+		entries int
+		rate    float64
+		times   float64
+		mean    float64
+	}{
+		"eight entries":       {entries: 8, rate: 637_000, times: 3.4, mean: 4_000},
+		"sixty entries":       {entries: 60, rate: 637_000, times: 3.4, mean: 4_000},
+		"two hundred entries": {entries: 195, rate: 637_000, times: 3.4, mean: 4_000},
+		"a smaller account":   {entries: 195, rate: 145_000, times: 3.4, mean: 4_000},
+		"large calls":         {entries: 195, rate: 637_000, times: 3.4, mean: 12_000},
+		"just above":          {entries: 195, rate: 637_000, times: 1.2, mean: 4_000},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(c.entries)
+			f.account.Rate, f.account.Burst = c.rate, c.rate
+			random := rand.New(rand.NewPCG(1, 1))
+			const step = 10 * time.Millisecond
+			now := start
+			ran := 0.0
+			for n := range 4000 {
+				now = now.Add(step)
+				f.turn(now, n)
+				load := 0.5
+				if n > 1000 {
+					load = c.times
+				}
+				for expected := load * f.account.Rate * step.Seconds() / c.mean; random.Float64() < expected; expected-- {
+					size := min(c.mean*math.Exp(1.2*random.NormFloat64()-0.72), 55_000)
+					if f.call(now, random.IntN(c.entries), size) && n > 2000 {
+						ran += size
+					}
+				}
+			}
+			if got, want := f.most(), f.allowed(); got > want {
+				t.Errorf("ran in one window: got %.0f tokens, want at most %.0f", got, want)
+			}
+			used := ran / f.account.Rate / 20
+			t.Logf("%.2f of the rate ran, the fullest window had %.2f of what it may", used, f.most()/f.allowed())
+			if want := 0.9; used < want {
+				t.Errorf("ran over 20 s: got %.2f of the account's rate, want at least %.2f", used, want)
+			}
+		})
+	}
+}
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -55,6 +55,9 @@
 	MaxAttempts int
 	// Target is the time to the answer or its first event that callers want, 0 for none.
 	Target time.Duration
+	// Pause is the longest time between two events with which a stream is on time, 0
+	// for any.
+	Pause time.Duration
 	// Urgency ranks the call, 0 first.
 	Urgency int
 	// Credential is the key that the caller showed, "" for none.
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -117,6 +117,7 @@
 		From:        r.From,
 		MaxAttempts: max(1, route.Attempts),
 		Target:      route.Target,
+		Pause:       route.Gap,
 		Urgency:     route.Urgency,
 	}
 	if account == nil {
@@ -272,11 +273,14 @@
 // Candidate is not kept.
 func (t *trail) Candidate(units.Upstream, float64) {}
 
-// watched notes when the first byte went to the caller.
+// watched notes when the first byte went to the caller, and the longest pause between
+// two events of a stream.
 type watched struct {
 	dispatcher.Sink
-	began time.Time
-	first time.Duration
+	began  time.Time
+	first  time.Duration
+	lastAt time.Time
+	pause  time.Duration
 }
 
 // Begin starts the stream.
@@ -284,9 +288,13 @@
 
 // Event passes one event on.
 func (s *watched) Event(offset units.Tokens, data []byte) error {
+	now := timekeeper.Now()
 	if s.first == 0 {
-		s.first = timekeeper.Now().Sub(s.began)
+		s.first = now.Sub(s.began)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
 	}
+	s.lastAt = now
 	return s.Sink.Event(offset, data)
 }
 
@@ -327,6 +335,7 @@
 		Uint64("version", uint64(w.table.Declaration.Version)).
 		Int64("lease-ms", w.lease.Sub(now).Milliseconds()).
 		Int64("first-ms", s.first.Milliseconds()).
+		Int64("pause-ms", s.pause.Milliseconds()).
 		Int64("took-ms", now.Sub(s.began).Milliseconds())
 	if call.Account != nil {
 		event.Str("account", string(call.Account.Name)).
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -47,6 +47,11 @@
 	patience = 1.6
 	// othersExpiry is how long what others have under way counts, some polls.
 	othersExpiry = time.Second
+	// longRead is the part of the longest pause that a stream may make from which on the
+	// reading of a prompt counts as long, and lean how far the order of upstreams counts
+	// in their fill.
+	longRead = 0.75
+	lean     = 1.0
 	// overfull is what an upstream without a free place adds to its fill: a call
 	// there waits for another to end.
 	overfull = 1.0
@@ -73,6 +78,9 @@
 	Until time.Time
 	stats *stats
 	hash  Hash
+	// place is where the upstream stands in an order that all entries work out alike,
+	// from 0 to 1.
+	place float64
 }
 
 // Placer chooses among the candidates of a fleet; it may be used from several
@@ -91,6 +99,8 @@
 	Each func(service units.Service) time.Duration
 	// MostCalls returns how many calls this entry may have at an upstream at once.
 	MostCalls func(upstream *tracker.Upstream) int
+	// Random draws; nil stands for the process's own source.
+	Random Random
 
 	others atomic.Pointer[Others]
 
@@ -100,6 +110,28 @@
 	out     map[ejector.Key]time.Time
 }
 
+// Random is what the placer draws by, from several goroutines.
+type Random interface {
+	Float64() float64
+	IntN(n int) int
+}
+
+// ownRandom draws from the process's own source.
+type ownRandom struct{}
+
+// Float64 returns a number from 0 to 1.
+func (ownRandom) Float64() float64 { return rand.Float64() }
+
+// IntN returns a number from 0 to n-1.
+func (ownRandom) IntN(n int) int { return rand.IntN(n) }
+
+func (p *Placer) random() Random {
+	if p.Random != nil {
+		return p.Random
+	}
+	return ownRandom{}
+}
+
 func keyOf(u *tracker.Upstream) ejector.Key {
 	return ejector.Key{
 		Service:     u.Service,
@@ -120,12 +152,14 @@
 		s = &stats{}
 		p.known[keyOf(u)] = s
 	}
+	hash := HashOf(u.Name)
 	return &Candidate{
 		Upstream: u,
 		Cold:     cold,
 		Silent:   silent,
 		stats:    s,
-		hash:     HashOf(u.Name),
+		hash:     hash,
+		place:    placeOf(hash),
 	}
 }
 
@@ -157,10 +191,11 @@
 		return nil
 	}
 	best, least, ahead := (*Candidate)(nil), 0.0, int64(0)
+	long := isLong(call, p.each(call.Service))
 	compare := func(c *Candidate, unread units.Tokens) {
 		calls, prefill := c.busy(now, p.others.Load())
 		prefill += int64(unread)
-		if score := p.score(c, calls, prefill); best == nil || score < least {
+		if score := p.score(c, calls, prefill) + lean*c.apart(long); best == nil || score < least {
 			best, least, ahead = c, score, prefill
 		}
 	}
@@ -172,10 +207,15 @@
 			compare(c, call.Prompt-call.Shared()+missing)
 		}
 	}
-	first := rand.IntN(len(candidates))
-	for i := range min(drawn, len(candidates)) {
+	first := p.random().IntN(len(candidates))
+	draws := min(drawn, len(candidates))
+	if long {
+		// They are few, and which upstream has the fewest streams matters to each of them.
+		draws = len(candidates)
+	}
+	for i := range draws {
 		// A step that is drawn too would visit one twice; neighbours do as well.
-		compare(candidates[(first+i*stride(len(candidates)))%len(candidates)], call.Prompt)
+		compare(candidates[(first+i*stride(len(candidates), draws))%len(candidates)], call.Prompt)
 	}
 	for _, c := range connectedOf(candidates, first) {
 		compare(c, call.Prompt)
@@ -208,7 +248,36 @@
 }
 
 // stride spreads the drawn candidates over the list, which is sorted by name.
-func stride(count int) int { return max(1, count/drawn) }
+func stride(count, draws int) int { return max(1, count/draws) }
+
+// isLong reports whether reading a call's prompt makes the streams beside it pause for
+// too long: an upstream reads prompts between the tokens of the streams that it runs.
+func isLong(call *dispatcher.Call, each time.Duration) bool {
+	return call.Pause > 0 && time.Duration(call.Unread())*each > time.Duration(longRead*float64(call.Pause))
+}
+
+// apart returns how far an upstream is from where a call belongs, from 0 to 1.
+//
+// The load it answers: one prompt in fifty takes as long to read as a stream may pause.
+// Placed by load alone it goes where five streams run, each of which is late for it, and
+// what others send there is known too late to send them elsewhere. So long prompts lean to
+// one end of an order that all entries work out alike, and all other calls to the other
+// one: few streams run where prompts are long, at any load and without a message.
+func (c *Candidate) apart(long bool) float64 {
+	if long {
+		return 1 - c.place
+	}
+	return c.place
+}
+
+// placeMix is odd and has its bits spread, so that names which differ little are far
+// apart in the order.
+const placeMix = 0x9e3779b97f4a7c15
+
+func placeOf(hash Hash) float64 {
+	const bits = 53
+	return float64(uint64(hash)*placeMix>>(64-bits)) / (1 << bits)
+}
 
 // score returns what a call would wait for at an upstream that has so many calls and
 // so many tokens to read, the call's own among them, in its places.
@@ -217,7 +286,7 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	score := float64(calls)/float64(slots) + float64(prefill)/tokensEach + noise*rand.Float64()
+	score := float64(calls)/float64(slots) + float64(prefill)/tokensEach + noise*p.random().Float64()
 	if calls >= int64(slots) {
 		score += overfull
 	}
