--- a/src/placer/engine_test.go
+++ b/src/placer/engine_test.go
@@ -45,19 +45,18 @@
 
 // kind is one kind of call of a replayed load.
 type kind struct {
-	name     string
-	rate     float64
-	urgency  int
-	first    int
-	parts    int
-	shared   float64
-	own      float64
-	spread   float64
-	mostOwn  float64
-	output   float64
-	target   time.Duration
-	worth    float64
-	mostWait time.Duration
+	name    string
+	rate    float64
+	urgency int
+	first   int
+	parts   int
+	shared  float64
+	own     float64
+	spread  float64
+	mostOwn float64
+	output  float64
+	target  time.Duration
+	worth   float64
 }
 
 // reports, replies and triage are calls with long, short and middling prompts.
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -195,7 +195,7 @@
 	compare := func(c *Candidate, unread units.Tokens) {
 		calls, prefill := c.busy(now, p.others.Load())
 		prefill += int64(unread)
-		if score := p.score(c, calls, prefill) + lean*c.apart(long); best == nil || score < least {
+		if score := p.score(c, calls, prefill) + lean*c.apart(call, long); best == nil || score < least {
 			best, least, ahead = c, score, prefill
 		}
 	}
@@ -262,9 +262,13 @@
 // Placed by load alone it goes where five streams run, each of which is late for it, and
 // what others send there is known too late to send them elsewhere. So long prompts lean to
 // one end of an order that all entries work out alike, and all other calls to the other
-// one: few streams run where prompts are long, at any load and without a message.
-func (c *Candidate) apart(long bool) float64 {
-	if long {
+// one: few streams run where prompts are long, at any load and without a message. Calls
+// that no pause can spoil are spread evenly.
+func (c *Candidate) apart(call *dispatcher.Call, long bool) float64 {
+	switch {
+	case call.Pause == 0:
+		return 0
+	case long:
 		return 1 - c.place
 	}
 	return c.place
