Give up a connection by what the network usually takes

Change: the set-up may take 20 times the usual, at least 80 ms and at most the 400 ms of before. A lost packet is sent again after a second, which neither bound outlasts.

--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -16,9 +16,13 @@
 )
 
 const (
-	// dialTimeout bounds the set-up of a connection: some hundred round trips
-	// within a region, and short beside any call's timeout.
-	dialTimeout = 400 * time.Millisecond
+	// mostDial bounds the set-up of a connection: some hundred round trips within a
+	// region, and short beside any call's timeout. leastDial is longer than a busy
+	// instance takes to see an answer, and dialTimes how many times the usual set-up one
+	// may take.
+	mostDial  = 400 * time.Millisecond
+	leastDial = 80 * time.Millisecond
+	dialTimes = 20
 	// defaultIdle is how long an idle connection is kept where the upstream does
 	// not say how long it keeps it.
 	defaultIdle = 4 * time.Second
@@ -44,6 +48,8 @@
 
 	mu    sync.Mutex
 	hosts map[hostKey]*host
+	// usual is how long the set-up of a connection takes, by the last ones.
+	usual time.Duration
 }
 
 // hostKey is one life of one upstream at one address: connections to an earlier
@@ -103,11 +109,13 @@
 	if err := p.reserve(key, upstream); err != nil {
 		return nil, err
 	}
-	c, err := dial(ctx, upstream.Address)
+	began := time.Now()
+	c, err := dial(ctx, upstream.Address, p.patience())
 	if err != nil {
 		p.release(key)
 		return nil, err
 	}
+	p.learn(time.Since(began))
 	if p.Opened != nil {
 		p.Opened.Inc(1)
 	}
@@ -120,6 +128,35 @@
 	}, nil
 }
 
+// usualPart is how far one set-up moves the measure of what is usual.
+const usualPart = 0.1
+
+// learn follows how long the set-up of a connection takes.
+func (p *Pool) learn(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usual == 0 {
+		p.usual = took
+		return
+	}
+	p.usual += time.Duration(usualPart * float64(took-p.usual))
+}
+
+// patience returns how long the set-up of a connection may take.
+//
+// An upstream that has gone dark answers nothing, and each of hundreds of entries finds
+// it out for itself. With one bound for all networks a call waited as long for it as its
+// caller wants to wait at all. A packet that is lost is sent again after a second, which
+// no such bound outlasts.
+func (p *Pool) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usual == 0 {
+		return mostDial
+	}
+	return min(mostDial, max(leastDial, dialTimes*p.usual))
+}
+
 // pop takes the connection that was used last, which is least likely to be dead.
 func (p *Pool) pop(key hostKey) *conn {
 	p.mu.Lock()
@@ -247,8 +284,8 @@
 	return err == nil && quiet
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func dial(ctx context.Context, address string, patience time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
