--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -222,6 +223,17 @@
 	Silent   bool   `yaml:"silent"`
 	Cold     bool   `yaml:"cold"`
 	InFlight int64  `yaml:"in-flight"`
+	// Unread is how many prompt tokens of these calls wait to be read.
+	Unread int64 `yaml:"unread"`
+	Idle   int64 `yaml:"idle-connections"`
+	// OthersInFlight and OthersUnread are the other entries' by their last polls, Stated
+	// what the upstream did for others by its last answer.
+	OthersInFlight int64 `yaml:"others-in-flight"`
+	OthersUnread   int64 `yaml:"others-unread"`
+	Stated         int   `yaml:"stated"`
+	Ejected        bool  `yaml:"ejected"`
+	// AnsweredMs is how long ago it last answered, -1 for never.
+	AnsweredMs int64 `yaml:"answered-ms"`
 }
 
 // dumped is an entry's state as a dump shows it.
@@ -250,14 +262,31 @@
 	d.Lease = w.lease.Sub(timekeeper.Now()).String()
 	for service, candidates := range w.fleet {
 		for _, c := range candidates {
-			d.Upstreams[string(service)] = append(d.Upstreams[string(service)], dumpedUpstream{
-				Name:     string(c.Name),
-				Address:  c.Address,
-				Silent:   c.Silent,
-				Cold:     c.Cold,
-				InFlight: c.Live.InFlight.Load(),
-			})
+			d.Upstreams[string(service)] = append(d.Upstreams[string(service)], g.dumpUpstream(c))
 		}
 	}
 	return d, nil
 }
+
+// dumpUpstream returns what this entry has at an upstream and believes of it.
+func (g *Gateway) dumpUpstream(c *placer.Candidate) dumpedUpstream {
+	belief := g.placer.Believes(c)
+	answered := int64(-1)
+	if !belief.AnsweredAt.IsZero() {
+		answered = timekeeper.Now().Sub(belief.AnsweredAt).Milliseconds()
+	}
+	return dumpedUpstream{
+		Name:           string(c.Name),
+		Address:        c.Address,
+		Silent:         c.Silent,
+		Cold:           c.Cold,
+		InFlight:       c.Live.InFlight.Load(),
+		Unread:         c.Live.Prefill.Load(),
+		Idle:           c.Live.Idle.Load(),
+		OthersInFlight: belief.Others.Calls,
+		OthersUnread:   belief.Others.Prefill,
+		Stated:         belief.Stated,
+		Ejected:        belief.Ejected,
+		AnsweredMs:     answered,
+	}
+}
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -1,6 +1,9 @@
 package governor
 
-import "github.com/rosecroft/rosecroft/src/timekeeper"
+import (
+	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+)
 
 // Dump is a control process's state as operators see it.
 type Dump struct {
@@ -24,6 +27,10 @@
 	State   string `yaml:"state"`
 	Silent  bool   `yaml:"silent"`
 	HeardMs int64  `yaml:"heard-ms"`
+	// InFlight and Unread are the calls of all entries there, and their prompt tokens that
+	// wait to be read, where this instance leads.
+	InFlight int64 `yaml:"in-flight"`
+	Unread   int64 `yaml:"unread"`
 }
 
 func (c *coordinator) dump() *Dump {
@@ -42,13 +49,17 @@
 	for _, member := range c.node.Membership().GetMembers() {
 		d.Members = append(d.Members, member.GetId())
 	}
+	underWay := c.underWay.Total()
 	for _, e := range c.table.Entries() {
+		load := underWay[placer.HashOf(e.ID)]
 		d.Upstreams = append(d.Upstreams, DumpUpstream{
-			Name:    string(e.ID),
-			Service: string(e.Service),
-			State:   e.State.String(),
-			Silent:  e.Silent,
-			HeardMs: now.Sub(e.HeardAt).Milliseconds(),
+			Name:     string(e.ID),
+			Service:  string(e.Service),
+			State:    e.State.String(),
+			Silent:   e.Silent,
+			HeardMs:  now.Sub(e.HeardAt).Milliseconds(),
+			InFlight: load.Calls,
+			Unread:   load.Prefill,
 		})
 	}
 	return d
--- a/src/placer/load.go
+++ b/src/placer/load.go
@@ -109,6 +109,34 @@
 	}
 }
 
+// Belief is what this entry takes an upstream to be like.
+type Belief struct {
+	// Others is what the other entries have under way there, by their last polls.
+	Others UnderWay
+	// Stated is what the upstream did for others by its last answer, faded with its age.
+	Stated int
+	// AnsweredAt is when it last answered this entry, zero for never.
+	AnsweredAt time.Time
+	// Ejected says that calls have failed there and go elsewhere for a while.
+	Ejected bool
+}
+
+// Believes returns what this entry takes an upstream to be like.
+func (p *Placer) Believes(c *Candidate) Belief {
+	now := p.Now()
+	b := Belief{
+		Stated:  int(c.others(now)),
+		Ejected: p.ejected(now, c.Upstream),
+	}
+	if others := p.others.Load(); others != nil && now.Sub(others.At) <= othersExpiry {
+		b.Others = others.Loads[c.hash]
+	}
+	c.stats.mu.Lock()
+	defer c.stats.mu.Unlock()
+	b.AnsweredAt = c.stats.answeredAt
+	return b
+}
+
 func (p *Placer) ejected(now time.Time, u *tracker.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/src/placer/others.go
+++ b/src/placer/others.go
@@ -111,6 +111,10 @@
 	return maps.Clone(s.total)
 }
 
+// Total returns what all entries that were heard have under way now; the caller must not
+// keep it.
+func (s *Sum) Total() map[Hash]UnderWay { return s.total }
+
 // Counted returns which report of an entry is in the total that was taken last, 0
 // for none.
 func (s *Sum) Counted(entry units.Instance) Report {
