--- a/src/apportioner/bucket.go
+++ b/src/apportioner/bucket.go
@@ -85,9 +85,9 @@
 // borrows reports whether a call may run on what all entries together may still
 // admit, though this entry was lent less.
 //
-// An entry that had no call of an account lately is lent a fortieth of it, and a large
-// call is more. Refused there, one in twelve of the largest calls of accounts that were
-// well within their limits came back seconds later, or not at all. Several entries may
+// An entry that had no call of an account lately is lent a small part of it, and a large
+// call is more. Refused there, the largest calls of accounts that are well within their
+// limits come back seconds later, or not at all. Several entries may
 // borrow at once: each does so once between two answers, and only where there is
 // room for two such calls, or nearly all that there can be.
 func (b *bucket) borrows(now time.Time, size float64) bool {
--- a/src/apportioner/divider.go
+++ b/src/apportioner/divider.go
@@ -13,8 +13,8 @@
 	evenPart = 0.2
 	// settleAfter is how long a new leader leaves parts as they are: after a poll
 	// that waited for the last leader in vain, and some more, it has heard every
-	// entry in reach. Each second longer, large calls of accounts far from their
-	// limits are refused: 25 after one lost leader at eight entries.
+	// entry in reach. For as long, large calls of accounts far from their limits are
+	// refused.
 	settleAfter = 800 * time.Millisecond
 	// firstLevel is the part of a bucket that a leader takes to be full where no
 	// entry was told of its level by one before.
@@ -209,7 +209,7 @@
 // entries for the first time.
 //
 // A leader that guesses gives out what its predecessor already did: with two of
-// them lost within one window an account ran 1.6% more than its limit allows. The
+// them lost within one window an account runs more than its limit allows. The
 // last level that any entry was told, less what nobody has charged since, is exact
 // but for answers that were on their way.
 func (d *Divider) inherited(now time.Time, account *matcher.Account) float64 {
--- a/src/apportioner/meter.go
+++ b/src/apportioner/meter.go
@@ -22,8 +22,7 @@
 //
 // An account at its limit has a level near nothing all the time. By the room for the
 // whole call alone its small calls would use up every moment's refill, and its large
-// ones would all be refused: of two hundred refusals in eleven seconds three met the
-// smallest kind of call. So a call needs room for one of the usual size at most, and
+// ones would all be refused. So a call needs room for one of the usual size at most, and
 // the rest of a larger one is a debt that the next ones pay.
 func (m *Meter) Admit(now time.Time, account *matcher.Account, size float64) (wait time.Duration, admitted bool) {
 	if account.Rate <= 0 {
--- a/src/connector/stream.go
+++ b/src/connector/stream.go
@@ -27,7 +27,7 @@
 
 // stream carries JSON-RPC objects with their messages attached in binary form.
 //
-// Within the object, a message would be quoted and read through some ten times on its
+// Within the object, a message would be quoted and read through some many times on its
 // way. For a leader that answers hundreds of entries, that is most of what they cost.
 type stream struct {
 	conn   net.Conn
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -16,16 +16,13 @@
 )
 
 const (
-	// leastInterval and mostInterval bound the time between two polls. What others
-	// have under way is as old as the last two, and a long prompt is read within some
-	// tenths of a second: at 50 ms instead of 200 ms a grown fleet of 60 entries
-	// answered 92 instead of 88 of 100 calls' worth in time. The most is a small part
-	// of every period that an entry must keep to.
+	// leastInterval and mostInterval bound the time between two polls. What others have
+	// under way is as old as the last two, and a long prompt is read within some tenths of
+	// a second. The most is a small part of every period that an entry must keep to.
 	leastInterval = 50 * time.Millisecond
 	mostInterval  = 200 * time.Millisecond
 	// leaderPolls is how many polls a second the leader of a growing fleet takes before
-	// entries poll less often; each costs it about 0.15 ms (0.17 cores at 300 polls a
-	// second from 60 entries, 0.30 at 1,200).
+	// entries poll less often.
 	leaderPolls = 800
 	// seekInterval is the pause after a round in which no instance led. Elections
 	// are over within some tenths of a second, in which every caller waits.
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -111,8 +111,7 @@
 	}
 	trueTime := summary.trueTime.Add(now.Sub(summary.at))
 	// Any instance may lead next. Counts that only the last leader heard are lost with
-	// it where their entries are killed before there is another: a quarter of a
-	// window's calls in one fault of both.
+	// it where their entries are killed before there is another.
 	c.hearUsage(trueTime, poll)
 	if !leads {
 		return response
--- a/src/placer/donor.go
+++ b/src/placer/donor.go
@@ -17,8 +17,7 @@
 // and at all of them when a data centre is taken back. The chosen upstream fetches
 // only what it lacks, so that asking for what it has costs nothing, and nobody needs
 // to know what each of them holds. One that is leaving still gives what it has, which
-// is the last chance to keep that. Of 11 million prompt tokens read on a day of faults
-// 1.0 million were shared parts read again, instead of 2.7.
+// is the last chance to keep that.
 func (p *Placer) Donor(call *dispatcher.Call, chosen *tracker.Upstream) *tracker.Upstream {
 	if len(call.Parts) < 2 || call.Shared() < leastFetched {
 		return nil
--- a/src/replicator/start.go
+++ b/src/replicator/start.go
@@ -21,7 +21,7 @@
 //
 // A voter that restarts refuses its vote for an election timeout, since a leader
 // that it heard before may still hold its lease. Where all processes end at once
-// no lease is left, and callers wait half a second for nothing. So once every
+// no lease is left, and callers wait for nothing. So once every
 // voter has said that it has started and heard no leader since, a vote is
 // granted at once.
 //
@@ -36,7 +36,7 @@
 // one in its place can: the old process is gone, and with its disk what it might lead
 // by. Less than a majority may be gone so. Then each majority that could have elected
 // a later leader holds a voter that has kept its term, and would have said that one.
-// Without it, power lost together with two disks cost callers half a second more.
+// Without it, power lost together with two disks keeps callers waiting for an election.
 type start struct {
 	at time.Time
 	// nonce tells answers to this start from those that an earlier one asked for.
--- a/src/retrier/budget.go
+++ b/src/retrier/budget.go
@@ -70,8 +70,8 @@
 //
 // Half of the upstreams of a full fleet are taken back at once, each with some tens
 // of streams, and those that are left refuse most of them. Without a bound each
-// stream knocked several times at all of them: 1,500 arrivals where 1,100 are
-// allowed, and the upstreams had that much less time for what they had taken in.
+// stream would knock several times at all of them, and the upstreams would have that
+// much less time for what they have taken in.
 func (b *Budget) Resume(service units.Service) bool { return b.spend(service, resumeUse) }
 
 func (b *Budget) spend(service units.Service, use float64) bool {
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -12,8 +12,7 @@
 	// safety is how many upstreams there are beyond those that reading alone keeps
 	// busy, in square roots of that number: the clumps of a larger load are a smaller
 	// part of it. Prompts differ a hundredfold in length, and the queue behind a long
-	// one outlasts the objective of the short ones; with 3.5 three busy upstreams
-	// become ten and twenty become thirty-six.
+	// one outlasts the objective of the short ones.
 	safety = 3.5
 	// full is the part of an upstream's places that may be taken.
 	full = 0.5
--- a/src/scaler/survey.go
+++ b/src/scaler/survey.go
@@ -26,9 +26,9 @@
 // Survey makes the load of all entries from what each has seen; it is a state
 // machine without a clock.
 //
-// Every poll counts, and not the last one before each plan: by single polls of 50 ms
-// callers asked for nothing at one plan and for nine times the mean at another, and
-// a plan follows such peaks at once and forgets them over ten seconds.
+// Every poll counts, and not the last one before each plan: by single polls callers ask
+// for nothing at one plan and for many times the mean at another, and a plan follows such
+// peaks at once and forgets them slowly.
 type Survey struct {
 	entries map[units.Instance]*surveyed
 }
--- a/src/tallier/ledger.go
+++ b/src/tallier/ledger.go
@@ -91,9 +91,8 @@
 // waits reports whether a window is held open for an entry that is not heard.
 //
 // An entry that is cut off from control serves for some seconds on and tells its
-// counts when the cut is over. By then its window was closed without them: two of
-// eight entries cut off for ten seconds left a quarter of a window's calls out, though
-// they were back three seconds before the report was wanted.
+// counts when the cut is over. By then its window would be closed without them,
+// though they are back before the report is wanted.
 func (l *Ledger) waits(trueTime time.Time, w Window) bool {
 	end := w.End(l.Length)
 	if !trueTime.Before(end.Add(l.Patience)) {
