Count an attempt that brought events as one that arrived

An exchange that had brought events found no connection to go on and said that nothing had left; the next attempt then waited for a backoff of no fruitless attempt.

--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -116,6 +116,36 @@
 	}
 }
 
+// torn brings some events, and then finds no connection to go on where it was.
+type torn struct {
+	refusing
+}
+
+func (r *torn) Exchange(_ context.Context, _ *Call, _ units.Attempt, _ *tracker.Upstream, stream *Stream) Result {
+	r.attempts++
+	_ = stream.Event(units.Tokens(r.attempts), nil, nil)
+	return Result{Kind: NotRun, Unreached: true, Unsent: true}
+}
+
+// An engine is killed under a stream, and no connection to it can be made again within
+// the same attempt. That attempt has arrived: the next one counts against the budget, and
+// must be made at all; an entry that took it for one that never arrived ended with its
+// process.
+func TestAttemptThatBroughtEventsHasArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &torn{refusing{budget: 3}}
+		d := &Dispatcher{Limiter: fake, Recorder: fake, Router: fake, Exchanger: fake, Budget: fake}
+		err := d.Do(t.Context(), &Call{Deadline: time.Now().Add(time.Minute), Stream: true, Repeatable: true}, noSink{})
+		var refusal *Refusal
+		if !errors.As(err, &refusal) {
+			t.Errorf("answer: got %v, want a refusal", err)
+		}
+		if got, want := fake.attempts, 4; got != want {
+			t.Errorf("attempts: got %d, want %d", got, want)
+		}
+	})
+}
+
 // slow is a budget that has room for streams from then on.
 type slow struct {
 	from  time.Time
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -255,6 +255,8 @@
 			return nil, err
 		}
 		so.fruitless++
+		// One that brought events has arrived, whatever its last connection came to.
+		so.paid = result.Unsent && stream.Offset() == before
 		if stream.Offset() > before || result.Kind == Moved {
 			so.fruitless = 0
 		}
@@ -268,7 +270,6 @@
 // take notes how an attempt failed; an error ends the call.
 func (so *attempts) take(ctx context.Context, call *Call, upstream *tracker.Upstream, result Result) error {
 	so.next = nil
-	so.paid = result.Unsent
 	so.tried = append(so.tried, upstream.Name)
 	switch result.Kind {
 	case CallerGone:
