--- a/src/scaler/scaler_test.go
+++ b/src/scaler/scaler_test.go
@@ -176,12 +176,12 @@
 func TestStartIsGivenBackOnceItsStandInsAreThere(t *testing.T) {
 	p := newPlatform(sixCentres())
 	first := p.total()
-	_, fewest := p.run(&Scaler{}, start, 8*time.Second, func(int) Load { return Load{} })
+	_, fewest := p.run(&Scaler{}, start, 5500*time.Millisecond, func(int) Load { return Load{} })
 	if fewest < first {
 		t.Errorf("upstreams before the first calls: got as few as %d, want %d", fewest, first)
 	}
 	if got := p.firm(); got > 0 {
-		t.Errorf("upstreams at the full price 4 s after their stand-ins: got %d, want none", got)
+		t.Errorf("upstreams at the full price 1.5 s after their stand-ins: got %d, want none", got)
 	}
 }
 
@@ -196,6 +196,7 @@
 	p.none = make(map[units.DataCentre]bool)
 	for _, centre := range []units.DataCentre{"a", "b", "c"} {
 		p.none[centre] = true
+		p.coming = nil
 		p.stock[Kind{DataCentre: centre, Reclaimable: true}] = 0
 		now, _ = p.run(s, now, 10*time.Second, evenLoad)
 		reclaimable, largest := 0, 0
