Let a heartbeat cost control the same with any number of upstreams

Each heartbeat was compared with the address of every other upstream, at each of five control instances, and each poll behind any change looked through the whole table.

Change: who uses an address is kept, and the last change of each upstream in order. TestChangesAndAddressesHoldForAnyHistory holds both against a look through the table, over drawn histories.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -1,6 +1,7 @@
 package enroller
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -29,8 +30,23 @@
 
 	entries map[units.Upstream]*Entry
 	cursor  uint64
+	// holders are the upstreams that use each address.
+	holders map[string]units.Upstream
+	// changes holds the last change of each upstream, and some that others have followed,
+	// in their order.
+	changes []change
 }
 
+// change is one upstream's change and the table's cursor after it.
+type change struct {
+	cursor uint64
+	id     units.Upstream
+}
+
+// spareChanges is how many changes that others have followed are kept before they are
+// taken out.
+const spareChanges = 256
+
 // Entry is what is known of one upstream.
 type Entry struct {
 	Registration
@@ -47,6 +63,7 @@
 func (t *Table) Hear(now time.Time, r Registration, age time.Duration) bool {
 	if t.entries == nil {
 		t.entries = make(map[units.Upstream]*Entry)
+		t.holders = make(map[string]units.Upstream)
 	}
 	known := t.entries[r.ID]
 	if known != nil && !follows(&known.Registration, &r) {
@@ -70,6 +87,9 @@
 		entry.LeavesIn = known.LeavesIn
 	}
 	t.entries[r.ID] = entry
+	if entry.State != Gone {
+		t.holders[entry.Address] = entry.ID
+	}
 	if known != nil && alike(&known.Registration, &entry.Registration) {
 		entry.changed = known.changed
 		return false
@@ -99,16 +119,15 @@
 // Where upstreams do not say when they started, the one heard of first is the
 // earlier one.
 func (t *Table) supersede(r *Entry) bool {
-	for _, other := range t.entries {
-		if other.Address != r.Address || other.ID == r.ID || other.State == Gone {
-			continue
-		}
-		if other.Born > r.Born || other.Born == r.Born && other.FirstAt.After(r.FirstAt) {
-			return true
-		}
-		other.State = Gone
-		t.touch(other)
+	other := t.entries[t.holders[r.Address]]
+	if other == nil || other.ID == r.ID || other.Address != r.Address || other.State == Gone {
+		return false
 	}
+	if other.Born > r.Born || other.Born == r.Born && other.FirstAt.After(r.FirstAt) {
+		return true
+	}
+	other.State = Gone
+	t.touch(other)
 	return false
 }
 
@@ -135,6 +154,9 @@
 		switch {
 		case entry.State == Gone && silence > goneMemory, entry.State != Gone && silence > silentMemory:
 			delete(t.entries, id)
+			if t.holders[entry.Address] == id {
+				delete(t.holders, entry.Address)
+			}
 		case entry.State != Gone && !entry.Silent && silence > limit:
 			entry.Silent = true
 			t.touch(entry)
@@ -147,6 +169,19 @@
 func (t *Table) touch(entry *Entry) {
 	t.cursor++
 	entry.changed = t.cursor
+	t.changes = append(t.changes, change{
+		cursor: t.cursor,
+		id:     entry.ID,
+	})
+	if len(t.changes) > 2*len(t.entries)+spareChanges {
+		t.changes = slices.DeleteFunc(t.changes, func(c change) bool { return !t.stands(c) })
+	}
+}
+
+// stands reports whether a change is the last one of its upstream.
+func (t *Table) stands(c change) bool {
+	entry := t.entries[c.id]
+	return entry != nil && entry.changed == c.cursor
 }
 
 // Cursor returns the place up to which a reader has read the table now.
@@ -161,18 +196,16 @@
 	if cursor == t.cursor {
 		return nil
 	}
-	var names []units.Upstream
-	for name, entry := range t.entries {
-		if entry.changed > cursor {
-			names = append(names, name)
+	first, _ := slices.BinarySearchFunc(t.changes, cursor+1, func(c change, cursor uint64) int {
+		return cmp.Compare(c.cursor, cursor)
+	})
+	var changes []*messages.RegisteredUpstream
+	for _, c := range t.changes[first:] {
+		if t.stands(c) {
+			entry := t.entries[c.id]
+			changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
 		}
 	}
-	slices.Sort(names)
-	changes := make([]*messages.RegisteredUpstream, 0, len(names))
-	for _, name := range names {
-		entry := t.entries[name]
-		changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
-	}
 	return changes
 }
 
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -1,6 +1,8 @@
 package enroller
 
 import (
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -140,3 +142,56 @@
 		t.Error("heard again: got still silent, want not")
 	}
 }
+
+// Thousands of upstreams announce themselves, come again, move and end. Whoever follows
+// the table must get each one's last change behind its cursor, once, and no address may
+// have two upstreams that take calls: one of them would get the other's.
+func TestChangesAndAddressesHoldForAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable()
+		now := start
+		var cursors []uint64
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "passes")) * time.Millisecond)
+			id := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "id"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				table.Leave(now, units.Upstream(id))
+			case 1:
+				table.Expire(now)
+			case 2:
+				cursors = append(cursors, table.Cursor())
+			default:
+				table.Hear(now, registration(id, fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "address")),
+					units.Incarnation(rapid.IntRange(1, 5).Draw(t, "born")),
+					rapid.Uint64Range(1, 30).Draw(t, "sequence"),
+					State(rapid.IntRange(1, 2).Draw(t, "state"))), 0)
+			}
+		}
+		live := make(map[string]units.Upstream)
+		for _, e := range table.Entries() {
+			if e.State == Gone {
+				continue
+			}
+			if other, taken := live[e.Address]; taken {
+				t.Fatalf("upstreams at %s: got %s and %s, want one", e.Address, other, e.ID)
+			}
+			live[e.Address] = e.ID
+		}
+		for _, cursor := range append(cursors, 0) {
+			want := make(map[string]int)
+			for _, e := range table.Entries() {
+				if e.changed > cursor {
+					want[string(e.ID)] = 1
+				}
+			}
+			got := make(map[string]int)
+			for _, m := range table.Since(now, table.ID, cursor) {
+				got[m.GetId()]++
+			}
+			if !maps.Equal(got, want) {
+				t.Fatalf("changes behind %d: got %v, want %v", cursor, got, want)
+			}
+		}
+	})
+}
