--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +21,10 @@
 // that connect and say nothing cannot pile up.
 const handshakeTimeout = 2 * time.Second
 
+// acceptPause is how long a process without a free descriptor waits before it accepts
+// the next connection.
+const acceptPause = 50 * time.Millisecond
+
 // Handler answers one request, which came encoded; a nil response answers a notification.
 type Handler func(ctx context.Context, peer Peer, content []byte) (proto.Message, error)
 
@@ -54,6 +60,8 @@
 	TLS *tls.Config
 	// Traffic counts what goes over the server's connections; it may be nil.
 	Traffic *Traffic
+	// Log may be left out.
+	Log zerolog.Logger
 	// Allowed narrows the roles that may call a method; any other method is
 	// open to control and entries.
 	Allowed map[Method][]certifier.Role
@@ -92,6 +100,11 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if passing(err) {
+			s.Log.Warn().Err(err).Int64("pause-ms", acceptPause.Milliseconds()).Msg("connection-not-accepted")
+			pause(ctx, acceptPause)
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("accept a process's connection: %w", err)
 		}
@@ -99,6 +112,22 @@
 	}
 }
 
+// passing reports whether a later connection may be accepted after an error. A process
+// that ended for want of a descriptor would take its vote and its table with it.
+func passing(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (s *Server) close() {
 	_ = s.Listener.Close()
 	s.mu.Lock()
--- a/src/governor/digest.go
+++ b/src/governor/digest.go
@@ -4,12 +4,17 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/placer"
 )
 
 // digestAge is how long one digest answers polls, a small part of the time between two
 // of one entry.
 const digestAge = tickInterval
 
+// mostLoads is how many upstreams' loads a digest holds: more than one entry compares in
+// the time between two polls.
+const mostLoads = 256
+
 // digest is what every poll is answered with alike. It is made once for the polls of
 // some moments and not changed after: what is worked out for each poll anew costs the
 // leader the square of the number of entries.
@@ -31,7 +36,7 @@
 		trueTime: c.trueTime(now),
 		entries:  uint32(c.divider.Entries(now)),
 		controls: c.controls(),
-		underWay: EncodeLoads(c.underWay.Freeze(c.divider.Uses)),
+		underWay: EncodeLoads(placer.Busiest(c.underWay.Freeze(c.divider.Uses), mostLoads)),
 	}
 	return c.digest
 }
--- a/src/governor/poll_test.go
+++ b/src/governor/poll_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -169,3 +171,35 @@
 		})
 	}
 }
+
+// Guards against answers that grow with the fleet: at 3,000 busy upstreams and 300 entries the
+// leader sent tens of MB a second, and lost its majority.
+func TestAnswerOfBusyFleetStaysSmall(t *testing.T) {
+	const most = 8 << 10
+	f := crowd{
+		entries:   300,
+		upstreams: 3000,
+	}
+	_, c := newLeader(t)
+	f.declare(c)
+	loads := make(map[placer.Hash]placer.UnderWay)
+	for i := range f.upstreams {
+		loads[placer.HashOf(units.Upstream(fmt.Sprintf("i-%08d", i)))] = placer.UnderWay{
+			Calls:   int64(i),
+			Prefill: 3000,
+		}
+	}
+	poll := f.poll(c, 0, 1)
+	poll.UnderWay = EncodeLoads(loads)
+	c.poll(poll)
+	c.digest = nil
+	response := c.poll(f.poll(c, 1, 1))
+	if got := proto.Size(response); got > most {
+		t.Errorf("answer: got %d bytes, want at most %d", got, most)
+	}
+	told := DecodeLoads(response.GetUnderWay())
+	busiest := placer.HashOf(units.Upstream(fmt.Sprintf("i-%08d", f.upstreams-1)))
+	if got, want := told[busiest].Calls, int64(f.upstreams-1); got != want {
+		t.Errorf("calls at the busiest upstream: got %d, want %d", got, want)
+	}
+}
--- a/src/placer/others.go
+++ b/src/placer/others.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,6 +43,30 @@
 	return rest
 }
 
+// Busiest returns the most loads that weigh most.
+//
+// The load it answers: thousands of upstreams are busy, and hundreds of entries ask for
+// all of their loads several times a second. Callers need to know which ones to keep away
+// from; the others are compared by what they state in their own answers.
+func Busiest(loads map[Hash]UnderWay, most int) map[Hash]UnderWay {
+	if len(loads) <= most {
+		return loads
+	}
+	hashes := slices.SortedFunc(maps.Keys(loads), func(a, b Hash) int {
+		return cmp.Or(cmp.Compare(loads[b].weight(), loads[a].weight()), cmp.Compare(a, b))
+	})
+	busiest := make(map[Hash]UnderWay, most)
+	for _, hash := range hashes[:most] {
+		busiest[hash] = loads[hash]
+	}
+	return busiest
+}
+
+// weight ranks loads of upstreams whose number of places is not known.
+func (u UnderWay) weight() float64 {
+	return float64(u.Calls)/defaultSlots + float64(u.Prefill)/tokensEach
+}
+
 // Report numbers what an entry says of itself, in the order in which it says it.
 type Report uint64
 
