Roll out versions of a service, and send large tables in parts

Roll-outs: operators order that a service's calls move to upstreams of another version. The order is a record of the log, acknowledged once a majority holds it; the same order again is acknowledged again, another target meanwhile gets 409. Entries learn a share with each poll, which ends 1.5 s after it; a version that was taken back gets nothing, from whomever an entry hears it. Each entry counts answers, failures, first bytes and paces by route and upstream; the leader judges them against the other version over all and over the last 2.5 s, without the worst quarter of the target's upstreams, which may be broken by themselves.

One table of 3,000 upstreams is some 300 KB, a quarter of a second of an entry's link; polls of 450 ms ran out, were made again elsewhere, and brought whole tables from every instance. An answer now brings 256 upstreams at most, an instance that does not lead brings none to whoever has none of it, an entry that has lost the leader asks one instance a moment instead of all, and heartbeats are taken during an election.

--- a/src/enroller/registration.go
+++ b/src/enroller/registration.go
@@ -38,6 +38,8 @@
 	Reclaimable bool
 	// LeavesIn is how long it still runs, 0 where nobody knows.
 	LeavesIn time.Duration
+	// Release is the version of the upstream's software, "" where it does not say.
+	Release units.Release
 	// Silent says that no heartbeat came for several intervals.
 	Silent bool
 }
@@ -56,6 +58,7 @@
 		Reclaimable: m.GetReclaimable(),
 		LeavesIn:    time.Duration(m.GetLeavesMs()) * time.Millisecond,
 		Silent:      m.GetSilent(),
+		Release:     units.Release(m.GetVersion()),
 	}
 }
 
@@ -74,5 +77,6 @@
 		LeavesMs:    max(0, r.LeavesIn-age).Milliseconds(),
 		AgeMs:       age.Milliseconds(),
 		Silent:      r.Silent,
+		Version:     string(r.Release),
 	}
 }
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -109,7 +110,7 @@
 // alike reports whether a caller would treat both the same.
 func alike(a, b *Registration) bool {
 	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots &&
-		a.State == b.State && a.Silent == b.Silent && a.DataCentre == b.DataCentre &&
+		a.State == b.State && a.Silent == b.Silent && a.DataCentre == b.DataCentre && a.Release == b.Release &&
 		(a.ColdFor > 0) == (b.ColdFor > 0)
 }
 
@@ -190,23 +191,36 @@
 // Since returns what has changed behind a cursor of the table with this id; with
 // another id it returns everything.
 func (t *Table) Since(now time.Time, id, cursor uint64) []*messages.RegisteredUpstream {
+	changes, _ := t.Part(now, id, cursor, math.MaxInt)
+	return changes
+}
+
+// Part returns the first most changes behind a cursor, as Since, and the cursor behind them.
+//
+// A table of thousands of upstreams in one answer takes longer over a slow link than its
+// reader waits, who would ask for all of it again.
+func (t *Table) Part(now time.Time, id, cursor uint64, most int) (changes []*messages.RegisteredUpstream, reached uint64) {
 	if id != t.ID {
 		cursor = 0
 	}
 	if cursor == t.cursor {
-		return nil
+		return nil, cursor
 	}
 	first, _ := slices.BinarySearchFunc(t.changes, cursor+1, func(c change, cursor uint64) int {
 		return cmp.Compare(c.cursor, cursor)
 	})
-	var changes []*messages.RegisteredUpstream
 	for _, c := range t.changes[first:] {
-		if t.stands(c) {
-			entry := t.entries[c.id]
-			changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
+		if !t.stands(c) {
+			continue
+		}
+		if len(changes) == most {
+			return changes, reached
 		}
+		entry := t.entries[c.id]
+		changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
+		reached = c.cursor
 	}
-	return changes
+	return changes, t.cursor
 }
 
 // Follow takes what another table said of an upstream; it reports whether that
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -195,3 +195,46 @@
 		}
 	})
 }
+
+// Guards against a large table that never arrives over a slow link: each answer brings a part,
+// and all parts together bring every change, also those made meanwhile.
+func TestPartsBringTheWholeTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		table := &Table{ID: 1, Interval: time.Second}
+		reader := &Table{ID: 2, Interval: time.Second}
+		most := rapid.IntRange(1, 9).Draw(t, "most")
+		cursor := uint64(0)
+		read := func() {
+			changes, reached := table.Part(now, table.ID, cursor, most)
+			if len(changes) > most {
+				t.Fatalf("changes in a part: got %d, want at most %d", len(changes), most)
+			}
+			for _, m := range changes {
+				reader.Follow(now, m)
+			}
+			cursor = reached
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "heartbeats") {
+			id := rapid.IntRange(0, 20).Draw(t, "upstream")
+			table.Hear(now, Registration{
+				ID:       units.Upstream(fmt.Sprint(id)),
+				Address:  fmt.Sprint(id),
+				State:    State(rapid.IntRange(int(Ready), int(Gone)).Draw(t, "state")),
+				Born:     1,
+				Sequence: uint64(n + 1),
+			}, 0)
+			if rapid.Bool().Draw(t, "read") {
+				read()
+			}
+		}
+		for cursor < table.Cursor() {
+			read()
+		}
+		for _, e := range table.Entries() {
+			if got := reader.entries[e.ID]; got == nil || got.State != e.State {
+				t.Errorf("upstream %s: got %v, want state %v", e.ID, got, e.State)
+			}
+		}
+	})
+}
--- a/src/gateway/exchange_test.go
+++ b/src/gateway/exchange_test.go
@@ -18,13 +18,20 @@
 	sent int
 }
 
+// partSize is how many upstreams an answer brings.
+const partSize = 2
+
 // poll lets an entry's table follow an instance, as its poller does.
 func (c *polledTable) poll(now time.Time, entry *enroller.Table, leads, newLeader bool) {
-	changes := c.Since(now, c.exchange.tableID, c.exchange.cursor)
+	var changes []*messages.RegisteredUpstream
+	reached := uint64(0)
+	if leads || c.exchange.tableID == c.ID && c.exchange.cursor > 0 {
+		changes, reached = c.Part(now, c.exchange.tableID, c.exchange.cursor, partSize)
+	}
 	c.sent += len(changes)
 	c.exchange.take(&messages.EntryPollResponse{
 		TableId:     c.ID,
-		TableCursor: c.Cursor(),
+		TableCursor: reached,
 		Leads:       leads,
 	})
 	if newLeader {
@@ -88,8 +95,17 @@
 	for range 20 {
 		c.poll(now, entry, false, false)
 	}
+	if got, want := c.sent, 0; got != want {
+		t.Errorf("upstreams sent in 20 answers without a leader: got %d, want %d", got, want)
+	}
+	for n := range 20 {
+		c.poll(now, entry, true, n == 0)
+	}
 	if got, want := c.sent, 3; got != want {
-		t.Errorf("upstreams sent in 20 answers: got %d, want %d", got, want)
+		t.Errorf("upstreams sent in 20 answers of the leader: got %d, want %d", got, want)
+	}
+	if got, want := len(entry.Entries()), 3; got != want {
+		t.Errorf("upstreams that the entry knows: got %d, want %d", got, want)
 	}
 }
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -58,6 +58,7 @@
 	budget     *retrier.Budget
 	counter    *tallier.Counter
 	figures    *figures
+	versions   versions
 	pool       *exchanger.Pool
 	dispatcher *dispatcher.Dispatcher
 }
@@ -76,6 +77,7 @@
 		Now:        timekeeper.Now,
 		Fleet:      g.fleet,
 		Leaving:    g.leaving,
+		Split:      g.split,
 		Each:       g.figures.each,
 		MostCalls:  g.connections,
 	}
@@ -95,12 +97,15 @@
 		Limiter:  (*limits)(g),
 		Recorder: unrecorded{},
 		Router:   g.placer,
-		Exchanger: &exchanger.Exchanger{
-			Pool:    g.pool,
-			Dialect: g.Dialect,
-			Guard:   (*guard)(g),
-			Donor:   g.placer.Donor,
-			Began:   g.began,
+		Exchanger: &judged{
+			Exchanger: &exchanger.Exchanger{
+				Pool:    g.pool,
+				Dialect: g.Dialect,
+				Guard:   (*guard)(g),
+				Donor:   g.placer.Donor,
+				Began:   g.began,
+			},
+			gateway: g,
 		},
 		Observer: (*observer)(g),
 		Budget:   g.budget,
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -24,9 +24,11 @@
 	// leaderPolls is how many polls a second the leader of a growing fleet takes before
 	// entries poll less often.
 	leaderPolls = 800
-	// seekInterval is the pause after a round in which no instance led. Elections
+	// seekInterval is the pause after a question that found no leader. Elections
 	// are over within some tenths of a second, in which every caller waits.
 	seekInterval = 50 * time.Millisecond
+	// readPause is the pause between the parts of a large table.
+	readPause = 10 * time.Millisecond
 	// seekFor is how long it stays that short: all entries asking all instances
 	// for longer would keep control from what it has to do.
 	seekFor = 2 * time.Second
@@ -64,6 +66,10 @@
 	told   map[placer.Report]map[placer.Hash]placer.UnderWay
 	lost   bool
 	lostAt time.Time
+	// more says that the last answer left something of the table out, stale that the fleet
+	// is older than the table.
+	more  bool
+	stale bool
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -80,6 +86,10 @@
 		began := timekeeper.Now()
 		p.round(ctx)
 		now := timekeeper.Now()
+		if p.more {
+			timer.Reset(readPause)
+			continue
+		}
 		timer.Reset(pause(interval(p.world.entries), now.Sub(began), now.Sub(p.lostAt), p.lost))
 	}
 }
@@ -103,8 +113,9 @@
 
 // round asks control instances until one that leads has answered, each once.
 func (p *poller) round(ctx context.Context) {
+	p.more = false
 	asked := make(map[string]bool)
-	for range len(p.controls) + 1 {
+	for range p.questions() {
 		address := p.target(asked)
 		if address == "" || ctx.Err() != nil {
 			break
@@ -118,6 +129,16 @@
 	p.lose()
 }
 
+// questions returns how many instances to ask in a round. All of them were asked when the
+// leader was lost; after that the next one, and the leader that it names. Hundreds of entries
+// that go on asking all of them keep control from electing one.
+func (p *poller) questions() int {
+	if p.lost {
+		return min(2, len(p.controls)+1)
+	}
+	return len(p.controls) + 1
+}
+
 // target returns the leader as far as it is known, else the next instance that
 // was not asked in this round.
 func (p *poller) target(asked map[string]bool) string {
@@ -197,6 +218,7 @@
 		})
 	}
 	poll.Loads = g.figures.loads(now)
+	poll.Versions = g.versions.tell(p.world.rollouts)
 	poll.UnderWay = governor.EncodeLoads(p.tell())
 	poll.Number = uint64(p.number)
 	return poll
@@ -228,10 +250,14 @@
 			p.gateway.logUpstream(m)
 		}
 	}
+	p.world.rollouts = p.world.rollouts.next(sentAt, r)
 	if r.GetLeads() {
 		p.obey(now, sentAt, r)
 	}
-	if changed || p.world.fleet == nil {
+	p.more = r.GetMore()
+	p.stale = p.stale || changed
+	if p.stale && !p.more || p.world.fleet == nil {
+		p.stale = false
 		p.world.fleet, p.world.leaving = p.upstreams.fleet(now, p.table, p.gateway.placer)
 		p.gateway.placer.Keep(p.world.fleet, p.world.leaving)
 	}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -66,13 +66,15 @@
 		return err
 	}
 	call := g.call(r, route, account)
-	t := &trail{}
-	call.Trail = t
-	began := timekeeper.Now()
 	watched := &watched{
 		Sink:  sink,
-		began: began,
+		began: timekeeper.Now(),
+	}
+	t := &trail{
+		route: route.Name,
+		sink:  watched,
 	}
+	call.Trail = t
 	err = g.dispatcher.Do(ctx, call, watched)
 	g.settle(w, call, route, t, watched, err)
 	return err
@@ -255,6 +257,8 @@
 	text strings.Builder
 	// counted says that the call stands in its account's usage.
 	counted bool
+	route   string
+	sink    *watched
 }
 
 // Note keeps an attempt and its end.
@@ -281,6 +285,16 @@
 	first  time.Duration
 	lastAt time.Time
 	pause  time.Duration
+	events int
+}
+
+// pace returns the time from one event to the next, 0 where too few came to tell.
+func (s *watched) pace() time.Duration {
+	const least = 3
+	if s.events < least {
+		return 0
+	}
+	return (s.lastAt.Sub(s.began) - s.first) / time.Duration(s.events-1)
 }
 
 // Begin starts the stream.
@@ -295,6 +309,7 @@
 		s.pause = max(s.pause, now.Sub(s.lastAt))
 	}
 	s.lastAt = now
+	s.events++
 	return s.Sink.Event(offset, data)
 }
 
--- a/src/gateway/world.go
+++ b/src/gateway/world.go
@@ -25,6 +25,8 @@
 	// lease is until when calls with keys may be served, on the clock that goes
 	// on while the instance is suspended.
 	lease time.Time
+	// rollouts holds the last roll-out of each service that had one.
+	rollouts rollouts
 	// trueOffset is the time of day that all agree on, less that clock.
 	trueOffset time.Duration
 }
@@ -67,6 +69,7 @@
 			Incarnation: e.Born,
 			Sequence:    e.Sequence,
 			Slots:       e.Slots,
+			Release:     e.Release,
 			HeardAt:     e.HeardAt,
 			Live:        live,
 		}, e.ColdFor > 0, e.Silent)
--- a/src/governor/beat_test.go
+++ b/src/governor/beat_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -38,3 +39,40 @@
 		})
 	}
 }
+
+// Guards against elections that last: refused while there is no leader for a moment, every
+// upstream tries all instances in turn and keeps them busy.
+func TestHeartbeatsDuringAnElection(t *testing.T) {
+	cases := map[string]struct {
+		silence time.Duration
+		state   enroller.State
+		taken   bool
+	}{
+		"a leader a moment ago":           {silence: 500 * time.Millisecond, state: enroller.Ready, taken: true},
+		"no leader for long":              {silence: 3 * time.Second, state: enroller.Ready},
+		"one that leaves and no leader":   {silence: 500 * time.Millisecond, state: enroller.Leaving},
+		"one that leaves, none for long":  {silence: 3 * time.Second, state: enroller.Leaving},
+		"never a leader since this start": {silence: 24 * time.Hour, state: enroller.Ready},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g, coordinator := newInstance(t)
+			g.Settings.HeartbeatInterval = 1200 * time.Millisecond
+			g.Settings.LostDisks = 1
+			coordinator.followedAt = timekeeper.Now().Add(-c.silence)
+			go func() { _ = coordinator.take((<-g.box).(announced)) }()
+			err := g.Announce(t.Context(), enroller.Registration{
+				ID:       "u",
+				Service:  "s",
+				Address:  "10.1.0.1:80",
+				Slots:    1,
+				State:    c.state,
+				Born:     1,
+				Sequence: 1,
+			})
+			if got := err == nil; got != c.taken {
+				t.Errorf("taken: got %t (%v), want %t", got, err, c.taken)
+			}
+		})
+	}
+}
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -69,6 +69,8 @@
 	packed    *messages.Declaration
 	role      replicator.RoleChanged
 	leadSince time.Time
+	// followedAt is when there was a leader last.
+	followedAt time.Time
 	// leadUntil is until when this instance may act as the leader, in
 	// nanoseconds, for goroutines that act for it.
 	leadUntil atomic.Int64
@@ -77,6 +79,7 @@
 	nextToken uint64
 	duties    *duties
 	memory    *memory
+	rollouts  *rollouts
 }
 
 type pendingProposal struct {
@@ -113,6 +116,9 @@
 		coordinator: c,
 		cloud:       g.Cloud,
 	}
+	c.rollouts = &rollouts{
+		coordinator: c,
+	}
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
 	}
@@ -212,6 +218,9 @@
 		return err
 	}
 	now := timekeeper.Now()
+	if c.node.LeaderID() != "" {
+		c.followedAt = now
+	}
 	c.table.Expire(now)
 	if err := c.memory.keep(now, c.table); err != nil {
 		c.log.Warn().Err(err).Msg("upstreams-not-kept")
@@ -224,6 +233,11 @@
 
 // lead keeps the duties while this instance leads.
 func (c *coordinator) lead(ctx context.Context, now time.Time) error {
+	if c.leads(now) {
+		if err := c.rollouts.work(now); err != nil {
+			return err
+		}
+	}
 	// The holder before may still act: its calls under way arrive late. Holders
 	// that took turns within the span would contradict each other.
 	if !c.leads(now) || now.Sub(c.leadSince) < dutyWait(c.node.Term(), c.settings.DutyLease) {
@@ -269,6 +283,7 @@
 		// The last digest has the entries of an earlier leadership.
 		c.digest = nil
 		c.duties.begin()
+		c.rollouts.begin()
 	}
 	return true
 }
@@ -289,6 +304,10 @@
 		e.reply <- c.announce(e)
 	case spread:
 		e.reply <- c.spread(e.batch)
+	case rolloutAsked:
+		return c.rollouts.start(e)
+	case rolloutRead:
+		e.reply <- c.rollouts.read(e.service)
 	case reportEnded:
 		c.duties.reported(e)
 	case orderEnded:
--- a/src/governor/desk.go
+++ b/src/governor/desk.go
@@ -71,7 +71,7 @@
 			d.scalers[service.Name] = s
 		}
 		load := loads[service.Name]
-		stock := stockOf(c.table, service.Name)
+		stock := stockOf(c.table, service.Name, c.rollouts.barred(service.Name))
 		d.tell(now, duties, service.Name, s.Load(), stock)
 		for _, order := range s.Step(now, service, load, stock) {
 			c.log.Info().
@@ -113,11 +113,12 @@
 		Msg("service-load")
 }
 
-// stockOf counts the upstreams of a service that take calls.
-func stockOf(table *enroller.Table, service units.Service) scaler.Stock {
+// stockOf counts the upstreams of a service that take calls, but for a version that does
+// not carry the service: they run beside those that do.
+func stockOf(table *enroller.Table, service units.Service, barred units.Release) scaler.Stock {
 	stock := make(scaler.Stock)
 	for _, e := range table.Entries() {
-		if e.Service == service && e.State == enroller.Ready && !e.Silent {
+		if e.Service == service && e.State == enroller.Ready && !e.Silent && (barred == "" || e.Release != barred) {
 			stock[scaler.Kind{
 				DataCentre:  e.DataCentre,
 				Reclaimable: e.Reclaimable,
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -19,6 +19,9 @@
 	MethodSpread  connector.Method = "registry/spread"
 	MethodDeclare connector.Method = "registry/declare"
 	MethodRead    connector.Method = "registry/read"
+	// MethodRollout and MethodReadRollout hand an operator's calls to the leader.
+	MethodRollout     connector.Method = "registry/rollout"
+	MethodReadRollout connector.Method = "registry/read-rollout"
 )
 
 // event is something the coordinator takes from its box.
@@ -74,6 +77,8 @@
 type announceReply struct {
 	leader string
 	leads  bool
+	// recent says that there was a leader a moment ago.
+	recent bool
 	// urgent is what must be known elsewhere before it is acknowledged, nil for
 	// nothing, and others the control instances to tell.
 	urgent *messages.RegisteredUpstream
@@ -86,6 +91,34 @@
 	reply chan<- *messages.UpstreamBatchResponse
 }
 
+// rolloutAsked orders a roll-out.
+type rolloutAsked struct {
+	order RolloutOrder
+	reply chan<- rolloutReply
+}
+
+// rolloutReply says what became of an order; leader is set where this instance does not
+// lead.
+type rolloutReply struct {
+	outcome messages.RolloutOutcome
+	leader  string
+	detail  string
+	// committed is set while a majority does not hold the order yet, and says once it does.
+	committed <-chan declareReply
+}
+
+// rolloutRead asks for a service's last roll-out.
+type rolloutRead struct {
+	service units.Service
+	reply   chan<- rolloutState
+}
+
+type rolloutState struct {
+	sure    bool
+	leader  string
+	rollout *messages.Rollout
+}
+
 // reportEnded says what the platform made of a usage report.
 type reportEnded struct {
 	term   units.Term
@@ -110,17 +143,19 @@
 	reply chan<- *Dump
 }
 
-func (ticked) event()      {}
-func (arrived) event()     {}
-func (declared) event()    {}
-func (asked) event()       {}
-func (polled) event()      {}
-func (announced) event()   {}
-func (spread) event()      {}
-func (reportEnded) event() {}
-func (orderEnded) event()  {}
-func (reloaded) event()    {}
-func (dumpAsked) event()   {}
+func (ticked) event()       {}
+func (arrived) event()      {}
+func (declared) event()     {}
+func (asked) event()        {}
+func (polled) event()       {}
+func (announced) event()    {}
+func (spread) event()       {}
+func (rolloutAsked) event() {}
+func (rolloutRead) event()  {}
+func (reportEnded) event()  {}
+func (orderEnded) event()   {}
+func (reloaded) event()     {}
+func (dumpAsked) event()    {}
 
 // Order asks for a number of upstreams of one kind of a service.
 type Order struct {
--- /dev/null
+++ b/src/governor/figures.go
@@ -0,0 +1,49 @@
+package governor
+
+import (
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/releaser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// EncodeFigures returns what an entry has seen as a message.
+func EncodeFigures(service units.Service, number uint64, f releaser.Figures) *messages.VersionFigures {
+	return &messages.VersionFigures{
+		Service:      string(service),
+		Number:       number,
+		Upstream:     uint64(f.Place),
+		Route:        string(f.Route),
+		Answers:      int64(f.Sample.Answers),
+		Failures:     int64(f.Sample.Failures),
+		FirstSum:     f.Sample.First.Sum,
+		FirstSquares: f.Sample.First.Squares,
+		Firsts:       int64(f.Sample.First.Count),
+		Paced:        int64(f.Sample.Pace.Count),
+		PaceSum:      f.Sample.Pace.Sum,
+		PaceSquares:  f.Sample.Pace.Squares,
+		Running:      int64(f.Sample.Running),
+	}
+}
+
+// DecodeFigures returns what a message says that an entry has seen.
+func DecodeFigures(m *messages.VersionFigures) releaser.Figures {
+	return releaser.Figures{
+		Place: releaser.Place(m.GetUpstream()),
+		Route: releaser.Route(m.GetRoute()),
+		Sample: releaser.Sample{
+			Answers:  float64(m.GetAnswers()),
+			Failures: float64(m.GetFailures()),
+			First: releaser.Moments{
+				Count:   float64(m.GetFirsts()),
+				Sum:     m.GetFirstSum(),
+				Squares: m.GetFirstSquares(),
+			},
+			Pace: releaser.Moments{
+				Count:   float64(m.GetPaced()),
+				Sum:     m.GetPaceSum(),
+				Squares: m.GetPaceSquares(),
+			},
+			Running: float64(m.GetRunning()),
+		},
+	}
+}
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -151,6 +151,10 @@
 		e.reply <- announceReply{}
 	case spread:
 		e.reply <- &messages.UpstreamBatchResponse{}
+	case rolloutAsked:
+		e.reply <- rolloutReply{}
+	case rolloutRead:
+		e.reply <- rolloutState{}
 	case dumpAsked:
 		e.reply <- &Dump{}
 	case ticked, arrived, reportEnded, orderEnded, reloaded:
@@ -158,7 +162,10 @@
 }
 
 func (g *Governor) peerServer() *connector.Server {
-	server := &connector.Server{Listener: g.Peers}
+	server := &connector.Server{
+		Listener: g.Peers,
+		Log:      g.Log,
+	}
 	connector.Handle(server, MethodLog, func(ctx context.Context, _ connector.Peer, m *messages.LogMessage) (*messages.LogMessage, error) {
 		return &messages.LogMessage{}, g.post(ctx, arrived{message: m})
 	})
@@ -187,6 +194,7 @@
 			Declaration: reply.declaration,
 		}, err
 	})
+	g.handleRollouts(server)
 	return server
 }
 
@@ -337,8 +345,10 @@
 	if err != nil {
 		return &NotSureError{}
 	}
-	if !reply.leads && reply.leader == "" {
-		// An instance that is cut off would take heartbeats that nobody hears.
+	if !reply.leads && reply.leader == "" && !reply.recent {
+		// An instance that is cut off would take heartbeats that nobody hears. Refused
+		// during an election, each upstream would try all instances in turn, and these would
+		// have time for nothing else.
 		return &NotSureError{}
 	}
 	if reply.urgent == nil {
--- /dev/null
+++ b/src/governor/operator.go
@@ -0,0 +1,174 @@
+package governor
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/releaser"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// longestRollout bounds what an operator may ask for.
+const longestRollout = 24 * time.Hour
+
+// RolloutOrder asks for a service's calls to move to upstreams of another version.
+type RolloutOrder struct {
+	Service  units.Service
+	Target   units.Release
+	Duration time.Duration
+}
+
+// Rollout is what became of a service's last roll-out.
+type Rollout struct {
+	Target units.Release
+	State  releaser.State
+	Reason string
+}
+
+// RolloutRefusedError says that an order can not be carried out.
+type RolloutRefusedError struct {
+	// Busy says that another roll-out of the service is running.
+	Busy   bool
+	Reason string
+}
+
+// Error names the remedy.
+func (e *RolloutRefusedError) Error() string { return e.Reason }
+
+// StartRollout orders a roll-out, here or at the leader. It returns nil once a majority of
+// the voters holds it on disk, or held the same order before; a *RolloutRefusedError where it
+// can not be carried out, a *NotSureError where nobody can tell what became of it.
+func (g *Governor) StartRollout(ctx context.Context, order RolloutOrder) error {
+	if order.Service == "" || order.Target == "" || order.Duration <= 0 || order.Duration > longestRollout {
+		return &RolloutRefusedError{
+			Reason: fmt.Sprintf("a roll-out needs a service, a target and a duration up to %v; complete the order", longestRollout),
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := g.startHere(ctx, order)
+	if err != nil {
+		return &NotSureError{}
+	}
+	if response.GetOutcome() == messages.RolloutOutcome_ROLLOUT_OUTCOME_UNSPECIFIED {
+		leader := response.GetLeader()
+		if leader == "" || leader == g.Settings.OwnPeerAddress() {
+			return &NotSureError{Leader: leader}
+		}
+		response = &messages.StartRolloutResponse{}
+		request := &messages.StartRolloutRequest{
+			Rollout: &messages.Rollout{
+				Service:    string(order.Service),
+				Target:     string(order.Target),
+				DurationMs: order.Duration.Milliseconds(),
+			},
+		}
+		if err := g.Client.Call(ctx, leader, MethodRollout, request, response); err != nil {
+			g.Log.Warn().Err(err).Str("service", string(order.Service)).Str("leader", leader).Msg("rollout-not-handed-on")
+			return &NotSureError{Leader: leader}
+		}
+	}
+	switch response.GetOutcome() {
+	case messages.RolloutOutcome_ROLLOUT_OUTCOME_ACCEPTED:
+		return nil
+	case messages.RolloutOutcome_ROLLOUT_OUTCOME_BUSY, messages.RolloutOutcome_ROLLOUT_OUTCOME_INVALID:
+		return &RolloutRefusedError{
+			Busy:   response.GetOutcome() == messages.RolloutOutcome_ROLLOUT_OUTCOME_BUSY,
+			Reason: response.GetDetail(),
+		}
+	}
+	return &NotSureError{Leader: response.GetLeader()}
+}
+
+// startHere gives an order to this instance's coordinator and waits until a majority holds
+// it. Of two orders that race, the one that came second learns here that it did not start.
+func (g *Governor) startHere(ctx context.Context, order RolloutOrder) (*messages.StartRolloutResponse, error) {
+	reply, err := g.askRollout(ctx, order)
+	if err != nil {
+		return nil, err
+	}
+	if reply.committed != nil {
+		committed, err := wait(ctx, reply.committed)
+		if err != nil || !committed.accepted {
+			return &messages.StartRolloutResponse{Leader: committed.leader}, err
+		}
+		if reply, err = g.askRollout(ctx, order); err != nil {
+			return nil, err
+		}
+	}
+	return &messages.StartRolloutResponse{
+		Outcome: reply.outcome,
+		Leader:  reply.leader,
+		Detail:  reply.detail,
+	}, nil
+}
+
+func (g *Governor) askRollout(ctx context.Context, order RolloutOrder) (rolloutReply, error) {
+	return ask(ctx, g, func(reply chan<- rolloutReply) event {
+		return rolloutAsked{
+			order: order,
+			reply: reply,
+		}
+	})
+}
+
+// LastRollout returns a service's last roll-out, nil where there was none; a *NotSureError
+// where a later one may exist.
+func (g *Governor) LastRollout(ctx context.Context, service units.Service) (*Rollout, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	state, err := g.readRolloutHere(ctx, service)
+	if err != nil {
+		return nil, &NotSureError{}
+	}
+	rollout := state.rollout
+	if !state.sure {
+		if state.leader == "" || state.leader == g.Settings.OwnPeerAddress() {
+			return nil, &NotSureError{Leader: state.leader}
+		}
+		response := &messages.ReadRolloutResponse{}
+		err := g.Client.Call(ctx, state.leader, MethodReadRollout, &messages.ReadRolloutRequest{Service: string(service)}, response)
+		if err != nil || !response.GetSure() {
+			return nil, &NotSureError{Leader: state.leader}
+		}
+		rollout = response.GetRollout()
+	}
+	if rollout == nil {
+		return nil, nil
+	}
+	return &Rollout{
+		Target: units.Release(rollout.GetTarget()),
+		State:  releaser.State(rollout.GetState()),
+		Reason: rollout.GetReason(),
+	}, nil
+}
+
+func (g *Governor) readRolloutHere(ctx context.Context, service units.Service) (rolloutState, error) {
+	return ask(ctx, g, func(reply chan<- rolloutState) event {
+		return rolloutRead{
+			service: service,
+			reply:   reply,
+		}
+	})
+}
+
+// handleRollouts answers other control instances, to which operators gave their calls.
+func (g *Governor) handleRollouts(server *connector.Server) {
+	connector.Handle(server, MethodRollout, func(ctx context.Context, _ connector.Peer, m *messages.StartRolloutRequest) (*messages.StartRolloutResponse, error) {
+		return g.startHere(ctx, RolloutOrder{
+			Service:  units.Service(m.GetRollout().GetService()),
+			Target:   units.Release(m.GetRollout().GetTarget()),
+			Duration: time.Duration(m.GetRollout().GetDurationMs()) * time.Millisecond,
+		})
+	})
+	connector.Handle(server, MethodReadRollout, func(ctx context.Context, _ connector.Peer, m *messages.ReadRolloutRequest) (*messages.ReadRolloutResponse, error) {
+		state, err := g.readRolloutHere(ctx, units.Service(m.GetService()))
+		return &messages.ReadRolloutResponse{
+			Sure:    state.sure,
+			Rollout: state.rollout,
+		}, err
+	})
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -12,6 +12,9 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+// mostChanges is how many upstreams one answer brings at most: some tens of kilobytes.
+const mostChanges = 256
+
 // announce takes a heartbeat or a goodbye. What ends an upstream's work must be
 // with the leader, whom all entries ask, and with those who may lead next before it
 // is acknowledged.
@@ -20,6 +23,7 @@
 	reply := announceReply{
 		leader: string(c.node.LeaderID()),
 		leads:  c.node.Lead(now),
+		recent: now.Sub(c.followedAt) < c.settings.HeartbeatInterval,
 	}
 	id := a.registration.ID
 	news := false
@@ -40,6 +44,7 @@
 			Str("service", message.GetService()).
 			Str("address", message.GetAddress()).
 			Stringer("state", enroller.State(message.GetState())).
+			Str("release", message.GetVersion()).
 			Int64("born", message.GetBornMs()).
 			Uint64("sequence", message.GetSequence()).
 			Msg("upstream-changed")
@@ -99,12 +104,15 @@
 	leads := c.leads(now)
 	summary := c.summary(now)
 	response := &messages.EntryPollResponse{
-		Leads:       leads,
-		Leader:      string(c.node.LeaderID()),
-		Controls:    summary.controls,
-		TableId:     c.table.ID,
-		TableCursor: c.table.Cursor(),
-		Upstreams:   c.table.Since(now, poll.GetTableId(), poll.GetTableCursor()),
+		Leads:    leads,
+		Leader:   string(c.node.LeaderID()),
+		Controls: summary.controls,
+		TableId:  c.table.ID,
+	}
+	// An entry that looks for a leader asks many instances, and needs one whole table.
+	if leads || poll.GetTableId() == c.table.ID && poll.GetTableCursor() > 0 {
+		response.Upstreams, response.TableCursor = c.table.Part(now, poll.GetTableId(), poll.GetTableCursor(), mostChanges)
+		response.More = response.TableCursor < c.table.Cursor()
 	}
 	if c.packed.GetVersion() > poll.GetDeclarationVersion() {
 		response.Declaration = c.packed
@@ -113,6 +121,7 @@
 	// Any instance may lead next. Counts that only the last leader heard are lost with
 	// it where their entries are killed before there is another.
 	c.hearUsage(trueTime, poll)
+	response.Rollouts = c.rollouts.tell(leads)
 	if !leads {
 		return response
 	}
@@ -206,6 +215,7 @@
 	} else {
 		c.divider.Forget(entry)
 	}
+	c.rollouts.hear(entry, units.Incarnation(poll.GetIncarnation()), poll.GetVersions())
 	c.duties.desk.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.underWay.Hear(entry, placer.Report(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -17,6 +17,8 @@
 type state struct {
 	declaration *messages.Declaration
 	ledger      *tallier.Ledger
+	// rollouts holds the last roll-out of each service.
+	rollouts map[units.Service]*messages.Rollout
 }
 
 // apply takes one committed command. The highest version wins: a lower one that
@@ -29,6 +31,24 @@
 		}
 	case *messages.Command_UsageReport:
 		s.ledger.Fix(reportFrom(change.UsageReport))
+	case *messages.Command_Rollout:
+		s.applyRollout(change.Rollout)
+	}
+}
+
+// applyRollout takes the next state of a roll-out. Of two orders that were given at the same
+// time the first one counts, and a roll-out that has ended does not begin again.
+func (s *state) applyRollout(next *messages.Rollout) {
+	if s.rollouts == nil {
+		s.rollouts = make(map[units.Service]*messages.Rollout)
+	}
+	service := units.Service(next.GetService())
+	last := s.rollouts[service]
+	running := last.GetState() == messages.RolloutState_ROLLOUT_STATE_RUNNING
+	begins := !running && next.GetNumber() == last.GetNumber()+1
+	ends := running && next.GetNumber() == last.GetNumber() && next.GetState() != messages.RolloutState_ROLLOUT_STATE_RUNNING
+	if begins || ends {
+		s.rollouts[service] = next
 	}
 }
 
@@ -58,6 +78,7 @@
 const (
 	declarationPart = "declaration"
 	usagePart       = "usage/"
+	rolloutPart     = "rollout/"
 )
 
 // snapshot encodes the state.
@@ -81,6 +102,11 @@
 			return nil, err
 		}
 	}
+	for service, rollout := range s.rollouts {
+		if err := add(rolloutPart+string(service), rollout); err != nil {
+			return nil, err
+		}
+	}
 	return proto.Marshal(states)
 }
 
@@ -98,10 +124,32 @@
 			}
 			s.apply(&messages.Command{Change: &messages.Command_Declaration{Declaration: d}})
 		}
+		if strings.HasPrefix(name, rolloutPart) {
+			if err := s.restoreRollout(part); err != nil {
+				return err
+			}
+		}
 	}
 	return s.restoreUsage(states)
 }
 
+// restoreRollout takes a roll-out unless a later state of it, or a later one, is known.
+func (s *state) restoreRollout(part []byte) error {
+	rollout := &messages.Rollout{}
+	if err := proto.Unmarshal(part, rollout); err != nil {
+		return fmt.Errorf("decode a snapshot's roll-out: %w", err)
+	}
+	if s.rollouts == nil {
+		s.rollouts = make(map[units.Service]*messages.Rollout)
+	}
+	service := units.Service(rollout.GetService())
+	known := s.rollouts[service]
+	if rollout.GetNumber() > known.GetNumber() || rollout.GetNumber() == known.GetNumber() && rollout.GetState() > known.GetState() {
+		s.rollouts[service] = rollout
+	}
+	return nil
+}
+
 // restoreUsage takes the reports in the order of their windows.
 func (s *state) restoreUsage(states *messages.MachineStates) error {
 	for _, name := range slices.Sorted(maps.Keys(states.GetStates())) {
--- a/src/parser/deployment.go
+++ b/src/parser/deployment.go
@@ -45,6 +45,7 @@
 	Usage   Usage         `yaml:"usage"`
 	// DutyLease is the span in which duties may not go back and forth.
 	DutyLease time.Duration `yaml:"duty-lease"`
+	Rollouts  Rollouts      `yaml:"rollouts"`
 	Cloud     Cloud         `yaml:"cloud"`
 }
 
@@ -62,6 +63,16 @@
 	Slack   float64       `yaml:"slack"`
 }
 
+// Rollouts bounds what a bad version may get while calls move to it.
+type Rollouts struct {
+	// ExposureShare is a part of all calls of the service until the time limit, and
+	// ExposureSlack a number of calls more.
+	ExposureShare float64 `yaml:"exposure-share"`
+	ExposureSlack float64 `yaml:"exposure-slack"`
+	// Resend is how long after an order the same one counts as sent again.
+	Resend time.Duration `yaml:"resend"`
+}
+
 // Usage says how usage is reported.
 type Usage struct {
 	Window   time.Duration `yaml:"window"`
@@ -84,6 +95,8 @@
 	defaultUsageWindow       = 5 * time.Second
 	defaultDutyLease         = 3 * time.Second
 	defaultMemory            = 256
+	defaultExposureShare     = 0.1
+	defaultResend            = 5 * time.Second
 	// peerPortsNeeded is how many ports the processes of one instance listen on.
 	peerPortsNeeded = 3
 )
@@ -111,6 +124,10 @@
 	s.Quota.Window = orDefault(s.Quota.Window, defaultWindow)
 	s.Usage.Window = orDefault(s.Usage.Window, defaultUsageWindow)
 	s.DutyLease = orDefault(s.DutyLease, defaultDutyLease)
+	s.Rollouts.Resend = orDefault(s.Rollouts.Resend, defaultResend)
+	if s.Rollouts.ExposureShare == 0 {
+		s.Rollouts.ExposureShare = defaultExposureShare
+	}
 	if s.Memory == 0 {
 		s.Memory = defaultMemory
 	}
@@ -130,6 +147,10 @@
 	if len(s.Seeds) == 0 {
 		d.report("seeds", "", "at least one address", "name some control instances")
 	}
+	if share := s.Rollouts.ExposureShare; share < 0 || share > 1 || s.Rollouts.ExposureSlack < 0 {
+		d.report("rollouts", fmt.Sprint(s.Rollouts), "an exposure-share from 0 to 1 and an exposure-slack of 0 or more",
+			"give what a bad version may get of a service's calls")
+	}
 	for i, seed := range s.Seeds {
 		d.checkAddrPort(fmt.Sprintf("seeds[%d]", i), seed)
 	}
--- a/src/placer/donor.go
+++ b/src/placer/donor.go
@@ -28,6 +28,10 @@
 	now := p.Now()
 	consider := func(candidates []*Candidate) {
 		for _, c := range candidates {
+			// Another version may keep what it has read in another form.
+			if c.Release != chosen.Release {
+				continue
+			}
 			gone := !c.Until.IsZero() && !now.Before(c.Until)
 			if c.Name == chosen.Name || gone || c.Silent && !c.answered(now) || p.ejected(now, c.Upstream) {
 				continue
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -94,6 +94,9 @@
 	// Leaving returns those that take no more calls and still hold what they have
 	// read; it may be nil.
 	Leaving func() Fleet
+	// Split returns how a service's calls are split while they move to another version, and
+	// false where no version is told apart; it may be nil.
+	Split func(service units.Service) (Split, bool)
 	// Each returns how long a service's upstreams take to read a token, 0 where it is
 	// not known; it may be nil.
 	Each func(service units.Service) time.Duration
@@ -186,7 +189,7 @@
 // Pick returns the upstream for the next attempt, or nil for none.
 func (p *Placer) Pick(call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
 	now := p.Now()
-	candidates := p.sound(now, p.Fleet()[call.Service], tried)
+	candidates := p.sound(now, p.version(call.Service, len(tried) == 0), tried)
 	if len(candidates) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/src/releaser/sample.go
@@ -0,0 +1,69 @@
+package releaser
+
+import (
+	"math"
+	"time"
+)
+
+// Moments is the number, the sum and the sum of squares of some values.
+type Moments struct {
+	Count   float64
+	Sum     float64
+	Squares float64
+}
+
+// Add takes one value.
+func (m *Moments) Add(value float64) {
+	m.Count++
+	m.Sum += value
+	m.Squares += value * value
+}
+
+func (m *Moments) join(o Moments, sign float64) {
+	m.Count += sign * o.Count
+	m.Sum += sign * o.Sum
+	m.Squares += sign * o.Squares
+}
+
+func (m Moments) mean() float64 { return m.Sum / m.Count }
+
+// variance returns the variance of the mean.
+func (m Moments) variance() float64 {
+	spread := max(0, m.Squares/m.Count-m.mean()*m.mean())
+	return spread / m.Count
+}
+
+// Sample is what was seen of a version's answers on one route.
+type Sample struct {
+	Answers  float64
+	Failures float64
+	// First holds logarithms of the seconds to the first byte, Pace those of the seconds
+	// from one event to the next.
+	First Moments
+	Pace  Moments
+	// Running is how many calls are under way.
+	Running float64
+}
+
+// Answer notes one answer; a pace of 0 stands for an answer without events.
+func (s *Sample) Answer(failed bool, first, pace time.Duration) {
+	s.Answers++
+	if failed {
+		s.Failures++
+		return
+	}
+	if first > 0 {
+		s.First.Add(math.Log(first.Seconds()))
+	}
+	if pace > 0 {
+		s.Pace.Add(math.Log(pace.Seconds()))
+	}
+}
+
+func (s *Sample) join(o *Sample, sign float64) {
+	s.Answers += sign * o.Answers
+	s.Failures += sign * o.Failures
+	s.First.join(o.First, sign)
+	s.Pace.join(o.Pace, sign)
+	s.Running += sign * o.Running
+}
--- a/src/tracker/upstream.go
+++ b/src/tracker/upstream.go
@@ -24,9 +24,11 @@
 	LeavesAt     time.Time
 	Model        units.Model
 	ModelVersion units.ModelVersion
-	Adapters     []string
-	Slots        int
-	Step         time.Duration
+	// Release is the version of its software, "" where it does not say.
+	Release  units.Release
+	Adapters []string
+	Slots    int
+	Step     time.Duration
 	// PrefillPerStep is how many prompt tokens a step computes, 0 where unknown.
 	PrefillPerStep units.Tokens
 	KV             KV
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -49,6 +49,9 @@
 // ModelVersion names one set of weights of a model.
 type ModelVersion string
 
+// Release names one version of the software that an upstream runs.
+type Release string
+
 // CallID identifies one accepted call over all its attempts.
 type CallID string
 
