Bring entries only what differs from the table of the leader before

Entries now send a digest of 128 parts of their table to a leader that they begin to follow, and get the upstreams of the parts that differ, or the whole in parts where they are too many.

--- /dev/null
+++ b/src/enroller/digest_test.go
@@ -0,0 +1,85 @@
+package enroller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// Guards against an entry that goes on believing the leader before: whatever both tables have
+// heard, what differs brings the entry's to the new leader's.
+func TestDifferencesBringTablesTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const upstreams = 300
+		now := time.Unix(1000, 0)
+		leader := &Table{ID: 1, Interval: time.Second}
+		entry := &Table{ID: 2, Interval: time.Second}
+		for n := range rapid.IntRange(1, 400).Draw(t, "heartbeats") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "passes")) * time.Millisecond)
+			r := Registration{
+				ID:       units.Upstream(fmt.Sprint(rapid.IntRange(0, upstreams-1).Draw(t, "upstream"))),
+				State:    State(rapid.IntRange(int(Ready), int(Gone)).Draw(t, "state")),
+				Born:     1,
+				Sequence: uint64(n + 1),
+			}
+			r.Address = string(r.ID)
+			leader.Hear(now, r, 0)
+			if rapid.IntRange(0, 3).Draw(t, "heard") > 0 {
+				entry.Hear(now, r, 0)
+			}
+			leader.Expire(now)
+		}
+		changes, few := leader.Differing(now, entry.Digest(), upstreams)
+		if !few {
+			t.Fatal("differences: got too many, want them all")
+		}
+		for _, m := range changes {
+			entry.Follow(now, m)
+		}
+		for _, e := range leader.Entries() {
+			got := entry.entries[e.ID]
+			if got == nil && e.State == Gone {
+				continue
+			}
+			if got == nil || got.State != e.State || got.State != Gone && got.Silent != e.Silent {
+				t.Errorf("upstream %s: got %+v, want %+v", e.ID, got, e)
+			}
+		}
+	})
+}
+
+// Guards against a new leader that brings whole tables to hundreds of entries.
+func TestEqualTablesDifferInNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	leader := &Table{ID: 1, Interval: time.Second}
+	entry := &Table{ID: 2, Interval: time.Second}
+	for i := range 3000 {
+		r := Registration{
+			ID:       units.Upstream(fmt.Sprint(i)),
+			Address:  fmt.Sprint(i),
+			State:    Ready,
+			Born:     1,
+			Sequence: 1,
+		}
+		leader.Hear(now, r, 0)
+		r.Sequence += uint64(i % 3)
+		entry.Hear(now, r, 0)
+	}
+	const most = 256
+	changes, few := leader.Differing(now, entry.Digest(), most)
+	if !few || len(changes) > 0 {
+		t.Errorf("differences of equal tables: got %d (few %t), want none", len(changes), few)
+	}
+	entry.Leave(now, "7")
+	changes, few = leader.Differing(now, entry.Digest(), most)
+	if !few || len(changes) == 0 || len(changes) > 3*3000/digestParts {
+		t.Errorf("differences in one upstream: got %d (few %t), want those of one part", len(changes), few)
+	}
+	if _, few := leader.Differing(now, (&Table{}).Digest(), most); few {
+		t.Error("differences from an empty table: got few, want too many")
+	}
+}
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -36,6 +36,9 @@
 	// changes holds the last change of each upstream, and some that others have followed,
 	// in their order.
 	changes []change
+	// digest was made when the cursor was digestAt, nil for none.
+	digest   Digest
+	digestAt uint64
 }
 
 // change is one upstream's change and the table's cursor after it.
@@ -155,6 +158,7 @@
 		switch {
 		case entry.State == Gone && silence > goneMemory, entry.State != Gone && silence > silentMemory:
 			delete(t.entries, id)
+			t.digest = nil
 			if t.holders[entry.Address] == id {
 				delete(t.holders, entry.Address)
 			}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -198,6 +198,9 @@
 		TableCursor:        e.cursor,
 		Serving:            !g.stopping.Load(),
 	}
+	if e.cursor == 0 && p.world.fleet != nil {
+		poll.TableDigest = p.table.Digest()
+	}
 	e.counts = g.counter.Counts(now.Add(p.world.trueOffset))
 	e.fresh = e.usage.Fresh(e.counts)
 	for _, c := range e.fresh {
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -109,11 +109,7 @@
 		Controls: summary.controls,
 		TableId:  c.table.ID,
 	}
-	// An entry that looks for a leader asks many instances, and needs one whole table.
-	if leads || poll.GetTableId() == c.table.ID && poll.GetTableCursor() > 0 {
-		response.Upstreams, response.TableCursor = c.table.Part(now, poll.GetTableId(), poll.GetTableCursor(), mostChanges)
-		response.More = response.TableCursor < c.table.Cursor()
-	}
+	c.tellTable(now, leads, poll, response)
 	if c.packed.GetVersion() > poll.GetDeclarationVersion() {
 		response.Declaration = c.packed
 	}
@@ -151,6 +147,21 @@
 	return response
 }
 
+// tellTable brings what an entry's table lacks. One that looks for a leader asks many
+// instances, and needs the table of the one that leads.
+func (c *coordinator) tellTable(now time.Time, leads bool, poll *messages.EntryPoll, response *messages.EntryPollResponse) {
+	follows := poll.GetTableId() == c.table.ID && poll.GetTableCursor() > 0
+	if !leads && !follows {
+		return
+	}
+	if changes, few := c.table.Differing(now, poll.GetTableDigest(), mostChanges); !follows && few {
+		response.Upstreams, response.TableCursor = changes, c.table.Cursor()
+		return
+	}
+	response.Upstreams, response.TableCursor = c.table.Part(now, poll.GetTableId(), poll.GetTableCursor(), mostChanges)
+	response.More = response.TableCursor < c.table.Cursor()
+}
+
 func (c *coordinator) trueTime(now time.Time) time.Time {
 	return c.estimator.TrueTime(now, time.Now())
 }
