--- a/src/scaler/order.go
+++ b/src/scaler/order.go
@@ -68,7 +68,7 @@
 		}
 		ready += count
 	}
-	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
+	unknown := s.first == 0 && !s.settled(now) || !s.lostAt.IsZero() && now.Sub(s.lostAt) < calm
 	surplus := ready - needed.kept()
 	if s.fresh && s.began.IsZero() {
 		// Nobody calls yet, and what takes their place is there.
