--- a/src/doorkeeper/listener_test.go
+++ b/src/doorkeeper/listener_test.go
@@ -51,9 +51,9 @@
 }
 
 // call sends a request and returns the status, or the error of a connection that is closed.
-func call(conn net.Conn) (int, error) {
+func call(conn net.Conn, path string) (int, error) {
 	_ = conn.SetDeadline(time.Now().Add(wait))
-	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
 		return 0, err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -68,7 +68,7 @@
 	const most = 8
 	address := serve(t, most, func(http.ResponseWriter, *http.Request) {})
 	for i := range 10 * most {
-		status, err := call(dial(t, address))
+		status, err := call(dial(t, address), "/")
 		if err != nil || status != http.StatusOK {
 			t.Fatalf("call %d: got %d (%v), want %d", i, status, err, http.StatusOK)
 		}
@@ -80,20 +80,25 @@
 	const most = 3
 	release := make(chan struct{})
 	running := make(chan struct{}, most)
-	address := serve(t, most, func(http.ResponseWriter, *http.Request) {
-		running <- struct{}{}
-		<-release
+	address := serve(t, most, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			running <- struct{}{}
+			<-release
+		}
 	})
 	results := make(chan error, most)
 	for range most {
 		conn := dial(t, address)
+		if _, err := call(conn, "/"); err != nil {
+			t.Fatal(err)
+		}
 		go func() {
-			_, err := call(conn)
+			_, err := call(conn, "/long")
 			results <- err
 		}()
 		<-running
 	}
-	if _, err := call(dial(t, address)); err == nil {
+	if _, err := call(dial(t, address), "/"); err == nil {
 		t.Error("a call beyond those that are held: got an answer, want its connection closed")
 	}
 	close(release)
--- a/src/governor/rollout_test.go
+++ b/src/governor/rollout_test.go
@@ -6,9 +6,11 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/tallier"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -85,9 +87,30 @@
 		OrderedNs:  time.Now().Add(-3 * time.Second).UnixNano(),
 		DurationMs: 12_000,
 	})
-	c.leads(time.Now())
-	if err := c.rollouts.work(time.Now()); err != nil {
-		t.Fatal(err)
+	now := timekeeper.Now()
+	c.leads(now)
+	for _, release := range []units.Release{"v1", "v2"} {
+		c.table.Hear(now, enroller.Registration{
+			ID:       units.Upstream(release),
+			Service:  "s",
+			Address:  string(release),
+			State:    enroller.Ready,
+			Born:     1,
+			Sequence: 1,
+			Release:  release,
+		}, 0)
+	}
+	for range 2 {
+		if err := c.rollouts.work(now); err != nil {
+			t.Fatal(err)
+		}
+		c.rollouts.hear("e1", 1, []*messages.VersionFigures{{
+			Service: "s",
+			Number:  1,
+			Route:   "r",
+			Answers: 100,
+		}})
+		now = now.Add(watchInterval)
 	}
 	for _, leads := range []bool{true, false} {
 		shares := c.rollouts.tell(leads)
--- a/src/releaser/replay_test.go
+++ b/src/releaser/replay_test.go
@@ -323,3 +323,42 @@
 		}
 	}
 }
+
+// Guards against taking a good version back for one upstream that is broken by itself.
+func TestGoodVersionsSurviveBrokenUpstreams(t *testing.T) {
+	cases := map[string]version{
+		"one fails":   {failing: 0.6, slow: 1},
+		"one is slow": {slow: 6},
+	}
+	for name, broken := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &Watch{
+				Ordered:  time.Unix(1000, 0),
+				Limit:    12 * time.Second,
+				Since:    time.Unix(1000, 0),
+				Exposure: replayBound,
+			}
+			p := &played{
+				replay: replay{fleet: 60},
+				random: rand.New(rand.NewPCG(3, 4)),
+				seen:   make(map[Place]map[Route]*Sample),
+			}
+			for n := range 3000 {
+				route := replayRoutes[n%len(replayRoutes)]
+				p.send(0, 0, n%60, route, version{slow: 1})
+				place := Place(60 + n%8)
+				v := version{slow: 1}
+				if place == 60 {
+					v = broken
+				}
+				p.send(0, place, int(place), route, v)
+			}
+			p.answer(time.Hour)
+			w.Hear(Teller{Entry: "e"}, p.figures())
+			d := w.Step(time.Unix(1004, 0), Stock{Target: 60, Other: 60})
+			if d.End != Running {
+				t.Errorf("end: got %v (%s), want it running", d.End, d.Reason)
+			}
+		})
+	}
+}
