--- a/src/governor/rollout_test.go
+++ b/src/governor/rollout_test.go
@@ -79,6 +79,8 @@
 // one that does not lead.
 func TestNewLeaderGivesNoShareAtOnce(t *testing.T) {
 	_, c := newLeader(t)
+	c.settings.Rollouts.ExposureShare = 0.1
+	c.settings.Rollouts.ExposureSlack = 50
 	c.state.applyRollout(&messages.Rollout{
 		Service:    "s",
 		Number:     1,
