Tell from entries' logs what calls were lost by, route by route

The lines of calls now say what callers want (target-ms, gap-ms), and the audit lists for each route how many were in time and what the others were lost by.

--- a/src/auditor/audit.go
+++ b/src/auditor/audit.go
@@ -44,6 +44,8 @@
 	Entries   []Carried
 	Upstreams []Carried
 	Shares    []Share
+	// Routes tells what became of the calls, route by route.
+	Routes []Ledger
 }
 
 // Take audits the last span of some calls; the newest of them ends it.
@@ -56,9 +58,14 @@
 	}
 	a.From = a.Until.Add(-span)
 	entries, upstreams := make(sums), make(sums)
+	routes := make(ledgers)
 	for i := range calls {
 		a.add(&calls[i], entries, upstreams)
+		if !calls[i].Ended.Before(a.From) {
+			routes.take(&calls[i])
+		}
 	}
+	a.Routes = routes.sorted()
 	a.Entries = entries.carried(span)
 	a.Upstreams = upstreams.carried(span)
 	a.Shares = shares(a.Entries, a.Upstreams)
@@ -72,7 +79,7 @@
 		return
 	}
 	entry := entries.of(sumKey{name: string(c.Entry)})
-	entry.take(c, overlap, c.Outcome == "answered")
+	entry.take(c, overlap, c.Outcome == answered)
 	for i, v := range c.Visits {
 		upstream := upstreams.of(sumKey{
 			name:    string(v.Upstream),
@@ -85,7 +92,7 @@
 			upstream.calls++
 			continue
 		}
-		upstream.take(c, overlap, v.End == "answered")
+		upstream.take(c, overlap, v.End == answered)
 	}
 }
 
--- a/src/auditor/reader.go
+++ b/src/auditor/reader.go
@@ -29,12 +29,16 @@
 type Call struct {
 	Entry   units.Instance
 	Service units.Service
+	Route   string
 	Ended   time.Time
 	Took    time.Duration
 	// First is the time to the first byte, Pause the longest pause between two events;
 	// both are 0 where there was none.
-	First   time.Duration
-	Pause   time.Duration
+	First time.Duration
+	Pause time.Duration
+	// Target and Gap are the most that callers want First and Pause to be, 0 for any.
+	Target  time.Duration
+	Gap     time.Duration
 	Outcome string
 	Visits  []Visit
 }
@@ -48,9 +52,12 @@
 	Message  string    `json:"message"`
 	Instance string    `json:"instance"`
 	Service  string    `json:"service"`
+	Route    string    `json:"route"`
 	TookMs   int64     `json:"took-ms"`
 	FirstMs  int64     `json:"first-ms"`
 	PauseMs  int64     `json:"pause-ms"`
+	TargetMs int64     `json:"target-ms"`
+	GapMs    int64     `json:"gap-ms"`
 	Outcome  string    `json:"outcome"`
 	Attempts string    `json:"attempts"`
 }
@@ -86,10 +93,13 @@
 	return Call{
 		Entry:   units.Instance(l.Instance),
 		Service: units.Service(l.Service),
+		Route:   l.Route,
 		Ended:   l.Time,
 		Took:    milliseconds(l.TookMs),
 		First:   milliseconds(l.FirstMs),
 		Pause:   milliseconds(l.PauseMs),
+		Target:  milliseconds(l.TargetMs),
+		Gap:     milliseconds(l.GapMs),
 		Outcome: l.Outcome,
 		Visits:  visits(l.Attempts),
 	}
--- a/src/auditor/table.go
+++ b/src/auditor/table.go
@@ -23,6 +23,10 @@
 		}
 		printf("%s\t%d\t%d\t%.1f\n", of, s.Instances, s.Calls, s.Uneven)
 	}
+	printf("\nROUTE\tSERVICE\tCALLS\tIN TIME\tLOST BY\n")
+	for _, l := range firstRoutes(a.Routes, most) {
+		printf("%s\t%s\t%d\t%d\t%s\n", l.Route, l.Service, l.Calls, l.InTime, l.causes())
+	}
 	printf("\nENTRY\tCALLS\tUNDER WAY\tANSWERED\tUPSTREAMS\tFIRST BYTE\t95%%\tPAUSE 95%%\n")
 	for _, c := range first(a.Entries, most) {
 		printf("%s\t%d\t%.1f\t%d\t%d\t%v\t%v\t%v\n", c.Name, c.Calls, c.UnderWay, c.Answered, c.Others, c.First, c.Late, c.Pause)
@@ -38,6 +42,14 @@
 	return nil
 }
 
+// firstRoutes returns the first few ledgers.
+func firstRoutes(list []Ledger, most int) []Ledger {
+	if most <= 0 {
+		return list
+	}
+	return list[:min(most, len(list))]
+}
+
 // first returns the first few of each service.
 func first(list []Carried, most int) []Carried {
 	if most <= 0 {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -351,6 +351,8 @@
 		Int64("lease-ms", w.lease.Sub(now).Milliseconds()).
 		Int64("first-ms", s.first.Milliseconds()).
 		Int64("pause-ms", s.pause.Milliseconds()).
+		Int64("target-ms", route.Target.Milliseconds()).
+		Int64("gap-ms", route.Gap.Milliseconds()).
 		Int64("took-ms", now.Sub(s.began).Milliseconds())
 	if call.Account != nil {
 		event.Str("account", string(call.Account.Name)).
