--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -153,7 +153,7 @@
 	s.at = now
 	s.asked.add(load.Asked, passed)
 	s.running.add(load.Running, passed)
-	if s.known(now, takenOver) {
+	if s.known(now, steady) || !s.fresh && s.settled(now) {
 		s.load.Asked = peak(s.load.Asked, s.asked.mean(), passed)
 	}
 	if load.Each > 0 {
