Encode changes of the table once for all entries

Each change was encoded for each entry, a quarter of a million times a second. Changes are now encoded and packed once in a page for some moments (half the time between two polls), which all entries share; an entry that begins reads pages too while the first of them is kept. A property test lets entries poll late and lose their place.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -195,25 +195,29 @@
 // Since returns what has changed behind a cursor of the table with this id; with
 // another id it returns everything.
 func (t *Table) Since(now time.Time, id, cursor uint64) []*messages.RegisteredUpstream {
-	changes, _ := t.Part(now, id, cursor, math.MaxInt)
+	changes, _ := t.Part(now, id, cursor, t.cursor, math.MaxInt)
 	return changes
 }
 
-// Part returns the first most changes behind a cursor, as Since, and the cursor behind them.
+// Part returns the first most changes behind a cursor and up to another one, as Since, and
+// the cursor behind them.
 //
 // A table of thousands of upstreams in one answer takes longer over a slow link than its
 // reader waits, who would ask for all of it again.
-func (t *Table) Part(now time.Time, id, cursor uint64, most int) (changes []*messages.RegisteredUpstream, reached uint64) {
+func (t *Table) Part(now time.Time, id, cursor, until uint64, most int) (changes []*messages.RegisteredUpstream, reached uint64) {
 	if id != t.ID {
 		cursor = 0
 	}
-	if cursor == t.cursor {
+	if cursor >= until {
 		return nil, cursor
 	}
 	first, _ := slices.BinarySearchFunc(t.changes, cursor+1, func(c change, cursor uint64) int {
 		return cmp.Compare(c.cursor, cursor)
 	})
 	for _, c := range t.changes[first:] {
+		if c.cursor > until {
+			break
+		}
 		if !t.stands(c) {
 			continue
 		}
@@ -224,7 +228,7 @@
 		changes = append(changes, entry.message(max(0, now.Sub(entry.HeardAt))))
 		reached = c.cursor
 	}
-	return changes, t.cursor
+	return changes, until
 }
 
 // Follow takes what another table said of an upstream; it reports whether that
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -206,7 +206,7 @@
 		most := rapid.IntRange(1, 9).Draw(t, "most")
 		cursor := uint64(0)
 		read := func() {
-			changes, reached := table.Part(now, table.ID, cursor, most)
+			changes, reached := table.Part(now, table.ID, cursor, table.Cursor(), most)
 			if len(changes) > most {
 				t.Fatalf("changes in a part: got %d, want at most %d", len(changes), most)
 			}
--- a/src/gateway/exchange_test.go
+++ b/src/gateway/exchange_test.go
@@ -26,7 +26,7 @@
 	var changes []*messages.RegisteredUpstream
 	reached := uint64(0)
 	if leads || c.exchange.tableID == c.ID && c.exchange.cursor > 0 {
-		changes, reached = c.Part(now, c.exchange.tableID, c.exchange.cursor, partSize)
+		changes, reached = c.Part(now, c.exchange.tableID, c.exchange.cursor, c.Cursor(), partSize)
 	}
 	c.sent += len(changes)
 	c.exchange.take(&messages.EntryPollResponse{
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -247,7 +247,7 @@
 	p.leader = r.GetLeader()
 	p.learn(r.GetControls())
 	changed := p.adopt(r.GetDeclaration())
-	for _, m := range r.GetUpstreams() {
+	for _, m := range p.upstreamsOf(r) {
 		if p.table.Follow(now, m) {
 			changed = true
 			p.gateway.logUpstream(m)
@@ -271,6 +271,22 @@
 	}
 }
 
+// upstreamsOf returns the changes of the table that an answer brings. A page that cannot be
+// read leaves the table as it is, and the next whole one mends it.
+func (p *poller) upstreamsOf(r *messages.EntryPollResponse) []*messages.RegisteredUpstream {
+	changes := r.GetUpstreams()
+	for _, page := range r.GetPages() {
+		read, err := governor.Upstreams(page)
+		if err != nil {
+			p.gateway.Log.Error().Err(err).Str("leader", r.GetLeader()).Msg("upstreams-unreadable")
+			p.exchange(r.GetLeader()).cursor = 0
+			continue
+		}
+		changes = append(changes, read...)
+	}
+	return changes
+}
+
 func (p *poller) obey(now, sentAt time.Time, r *messages.EntryPollResponse) {
 	// The lease counts from the sending: what the leader knew then it may have
 	// changed by the time its answer arrives.
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -80,6 +80,7 @@
 	duties    *duties
 	memory    *memory
 	rollouts  *rollouts
+	pages     pages
 }
 
 type pendingProposal struct {
--- a/src/governor/pack.go
+++ b/src/governor/pack.go
@@ -9,7 +9,7 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 )
 
-// mostUnpacked bounds a configuration that is unpacked, in bytes.
+// mostUnpacked bounds what is unpacked, in bytes.
 const mostUnpacked = 16 << 20
 
 // pack returns a configuration as entries get it. One of a thousand routes is
@@ -17,32 +17,51 @@
 // poll may, so that each asks again and the leader can do nothing else. Packed it
 // is a tenth or less.
 func pack(d *messages.Declaration) (*messages.Declaration, error) {
-	var packed bytes.Buffer
-	writer := gzip.NewWriter(&packed)
-	if _, err := writer.Write(d.GetDocument()); err != nil {
-		return nil, fmt.Errorf("pack the configuration: %w", err)
-	}
-	if err := writer.Close(); err != nil {
+	packed, err := compress(d.GetDocument())
+	if err != nil {
 		return nil, fmt.Errorf("pack the configuration: %w", err)
 	}
 	return &messages.Declaration{
 		Version:  d.GetVersion(),
-		Document: packed.Bytes(),
+		Document: packed,
 	}, nil
 }
 
 // Unpack returns the document of a configuration that came with a poll's answer.
 func Unpack(d *messages.Declaration) ([]byte, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(d.GetDocument()))
+	document, err := decompress(d.GetDocument())
 	if err != nil {
 		return nil, fmt.Errorf("unpack the configuration: %w", err)
 	}
-	document, err := io.ReadAll(io.LimitReader(reader, mostUnpacked+1))
+	return document, nil
+}
+
+func compress(content []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
 	if err != nil {
-		return nil, fmt.Errorf("unpack the configuration: %w", err)
+		return nil, err
 	}
-	if len(document) > mostUnpacked {
-		return nil, fmt.Errorf("unpack the configuration: it is larger than %d bytes; split the deployment", mostUnpacked)
+	if _, err := writer.Write(content); err != nil {
+		return nil, err
 	}
-	return document, nil
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return packed.Bytes(), nil
+}
+
+func decompress(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(io.LimitReader(reader, mostUnpacked+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > mostUnpacked {
+		return nil, fmt.Errorf("it is larger than %d bytes; split the deployment", mostUnpacked)
+	}
+	return content, nil
 }
--- /dev/null
+++ b/src/governor/pages_test.go
@@ -0,0 +1,120 @@
+package governor
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// follower is an entry's table that follows a leader.
+type follower struct {
+	table  *enroller.Table
+	cursor uint64
+	id     uint64
+	more   bool
+}
+
+func (f *follower) poll(t *rapid.T, c *coordinator) {
+	now := timekeeper.Now()
+	poll := &messages.EntryPoll{
+		TableId:     f.id,
+		TableCursor: f.cursor,
+	}
+	if f.cursor == 0 && len(f.table.Entries()) > 0 {
+		poll.TableDigest = f.table.Digest()
+	}
+	response := &messages.EntryPollResponse{}
+	c.tellTable(now, true, poll, response)
+	changes := response.GetUpstreams()
+	for _, page := range response.GetPages() {
+		read, err := Upstreams(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes = append(changes, read...)
+	}
+	for _, m := range changes {
+		f.table.Follow(now, m)
+	}
+	f.id, f.cursor, f.more = c.table.ID, response.GetTableCursor(), response.GetMore()
+}
+
+// Guards against an upstream that an entry never hears of: whenever entries poll, come late or
+// lose their place, they end with the leader's table.
+func TestPagesBringTheTable(t *testing.T) {
+	_, c := newLeader(t)
+	rapid.Check(t, func(t *rapid.T) {
+		c.table = &enroller.Table{ID: rapid.Uint64Min(1).Draw(t, "table"), Interval: time.Hour}
+		c.pages = pages{}
+		followers := make([]*follower, rapid.IntRange(1, 4).Draw(t, "entries"))
+		for i := range followers {
+			followers[i] = &follower{table: &enroller.Table{ID: 1, Interval: time.Hour}}
+		}
+		for n := range rapid.IntRange(1, 120).Draw(t, "heartbeats") {
+			for range rapid.SampledFrom([]int{1, 1, 1, 40}).Draw(t, "at once") {
+				id := fmt.Sprint(rapid.IntRange(0, 300).Draw(t, "upstream"))
+				c.table.Hear(timekeeper.Now(), enroller.Registration{
+					ID:       units.Upstream(id),
+					Address:  id,
+					State:    enroller.State(rapid.IntRange(int(enroller.Ready), int(enroller.Gone)).Draw(t, "state")),
+					Born:     1,
+					Sequence: uint64(n + 1),
+				}, 0)
+			}
+			c.pages.sealedAt = time.Time{}
+			f := followers[rapid.IntRange(0, len(followers)-1).Draw(t, "entry")]
+			switch rapid.IntRange(0, 9).Draw(t, "does") {
+			case 0:
+				f.cursor = 0
+			case 1, 2, 3, 4, 5:
+				f.poll(t, c)
+			}
+		}
+		c.pages.sealedAt = time.Time{}
+		for i, f := range followers {
+			for f.poll(t, c); f.more; {
+				f.poll(t, c)
+			}
+			known := make(map[units.Upstream]enroller.State)
+			for _, e := range f.table.Entries() {
+				known[e.ID] = e.State
+			}
+			for _, e := range c.table.Entries() {
+				if got := known[e.ID]; got != e.State && (got != 0 || e.State != enroller.Gone) {
+					t.Errorf("entry %d, upstream %s: got %v, want %v", i, e.ID, got, e.State)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a leader that encodes each change for each of hundreds of entries.
+func TestEntriesShareOnePage(t *testing.T) {
+	f := crowd{upstreams: 3000}
+	_, c := newLeader(t)
+	f.declare(c)
+	var first *messages.TablePage
+	for entry := range 300 {
+		response := &messages.EntryPollResponse{}
+		c.tellTable(timekeeper.Now(), true, &messages.EntryPoll{}, response)
+		if len(response.GetPages()) != 1 || len(response.GetUpstreams()) > 0 {
+			t.Fatalf("answer to entry %d: got %d pages and %d upstreams, want one page alone", entry, len(response.GetPages()), len(response.GetUpstreams()))
+		}
+		if first == nil {
+			first = response.GetPages()[0]
+		}
+		if response.GetPages()[0] != first {
+			t.Fatalf("page of entry %d: got one of its own, want the same for all", entry)
+		}
+	}
+	if got, most := len(first.GetContent()), 60<<10; got > most {
+		t.Errorf("page of 3,000 upstreams: got %d bytes, want at most %d", got, most)
+	}
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -150,16 +150,26 @@
 // tellTable brings what an entry's table lacks. One that looks for a leader asks many
 // instances, and needs the table of the one that leads.
 func (c *coordinator) tellTable(now time.Time, leads bool, poll *messages.EntryPoll, response *messages.EntryPollResponse) {
-	follows := poll.GetTableId() == c.table.ID && poll.GetTableCursor() > 0
-	if !leads && !follows {
+	cursor := poll.GetTableCursor()
+	if poll.GetTableId() != c.table.ID {
+		cursor = 0
+	}
+	if !leads && cursor == 0 {
+		return
+	}
+	if err := c.pages.seal(now, c.table, c.divider.Entries(now)); err != nil {
+		c.log.Error().Err(err).Msg("table-not-told")
 		return
 	}
-	if changes, few := c.table.Differing(now, poll.GetTableDigest(), mostChanges); !follows && few {
-		response.Upstreams, response.TableCursor = changes, c.table.Cursor()
+	if changes, few := c.table.Differing(now, poll.GetTableDigest(), mostChanges); cursor == 0 && few {
+		response.Upstreams, response.TableCursor = changes, c.pages.end
 		return
 	}
-	response.Upstreams, response.TableCursor = c.table.Part(now, poll.GetTableId(), poll.GetTableCursor(), mostChanges)
-	response.More = response.TableCursor < c.table.Cursor()
+	known := false
+	if response.Pages, response.TableCursor, known = c.pages.since(cursor, mostChanges); !known {
+		response.Upstreams, response.TableCursor = c.table.Part(now, c.table.ID, cursor, c.pages.end, mostChanges)
+	}
+	response.More = response.TableCursor < c.pages.end
 }
 
 func (c *coordinator) trueTime(now time.Time) time.Time {
