--- a/src/cmd/failures/main.go
+++ b/src/cmd/failures/main.go
@@ -13,26 +13,26 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/rosecroft/rosecroft/src/deployer"
+	"github.com/rosecroft/rosecroft/src/injector"
 	"github.com/rosecroft/rosecroft/src/stager"
-	"github.com/rosecroft/rosecroft/src/wrecker"
 )
 
 const maxSpan = 30 * time.Minute
 
 type options struct {
-	Program    string        `help:"The built rosecroft program." default:"bin/rosecroft"`
-	Standin    string        `help:"The built stand-in program." default:"bin/standin"`
-	Root       string        `help:"Folder of the repository." default:"."`
-	Deployment string        `help:"Deployment to run." enum:"hearthline,cooperativa" default:"hearthline"`
-	Seed       uint64        `help:"Seed of the schedule and the load." default:"1"`
-	Span       time.Duration `help:"How long the load lasts, at most 30m." default:"30s"`
-	Steps      int           `help:"How many failures to cause." default:"12"`
-	Acts       []wrecker.Act `help:"Kinds of failure to draw from; all where left out."`
-	Streams    float64       `help:"Streamed model calls per second." default:"20"`
-	Wholes     float64       `help:"Whole model calls per second." default:"4"`
-	Once       float64       `help:"Calls per second that must not run twice." default:"10"`
-	Reads      float64       `help:"Plain reads per second." default:"10"`
-	Keep       bool          `help:"Keep the folder with logs and journals."`
+	Program    string         `help:"The built rosecroft program." default:"bin/rosecroft"`
+	Standin    string         `help:"The built stand-in program." default:"bin/standin"`
+	Root       string         `help:"Folder of the repository." default:"."`
+	Deployment string         `help:"Deployment to run." enum:"hearthline,cooperativa" default:"hearthline"`
+	Seed       uint64         `help:"Seed of the schedule and the load." default:"1"`
+	Span       time.Duration  `help:"How long the load lasts, at most 30m." default:"30s"`
+	Steps      int            `help:"How many failures to cause." default:"12"`
+	Acts       []injector.Act `help:"Kinds of failure to draw from; all where left out."`
+	Streams    float64        `help:"Streamed model calls per second." default:"20"`
+	Wholes     float64        `help:"Whole model calls per second." default:"4"`
+	Once       float64        `help:"Calls per second that must not run twice." default:"10"`
+	Reads      float64        `help:"Plain reads per second." default:"10"`
+	Keep       bool           `help:"Keep the folder with logs and journals."`
 }
 
 func main() {
@@ -59,9 +59,9 @@
 	}
 	acts := chosen.Acts
 	if len(acts) == 0 {
-		acts = wrecker.Acts
+		acts = injector.Acts
 	}
-	experiment := &wrecker.Experiment{
+	experiment := &injector.Experiment{
 		Deployment: deployment(chosen),
 		Stage: &stager.Stage{
 			Folder:  folder,
@@ -76,7 +76,7 @@
 		},
 		Span:     chosen.Span,
 		Seed:     chosen.Seed,
-		Schedule: wrecker.Draw(chosen.Seed, chosen.Span, chosen.Steps, acts),
+		Schedule: injector.Draw(chosen.Seed, chosen.Span, chosen.Steps, acts),
 		Log:      os.Stdout,
 	}
 	verdict, _, err := experiment.Run(ctx)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -312,7 +312,7 @@
 	case reportEnded:
 		c.duties.reported(e)
 	case orderEnded:
-		c.duties.desk.ended(e, c.duties)
+		c.duties.orders.ended(e, c.duties)
 	case reloaded:
 		for _, seed := range e.settings.SeedPeers() {
 			c.node.Meet(units.Instance(seed))
--- a/src/governor/duties.go
+++ b/src/governor/duties.go
@@ -53,7 +53,7 @@
 	reporting bool
 	retryAt   time.Time
 	fenced    bool
-	desk      orderDesk
+	orders    orders
 }
 
 // begin starts a leadership with nothing delivered: a report that arrives twice
@@ -63,7 +63,7 @@
 	d.delivered = make(map[tallier.Window]bool)
 	d.fenced = false
 	d.retryAt = time.Time{}
-	d.desk.begin()
+	d.orders.begin()
 }
 
 // work does what is due.
@@ -72,7 +72,7 @@
 		return nil
 	}
 	d.report(ctx, now)
-	d.desk.work(ctx, now, d)
+	d.orders.work(ctx, now, d)
 	return d.fix(now)
 }
 
--- a/src/governor/desk.go
+++ b/src/governor/orders.go
@@ -21,8 +21,8 @@
 	mostCalls = 8
 )
 
-// orderDesk orders upstreams while this instance leads; the coordinator alone uses it.
-type orderDesk struct {
+// orders gives orders for upstreams while this instance leads; the coordinator alone uses it.
+type orders struct {
 	survey    scaler.Survey
 	scalers   map[units.Service]*scaler.Scaler
 	plannedAt time.Time
@@ -32,14 +32,14 @@
 	fenced map[units.Service]bool
 }
 
-func (d *orderDesk) begin() {
+func (d *orders) begin() {
 	d.scalers = make(map[units.Service]*scaler.Scaler)
 	d.fenced = make(map[units.Service]bool)
 	d.calls = 0
 }
 
 // hear takes what an entry has seen of the services.
-func (d *orderDesk) hear(now time.Time, entry units.Instance, incarnation units.Incarnation, loads []*messages.ServiceLoad) {
+func (d *orders) hear(now time.Time, entry units.Instance, incarnation units.Incarnation, loads []*messages.ServiceLoad) {
 	totals := make(map[units.Service]scaler.Totals, len(loads))
 	for _, l := range loads {
 		totals[units.Service(l.GetService())] = scaler.Totals{
@@ -53,7 +53,7 @@
 }
 
 // work makes the plan anew and gives the orders that are due.
-func (d *orderDesk) work(ctx context.Context, now time.Time, duties *duties) {
+func (d *orders) work(ctx context.Context, now time.Time, duties *duties) {
 	c := duties.coordinator
 	if c.declared == nil || now.Sub(d.plannedAt) < planInterval {
 		return
@@ -95,7 +95,7 @@
 }
 
 // tell logs what the plan goes by, now and then.
-func (d *orderDesk) tell(now time.Time, duties *duties, service units.Service, load scaler.Load, stock scaler.Stock) {
+func (d *orders) tell(now time.Time, duties *duties, service units.Service, load scaler.Load, stock scaler.Stock) {
 	if now.Sub(d.toldAt) < tellInterval {
 		return
 	}
@@ -129,7 +129,7 @@
 }
 
 // send gives one order, unless the leadership has ended meanwhile.
-func (d *orderDesk) send(ctx context.Context, duties *duties, term units.Term, order Order) {
+func (d *orders) send(ctx context.Context, duties *duties, term units.Term, order Order) {
 	c := duties.coordinator
 	err := errRested
 	if timekeeper.Now().UnixNano() < c.leadUntil.Load() {
@@ -148,7 +148,7 @@
 }
 
 // ended takes the end of an order.
-func (d *orderDesk) ended(e orderEnded, duties *duties) {
+func (d *orders) ended(e orderEnded, duties *duties) {
 	c := duties.coordinator
 	if e.term != c.node.Term() {
 		return
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -237,6 +237,6 @@
 		c.divider.Forget(entry)
 	}
 	c.rollouts.hear(entry, units.Incarnation(poll.GetIncarnation()), poll.GetVersions())
-	c.duties.desk.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
+	c.duties.orders.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.underWay.Hear(entry, placer.Report(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/wrecker/wrecker.go
+++ b/src/injector/injector.go
@@ -1,4 +1,4 @@
-package wrecker
+package injector
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 	"github.com/rosecroft/rosecroft/src/stager"
 )
 
-// Wrecker carries out a schedule; its fields are set before Run.
-type Wrecker struct {
+// Injector carries out a schedule; its fields are set before Run.
+type Injector struct {
 	Fleet    *deployer.Fleet
 	Schedule []Step
 	// Log gets a line for each step as it is carried out.
@@ -32,7 +32,7 @@
 }
 
 // Run carries out the schedule and returns once every held process is back.
-func (w *Wrecker) Run(ctx context.Context) error {
+func (w *Injector) Run(ctx context.Context) error {
 	w.held = make(map[*stager.Node]bool)
 	w.version = 1
 	began := time.Now()
@@ -52,7 +52,7 @@
 	return w.failed
 }
 
-func (w *Wrecker) carryOut(ctx context.Context, step Step) {
+func (w *Injector) carryOut(ctx context.Context, step Step) {
 	entries := w.Fleet.Stage.Entries
 	controls := w.Fleet.Stage.Controls
 	switch step.Act {
@@ -80,7 +80,7 @@
 // hold lets act loose on a free node of a group, and on no more than one of a
 // group at a time: what a second loss does is drawn as a step of its own once
 // the first is back.
-func (w *Wrecker) hold(group []*stager.Node, step Step, act func(*stager.Node, Step) error) {
+func (w *Injector) hold(group []*stager.Node, step Step, act func(*stager.Node, Step) error) {
 	w.mu.Lock()
 	for _, node := range group {
 		if w.held[node] {
@@ -102,19 +102,19 @@
 	})
 }
 
-func (w *Wrecker) killAndRestart(node *stager.Node, step Step) error {
+func (w *Injector) killAndRestart(node *stager.Node, step Step) error {
 	node.Kill()
 	time.Sleep(step.Lasts)
 	return w.Fleet.Stage.Start(node)
 }
 
-func (w *Wrecker) stopAndRestart(node *stager.Node, step Step) error {
+func (w *Injector) stopAndRestart(node *stager.Node, step Step) error {
 	node.Stop()
 	time.Sleep(step.Lasts)
 	return w.Fleet.Stage.Start(node)
 }
 
-func (w *Wrecker) loseDisk(node *stager.Node, step Step) error {
+func (w *Injector) loseDisk(node *stager.Node, step Step) error {
 	node.Kill()
 	if err := os.RemoveAll(node.Settings.DataFolder); err != nil {
 		return fmt.Errorf("lose the disk of %s: %w", node.Settings.Name, err)
@@ -130,7 +130,7 @@
 	return nil
 }
 
-func (w *Wrecker) hitUpstream(step Step) {
+func (w *Injector) hitUpstream(step Step) {
 	running := w.running("engine")
 	if len(running) == 0 {
 		return
@@ -152,12 +152,12 @@
 }
 
 // reclaim gives an upstream its notice and starts another in its place.
-func (w *Wrecker) reclaim(member *deployer.Member) {
+func (w *Injector) reclaim(member *deployer.Member) {
 	member.Signal(syscall.SIGTERM)
 	w.replace(member)
 }
 
-func (w *Wrecker) replace(member *deployer.Member) {
+func (w *Injector) replace(member *deployer.Member) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	member.Stopped = time.Now()
@@ -167,7 +167,7 @@
 }
 
 // wave reclaims every model engine of one data centre at once.
-func (w *Wrecker) wave(step Step) {
+func (w *Injector) wave(step Step) {
 	dataCentre := w.Fleet.DataCentres[step.Target%len(w.Fleet.DataCentres)]
 	for _, member := range w.running("engine") {
 		if member.DataCentre == dataCentre {
@@ -176,7 +176,7 @@
 	}
 }
 
-func (w *Wrecker) running(kind string) []*deployer.Member {
+func (w *Injector) running(kind string) []*deployer.Member {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var running []*deployer.Member
@@ -189,7 +189,7 @@
 }
 
 // race lets two operators submit other contents under one version; exactly one may win.
-func (w *Wrecker) race(ctx context.Context, step Step) {
+func (w *Injector) race(ctx context.Context, step Step) {
 	w.mu.Lock()
 	w.version++
 	version := w.version
@@ -210,7 +210,7 @@
 }
 
 // submit sends a configuration that differs by a comment, and reports whether it was accepted.
-func (w *Wrecker) submit(ctx context.Context, version int, operator string) bool {
+func (w *Injector) submit(ctx context.Context, version int, operator string) bool {
 	content, err := os.ReadFile(w.Fleet.Configuration)
 	if err != nil {
 		return false
--- a/src/wrecker/run.go
+++ b/src/injector/run.go
@@ -1,4 +1,4 @@
-package wrecker
+package injector
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 		Name:      e.Deployment.Name,
 		Resend:    true,
 	}
-	wrecker := &Wrecker{
+	injector := &Injector{
 		Fleet:    fleet,
 		Schedule: e.Schedule,
 		Log:      e.Log,
@@ -49,7 +49,7 @@
 	defer stop()
 	go watch.run(watching)
 	wrecked := make(chan error, 1)
-	go func() { wrecked <- wrecker.Run(ctx) }()
+	go func() { wrecked <- injector.Run(ctx) }()
 	report := load.Run(ctx)
 	if err := <-wrecked; err != nil {
 		return nil, report, fmt.Errorf("carry out the schedule: %w", err)
--- a/src/wrecker/schedule.go
+++ b/src/injector/schedule.go
@@ -1,4 +1,4 @@
-package wrecker
+package injector
 
 import (
 	"cmp"
--- a/src/measurer/failures.go
+++ b/src/measurer/failures.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/deployer"
-	"github.com/rosecroft/rosecroft/src/wrecker"
+	"github.com/rosecroft/rosecroft/src/injector"
 )
 
 const (
@@ -34,14 +34,14 @@
 	return result, nil
 }
 
-func (b *Bench) failures(ctx context.Context, name string, seed uint64) (*wrecker.Verdict, error) {
+func (b *Bench) failures(ctx context.Context, name string, seed uint64) (*injector.Verdict, error) {
 	stage, remove, err := b.stage()
 	if err != nil {
 		return nil, err
 	}
 	defer remove()
 	span := b.span(failureSpan)
-	experiment := &wrecker.Experiment{
+	experiment := &injector.Experiment{
 		Deployment: b.deployment(name),
 		Stage:      stage,
 		Rates: deployer.Rates{
@@ -52,7 +52,7 @@
 		},
 		Span:     span,
 		Seed:     seed,
-		Schedule: wrecker.Draw(seed, span, failureSteps, wrecker.Acts),
+		Schedule: injector.Draw(seed, span, failureSteps, injector.Acts),
 		Log:      io.Discard,
 	}
 	verdict, _, err := experiment.Run(ctx)
--- a/src/measurer/policy.go
+++ b/src/measurer/policy.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/deployer"
+	"github.com/rosecroft/rosecroft/src/injector"
 	"github.com/rosecroft/rosecroft/src/loader"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/standin"
 	"github.com/rosecroft/rosecroft/src/units"
-	"github.com/rosecroft/rosecroft/src/wrecker"
 )
 
 const (
@@ -50,7 +50,7 @@
 	good int
 	// recomputed counts tokens that engines computed again for streams that went on.
 	recomputed int
-	verdict    *wrecker.Verdict
+	verdict    *injector.Verdict
 	// began is when the load began, again what engines computed anew since.
 	began time.Time
 	again []standin.Line
@@ -147,7 +147,7 @@
 type conditions struct {
 	rate     float64
 	tokens   int
-	schedule []wrecker.Step
+	schedule []injector.Step
 	// arguments are further options of the engines.
 	arguments []string
 }
@@ -164,9 +164,9 @@
 	return conditions{
 		rate:   rate * waveRateShare,
 		tokens: waveOutputTokens,
-		schedule: []wrecker.Step{{
+		schedule: []injector.Step{{
 			At:  waveAt,
-			Act: wrecker.Wave,
+			Act: injector.Wave,
 		}},
 		arguments: []string{"--notice", waveNotice.String()},
 	}
@@ -199,7 +199,7 @@
 		workload.OutputTokens = under.tokens
 	}
 	span := b.span(policySpan)
-	wrecking := &wrecker.Wrecker{
+	wrecking := &injector.Injector{
 		Fleet:    fleet,
 		Schedule: under.schedule,
 		Log:      os.Stdout,
@@ -211,7 +211,7 @@
 	if err := <-wrecked; err != nil {
 		return nil, err
 	}
-	truth, err := wrecker.ReadTruth(fleet.Journals)
+	truth, err := injector.ReadTruth(fleet.Journals)
 	if err != nil {
 		return nil, err
 	}
@@ -222,7 +222,7 @@
 		spent:      spent(fleet, began, time.Now()),
 		good:       report.Within(firstToken, betweenTokens),
 		recomputed: truth.RecomputedTokens(),
-		verdict:    wrecker.Check(report, truth, under.schedule),
+		verdict:    injector.Check(report, truth, under.schedule),
 		began:      began,
 		again:      truth.Recomputed,
 	}
--- a/src/prover/failures_test.go
+++ b/src/prover/failures_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/deployer"
-	"github.com/rosecroft/rosecroft/src/wrecker"
+	"github.com/rosecroft/rosecroft/src/injector"
 )
 
 // Callers book, read and stream while an entry stops, another dies, a control
@@ -15,7 +15,7 @@
 // whole answer or a true refusal, as the upstreams' journals tell: whatever
 // dies, another process holds the call's record or can go on with its stream.
 func TestShortFailureRun(t *testing.T) {
-	experiment := &wrecker.Experiment{
+	experiment := &injector.Experiment{
 		Deployment: deployer.Hearthline(filepath.Join("..", "..")),
 		Stage:      newStage(t),
 		Rates: deployer.Rates{
@@ -27,14 +27,14 @@
 		Span: 9 * time.Second,
 		Seed: 1,
 		Log:  t.Output(),
-		Schedule: []wrecker.Step{
-			{At: 1500 * time.Millisecond, Act: wrecker.NoticeUpstream, Target: 3},
-			{At: 2000 * time.Millisecond, Act: wrecker.StopEntry, Target: 4, Lasts: time.Second},
-			{At: 2500 * time.Millisecond, Act: wrecker.KillControl, Target: 1, Lasts: time.Second},
-			{At: 3000 * time.Millisecond, Act: wrecker.RacingOperators, Target: 1},
-			{At: 4000 * time.Millisecond, Act: wrecker.FreezeUpstream, Target: 9, Lasts: 2 * time.Second},
-			{At: 5500 * time.Millisecond, Act: wrecker.Wave, Target: 2},
-			{At: 6500 * time.Millisecond, Act: wrecker.KillEntry, Target: 7, Lasts: time.Second},
+		Schedule: []injector.Step{
+			{At: 1500 * time.Millisecond, Act: injector.NoticeUpstream, Target: 3},
+			{At: 2000 * time.Millisecond, Act: injector.StopEntry, Target: 4, Lasts: time.Second},
+			{At: 2500 * time.Millisecond, Act: injector.KillControl, Target: 1, Lasts: time.Second},
+			{At: 3000 * time.Millisecond, Act: injector.RacingOperators, Target: 1},
+			{At: 4000 * time.Millisecond, Act: injector.FreezeUpstream, Target: 9, Lasts: 2 * time.Second},
+			{At: 5500 * time.Millisecond, Act: injector.Wave, Target: 2},
+			{At: 6500 * time.Millisecond, Act: injector.KillEntry, Target: 7, Lasts: time.Second},
 		},
 	}
 	verdict, _, err := experiment.Run(t.Context())
