Take heartbeats right after a start

An instance that had not followed a leader since its start refused heartbeats, so that each of 3,000 upstreams tried all five instances, 12,500 calls a second, while these had to elect one. Inferred from the rates, not from a log of that second; measured next.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -29,6 +29,9 @@
 	// pollPatience is how long a poll is worth an answer: by then its entry asks again.
 	pollPatience = 400 * time.Millisecond
 	tickInterval = 20 * time.Millisecond
+	// startGrace is how many more heartbeats an instance takes without a leader after its
+	// start: fewer than it takes for an upstream that nobody hears to count as silent.
+	startGrace = 1
 	// spreadTicks is how many ticks gather heartbeats into one batch.
 	spreadTicks = 2
 	// heartbeat and election suit links of a few milliseconds and disks that sync
@@ -108,10 +111,12 @@
 			ID:       rand.Uint64(),
 			Interval: g.Settings.HeartbeatInterval,
 		},
-		fresh:     make(map[units.Upstream]bool),
-		divider:   &apportioner.Divider{},
-		proposals: make(map[uint64]chan<- declareReply),
-		pending:   make(map[units.Index]pendingProposal),
+		fresh: make(map[units.Upstream]bool),
+		// All control instances may have started together.
+		followedAt: timekeeper.Now().Add(startGrace * g.Settings.HeartbeatInterval),
+		divider:    &apportioner.Divider{},
+		proposals:  make(map[uint64]chan<- declareReply),
+		pending:    make(map[units.Index]pendingProposal),
 	}
 	c.duties = &duties{
 		coordinator: c,
