--- a/src/scaler/need.go
+++ b/src/scaler/need.go
@@ -41,7 +41,7 @@
 // need returns how many upstreams there should be now.
 func (s *Scaler) need(now time.Time, service *matcher.Service) need {
 	n := need{load: s.measured(service)}
-	if !s.settled(now) {
+	if s.began.IsZero() || now.Sub(s.began) < settle {
 		n.start = s.first
 	}
 	return n
--- a/src/scaler/order.go
+++ b/src/scaler/order.go
@@ -31,7 +31,7 @@
 		return Order{}, false
 	}
 	if want.Count < last.count {
-		want.Count = s.giveBack(now, last, want, stock, needed)
+		want.Count = s.giveBack(now, last, want.Count, stock, needed)
 	}
 	settled := have == want.Count || known && now.Sub(last.at) < repeat(service, have < want.Count)
 	if want.Count == last.count && settled {
@@ -59,7 +59,7 @@
 // Without the wait the upstreams at the start would go before those that stand in
 // for them have come, and every caller of those seconds would be late. One at a time,
 // a large fleet would pay the full price for a minute after a dry spell of seconds.
-func (s *Scaler) giveBack(now time.Time, last placed, want Order, stock Stock, needed need) int {
+func (s *Scaler) giveBack(now time.Time, last placed, want int, stock Stock, needed need) int {
 	ready := 0
 	for kind, count := range stock {
 		if ordered, known := s.ordered[kind]; known {
@@ -68,17 +68,16 @@
 		}
 		ready += count
 	}
-	unknown := s.first == 0 && !s.settled(now)
-	missed := want.Reclaimable && !s.lostAt.IsZero() && now.Sub(s.lostAt) < calm
+	unknown := s.first == 0 && (s.began.IsZero() || now.Sub(s.began) < settle)
 	surplus := ready - needed.kept()
 	if s.fresh && s.began.IsZero() {
 		// Nobody calls yet, and what takes their place is there.
-		return max(want.Count, last.count-max(0, surplus))
+		return max(want, last.count-max(0, surplus))
 	}
-	if unknown || missed || now.Sub(last.at) < backPause || surplus < 1 {
+	if unknown || now.Sub(last.at) < backPause || surplus < 1 {
 		return last.count
 	}
-	return max(want.Count, last.count-min(surplus, 1+last.count/backPart))
+	return max(want, last.count-min(surplus, 1+last.count/backPart))
 }
 
 // Refused notes that a kind is not to be had now.
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -1,7 +1,6 @@
 package scaler
 
 import (
-	"maps"
 	"math"
 	"time"
 
@@ -57,14 +56,9 @@
 	// some heartbeats. An order is for a number in all, and one by those that have
 	// would give the others back.
 	announced = 3 * time.Second
-	// settle is how long the load is measured before it counts as known, from the first
-	// calls on, and takenOver where calls were under way when the measure began: these have
-	// lasted as long as any.
-	settle    = 8 * time.Second
-	takenOver = 2 * time.Second
-	// calm is how long after reclaimable upstreams were lost none are given back: other
-	// data centres are often taken back soon after.
-	calm = 8 * time.Second
+	// settle is how long the load is measured before it counts as known: it is
+	// smoothed over seconds, and rises from nothing.
+	settle = 8 * time.Second
 )
 
 // Kind is one kind of upstream of a service.
@@ -99,14 +93,9 @@
 	first   int
 	fresh   bool
 	stepped time.Time
-	// asked and running are the load without its noise, load what the plan goes by.
-	asked   smoothed
-	running smoothed
-	load    Load
-	// lostAt is when reclaimable upstreams were missed that nobody has given back, and had
-	// what there was of each kind before.
-	lostAt time.Time
-	had    Stock
+	// recent is the load without its noise, load what the plan goes by.
+	recent Load
+	load   Load
 	// each is what one unit that is asked for takes while nothing queues, and
 	// runningEach how many calls are then under way for it.
 	each        float64
@@ -130,7 +119,6 @@
 	if s.began.IsZero() && load.Running > 0 {
 		s.began = now
 	}
-	s.miss(now, stock)
 	s.follow(now, load)
 	needed := s.need(now, service)
 	plan := s.plan(now, service, needed, stock)
@@ -151,66 +139,21 @@
 func (s *Scaler) follow(now time.Time, load Load) {
 	passed := now.Sub(s.at)
 	s.at = now
-	s.asked.add(load.Asked, passed)
-	s.running.add(load.Running, passed)
-	if s.known(now, steady) || !s.fresh && s.settled(now) {
-		s.load.Asked = peak(s.load.Asked, s.asked.mean(), passed)
-	}
+	s.recent.Asked = smooth(s.recent.Asked, load.Asked, passed, steady)
+	s.recent.Running = smooth(s.recent.Running, load.Running, passed, steady)
+	s.load.Asked = peak(s.load.Asked, s.recent.Asked, passed)
 	if load.Each > 0 {
 		s.each = least(s.each, load.Each, passed)
 	}
 	// Calls that have just come are not under way for long yet; by them, no call would
 	// seem to need a place.
-	if s.asked.mean() > 0 && s.settled(now) {
-		s.runningEach = least(s.runningEach, s.running.mean()/s.asked.mean(), passed)
+	if s.recent.Asked > 0 && !s.began.IsZero() && now.Sub(s.began) >= settle {
+		s.runningEach = least(s.runningEach, s.recent.Running/s.recent.Asked, passed)
 	}
 	s.load.Each = s.each
 	s.load.Running = s.load.Asked * s.runningEach
 }
 
-// known reports whether calls have been measured for a span.
-func (s *Scaler) known(now time.Time, span time.Duration) bool {
-	return !s.began.IsZero() && now.Sub(s.began) >= span
-}
-
-// settled reports whether the load is known.
-func (s *Scaler) settled(now time.Time) bool {
-	if s.fresh {
-		return s.known(now, settle)
-	}
-	return s.known(now, takenOver)
-}
-
-// miss notes reclaimable upstreams that are gone though nobody has given them back.
-func (s *Scaler) miss(now time.Time, stock Stock) {
-	for kind, had := range s.had {
-		if order, known := s.ordered[kind]; kind.Reclaimable && stock[kind] < had && (!known || stock[kind] < order.count) {
-			s.lostAt = now
-		}
-	}
-	s.had = maps.Clone(stock)
-}
-
-// smoothed follows a value without its noise. It counts what it has seen alone: begun at
-// nothing, it would take some spans to come near a load that was there all the time, and a
-// new leader would miss nothing of what is taken back meanwhile.
-type smoothed struct {
-	sum    float64
-	weight float64
-}
-
-func (s *smoothed) add(value float64, passed time.Duration) {
-	s.sum = smooth(s.sum, value, passed, steady)
-	s.weight = smooth(s.weight, 1, passed, steady)
-}
-
-func (s *smoothed) mean() float64 {
-	if s.weight == 0 {
-		return 0
-	}
-	return s.sum / s.weight
-}
-
 // least follows at once down, and slowly up. Once upstreams are too few their
 // queues make every call wait, and the waiting itself says no more how many
 // would do: a plan by it orders several times what is needed.
