Log what request an upstream was lost with

Callers saw streams break off. Of a repeated request, of the system's own retries and of losses that cascade, logs could not say which it was: a call's line names its account, route and size, which different requests share, and no line says that an upstream was lost, with what it had.

An attempt whose upstream's end of the connection is lost now writes upstream-cut with the call, the request's fingerprint (account, method, host, path, body), the upstream's incarnation, the time since it was sent and how long its answer had been coming; call-ended of such a call has the fingerprint as well. Counter upstream_cuts. No decision is changed.

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -70,6 +70,8 @@
 	Expires time.Time
 	// Size is what the call counts for against its account's limit.
 	Size float64
+	// Fingerprint is the same for each sending of the same request, 0 where it is not known.
+	Fingerprint units.Fingerprint
 	// Trail may be nil.
 	Trail Trail
 }
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -53,7 +53,11 @@
 	RetryAfter time.Duration
 	// Next is the upstream that a moved stream goes on at, nil for any.
 	Next *tracker.Upstream
-	Err  error
+	// Cut says that the upstream's end of the connection was lost before the answer was
+	// whole, and Answering how long the answer had been coming by then, 0 for not at all.
+	Cut       bool
+	Answering time.Duration
+	Err       error
 }
 
 // Limiter admits calls.
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -45,6 +45,7 @@
 			return e.cut(ctx, err)
 		}
 		if len(event) > 0 {
+			e.answering()
 			if batcher != nil {
 				batcher.Hold(err == nil && reader.Buffered() > 0)
 			}
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
@@ -139,6 +140,8 @@
 	told bool
 	// resumed says that the caller has what the stream begins with.
 	resumed bool
+	// answeringAt is when the answer's first event came, or the head of one without events.
+	answeringAt time.Time
 }
 
 func (e *exchange) run(ctx context.Context) dispatcher.Result {
@@ -248,6 +251,7 @@
 }
 
 func (e *exchange) answer(ctx context.Context, response *http.Response) dispatcher.Result {
+	e.answering()
 	body, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer+1))
 	if err == nil && len(body) > mostAnswer {
 		err = errors.New("the answer is too large")
@@ -302,19 +306,40 @@
 	return 0, false
 }
 
+// answering notes that the answer has begun to come.
+func (e *exchange) answering() {
+	if e.answeringAt.IsZero() {
+		e.answeringAt = time.Now()
+	}
+}
+
 // lost says that nobody knows whether the call ran.
 func (e *exchange) lost(ctx context.Context, err error) dispatcher.Result {
-	kind := dispatcher.Lost
+	result := dispatcher.Result{
+		Kind: dispatcher.Lost,
+		Err:  err,
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		kind = dispatcher.CallerGone
-		err = ctx.Err()
+		result.Kind = dispatcher.CallerGone
+		result.Err = ctx.Err()
 	} else if ctx.Err() == nil {
 		e.began()
+		result.Cut = isCut(err)
 	}
-	return dispatcher.Result{
-		Kind: kind,
-		Err:  err,
+	if !e.answeringAt.IsZero() {
+		result.Answering = time.Since(e.answeringAt)
+	}
+	return result
+}
+
+// isCut reports whether an error says that the other end of a connection is gone.
+func isCut(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
+		if errors.Is(err, end) {
+			return true
+		}
 	}
+	return false
 }
 
 func (e *exchange) foreign(reason string) dispatcher.Result {
--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -198,6 +198,11 @@
 	counter.Inc(1)
 }
 
+// cut counts a connection that an upstream was lost over, with a call.
+func (f *figures) cut(u *tracker.Upstream) {
+	f.scope.Tagged(map[string]string{"service": string(u.Service)}).Counter("upstream_cuts").Inc(1)
+}
+
 // loads returns what was seen of each service since the start.
 func (f *figures) loads(now time.Time) []*messages.ServiceLoad {
 	f.mu.Lock()
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -97,13 +97,16 @@
 		Limiter:  (*limits)(g),
 		Recorder: unrecorded{},
 		Router:   g.placer,
-		Exchanger: &judged{
-			Exchanger: &exchanger.Exchanger{
-				Pool:    g.pool,
-				Dialect: g.Dialect,
-				Guard:   (*guard)(g),
-				Donor:   g.placer.Donor,
-				Began:   g.began,
+		Exchanger: &losses{
+			Exchanger: &judged{
+				Exchanger: &exchanger.Exchanger{
+					Pool:    g.pool,
+					Dialect: g.Dialect,
+					Guard:   (*guard)(g),
+					Donor:   g.placer.Donor,
+					Began:   g.began,
+				},
+				gateway: g,
 			},
 			gateway: g,
 		},
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -12,6 +12,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/quarantiner"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -125,6 +126,11 @@
 		RouteUrgency: urgencies.Route,
 		Rank:         w.table.Rank(urgencies),
 	}
+	name := units.Account("")
+	if account != nil {
+		name = account.Name
+	}
+	call.Fingerprint = quarantiner.FingerprintOf(name, r.Method, r.Host, r.Path, r.Body)
 	if account == nil {
 		return call
 	}
@@ -257,8 +263,10 @@
 	text strings.Builder
 	// counted says that the call stands in its account's usage.
 	counted bool
-	route   string
-	sink    *watched
+	// cut says that an upstream was lost with the call.
+	cut   bool
+	route string
+	sink  *watched
 }
 
 // Note keeps an attempt and its end.
@@ -354,6 +362,9 @@
 		Int64("target-ms", route.Target.Milliseconds()).
 		Int64("gap-ms", route.Gap.Milliseconds()).
 		Int64("took-ms", now.Sub(s.began).Milliseconds())
+	if t.cut {
+		event.Stringer("fingerprint", call.Fingerprint)
+	}
 	if call.Account != nil {
 		event.Str("account", string(call.Account.Name)).
 			Int("rank", call.Rank).
--- /dev/null
+++ b/src/quarantiner/doc.go
@@ -0,0 +1,2 @@
+// Package quarantiner tells requests by what they ask for.
+package quarantiner
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -1,6 +1,7 @@
 package units
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -55,6 +56,13 @@
 // CallID identifies one accepted call over all its attempts.
 type CallID string
 
+// Fingerprint identifies what a caller asks for: equal requests of one account have the
+// same one, whatever their call ids.
+type Fingerprint uint64
+
+// String returns the fingerprint in hexadecimal, as logs show it.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Term numbers a leadership period and serves as the fencing number of orders.
 type Term uint64
 
