Keep requests that end upstreams away from them

Callers saw streams of all kinds break off, and over a tenth of a route unserved for 15 s: a request ended each upstream that began to run it, and with it some twenty other calls.

Cause: an attempt's loss was the news of an upstream alone. Nothing told that it was the same request each time, at no entry and not among them, so that each sending was a first attempt. The class of the fault is evidence that is bound to a call's id, or to one process, and lost with it.

Entries now tell requests by what they ask for. One that loses an upstream with calls looks whether it still takes connections; if not, each request that it had is told to the leader with the polls, until a leader has heard it. What runs to its end anywhere is told as well and is above suspicion, for a request that ends upstreams never does. Two ends without a run are enough (package quarantiner); what a quarantined request has ended is held against no other. The verdict goes through the log and so outlives leaders, entries and restarts; it is checked when a call is let in, before each attempt and each continuation, and right before the first byte. Without a leader an entry goes by three ends of its own for 10 s. All memory is bounded.

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -157,6 +157,8 @@
 	ProblemMethod      ProblemKind = "method-not-allowed"
 	ProblemMediaType   ProblemKind = "unsupported-media-type"
 	ProblemTooSlow     ProblemKind = "too-slow"
+	// ProblemQuarantined is said of a request that has ended the upstreams that ran it.
+	ProblemQuarantined ProblemKind = "quarantined"
 )
 
 // Refusal is the final answer to a call that gets no other.
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -128,6 +128,21 @@
 	}, nil
 }
 
+// Reach makes a connection to an upstream, which is kept for the next call, or says why there
+// is none; an upstream with as many connections as it may have was reached before.
+func (p *Pool) Reach(ctx context.Context, upstream *tracker.Upstream) error {
+	c, err := p.get(ctx, upstream, true)
+	var full *FullError
+	if errors.As(err, &full) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // usualPart is how far one set-up moves the measure of what is usual.
 const usualPart = 0.1
 
--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -203,6 +203,11 @@
 	f.scope.Tagged(map[string]string{"service": string(u.Service)}).Counter("upstream_cuts").Inc(1)
 }
 
+// upstreamEnded counts an upstream that has ended with calls of this entry.
+func (f *figures) upstreamEnded(u *tracker.Upstream) {
+	f.scope.Tagged(map[string]string{"service": string(u.Service)}).Counter("upstream_ends").Inc(1)
+}
+
 // loads returns what was seen of each service since the start.
 func (f *figures) loads(now time.Time) []*messages.ServiceLoad {
 	f.mu.Lock()
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/quarantiner"
 	"github.com/rosecroft/rosecroft/src/retrier"
 	"github.com/rosecroft/rosecroft/src/tallier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -61,6 +62,8 @@
 	versions   versions
 	pool       *exchanger.Pool
 	dispatcher *dispatcher.Dispatcher
+	evidence   quarantiner.Evidence
+	quarantine quarantine
 }
 
 // Prepare makes the parts; it is called once, before Run and Serve.
@@ -95,7 +98,7 @@
 	}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Limiter:  (*limits)(g),
-		Recorder: unrecorded{},
+		Recorder: (*attempts)(g),
 		Router:   g.placer,
 		Exchanger: &losses{
 			Exchanger: &judged{
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/quarantiner"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -66,6 +67,12 @@
 	told   map[placer.Report]map[placer.Hash]placer.UnderWay
 	lost   bool
 	lostAt time.Time
+	// leadership is the one that the news up to heard were told to, sent the last news of the
+	// poll under way, and suspects the version of what that leadership suspects.
+	leadership uint64
+	heard      quarantiner.Number
+	sent       quarantiner.Number
+	suspects   uint64
 	// more says that the last answer left something of the table out, stale that the fleet
 	// is older than the table.
 	more  bool
@@ -222,11 +229,56 @@
 	}
 	poll.Loads = g.figures.loads(now)
 	poll.Versions = g.versions.tell(p.world.rollouts)
+	poll.QuarantineNumber = g.quarantine.known()
+	poll.Leadership = p.leadership
+	poll.SuspectsVersion = p.suspects
+	poll.Losses = p.losses(now)
 	poll.UnderWay = governor.EncodeLoads(p.tell())
 	poll.Number = uint64(p.number)
 	return poll
 }
 
+// mostLosses is how much news of lost upstreams one poll tells.
+const mostLosses = 64
+
+// losses returns the news of lost upstreams that the leader has not heard. One that has begun
+// to lead knows nothing of what was told before.
+func (p *poller) losses(now time.Time) []*messages.UpstreamLoss {
+	p.sent = p.heard
+	if p.leadership == 0 {
+		return nil
+	}
+	var told []*messages.UpstreamLoss
+	for _, n := range p.gateway.evidence.After(now, p.heard, mostLosses) {
+		p.sent = n.Number
+		told = append(told, &messages.UpstreamLoss{
+			Request:   uint64(n.Loss.Request),
+			Life:      uint64(n.Loss.Life),
+			Answering: n.Loss.Answering,
+			Ran:       n.Ran,
+		})
+	}
+	return told
+}
+
+// followSuspects takes what the leader knows of requests that upstreams were lost with.
+func (p *poller) followSuspects(now time.Time, r *messages.EntryPollResponse) {
+	if r.GetLeadership() != p.leadership {
+		p.leadership = r.GetLeadership()
+		p.heard, p.sent = 0, 0
+	}
+	p.heard = p.sent
+	if r.GetSuspects() == nil {
+		return
+	}
+	p.suspects = r.GetSuspects().GetVersion()
+	suspects := make([]units.Fingerprint, 0, len(r.GetSuspects().GetRequests()))
+	for _, request := range r.GetSuspects().GetRequests() {
+		suspects = append(suspects, units.Fingerprint(request))
+	}
+	p.gateway.evidence.Follow(now, suspects)
+}
+
 // tell returns what is under way and keeps it as told by the next poll.
 func (p *poller) tell() map[placer.Hash]placer.UnderWay {
 	if p.number == 0 {
@@ -254,6 +306,7 @@
 		}
 	}
 	p.world.rollouts = p.world.rollouts.next(sentAt, r)
+	p.gateway.quarantine.follow(r.GetQuarantines())
 	if r.GetLeads() {
 		p.obey(now, sentAt, r)
 	}
@@ -292,6 +345,7 @@
 	// changed by the time its answer arrives.
 	p.world.lease = sentAt.Add(time.Duration(leaseUse * float64(p.gateway.Settings.Revocation)))
 	p.world.trueOffset = time.Unix(0, r.GetTrueTimeNs()).Sub(now)
+	p.followSuspects(now, r)
 	p.world.entries = countOf(p.world.entries, r)
 	p.gateway.budget.SetEntries(p.world.entries)
 	p.gateway.placer.SetOthers(&placer.Others{
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -206,6 +206,9 @@
 			RetryAfter: retrySoon,
 		}
 	}
+	if err := g.quarantined(call); err != nil {
+		return err
+	}
 	if call.Credential == "" {
 		return nil
 	}
@@ -240,24 +243,6 @@
 	g.figures.ended(u, result)
 }
 
-// unrecorded keeps no record, as callers without an Idempotency-Key have no use for one.
-type unrecorded struct{}
-
-// Begin finds no earlier answer.
-func (unrecorded) Begin(context.Context, *dispatcher.Call) (*dispatcher.Answer, error) {
-	return nil, nil
-}
-
-// Dispatching lets every attempt go out.
-func (unrecorded) Dispatching(context.Context, *dispatcher.Call, units.Attempt, units.Upstream) error {
-	return nil
-}
-
-// Finish returns the refusal as it is.
-func (unrecorded) Finish(_ context.Context, _ *dispatcher.Call, _ *dispatcher.Answer, refusal *dispatcher.Refusal) *dispatcher.Refusal {
-	return refusal
-}
-
 // trail keeps a call's attempts for its log line.
 type trail struct {
 	text strings.Builder
@@ -362,7 +347,7 @@
 		Int64("target-ms", route.Target.Milliseconds()).
 		Int64("gap-ms", route.Gap.Milliseconds()).
 		Int64("took-ms", now.Sub(s.began).Milliseconds())
-	if t.cut {
+	if t.cut || refusal != nil && refusal.Kind == dispatcher.ProblemQuarantined {
 		event.Stringer("fingerprint", call.Fingerprint)
 	}
 	if call.Account != nil {
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -83,7 +84,9 @@
 	duties    *duties
 	memory    *memory
 	rollouts  *rollouts
-	pages     pages
+	// quarantines keeps requests that end upstreams away from them.
+	quarantines *quarantines
+	pages       pages
 }
 
 type pendingProposal struct {
@@ -125,6 +128,9 @@
 	c.rollouts = &rollouts{
 		coordinator: c,
 	}
+	c.quarantines = &quarantines{
+		coordinator: c,
+	}
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
 	}
@@ -240,7 +246,7 @@
 // lead keeps the duties while this instance leads.
 func (c *coordinator) lead(ctx context.Context, now time.Time) error {
 	if c.leads(now) {
-		if err := c.rollouts.work(now); err != nil {
+		if err := errors.Join(c.rollouts.work(now), c.quarantines.work(now)); err != nil {
 			return err
 		}
 	}
@@ -290,6 +296,7 @@
 		c.digest = nil
 		c.duties.begin()
 		c.rollouts.begin()
+		c.quarantines.begin()
 	}
 	return true
 }
@@ -305,7 +312,7 @@
 	case ticked:
 		return c.tick(c.ctx)
 	case polled:
-		c.answer(e)
+		return c.answer(e)
 	case announced:
 		e.reply <- c.announce(e)
 	case spread:
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -1,8 +1,11 @@
 package governor
 
 import (
+	"time"
+
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Dump is a control process's state as operators see it.
@@ -18,6 +21,17 @@
 	Members   []string       `yaml:"members"`
 	Entries   int            `yaml:"entries"`
 	Upstreams []DumpUpstream `yaml:"upstreams"`
+	// Quarantines are the requests that are or were kept from upstreams.
+	Quarantines []DumpQuarantine `yaml:"quarantines"`
+}
+
+// DumpQuarantine is one quarantined request in a dump.
+type DumpQuarantine struct {
+	Fingerprint string `yaml:"fingerprint"`
+	Strikes     uint32 `yaml:"strikes"`
+	Upstreams   uint32 `yaml:"upstreams"`
+	// LeftMs is how much longer it lasts, below 0 where it is over.
+	LeftMs int64 `yaml:"left-ms"`
 }
 
 // DumpUpstream is one upstream in a dump.
@@ -49,6 +63,15 @@
 	for _, member := range c.node.Membership().GetMembers() {
 		d.Members = append(d.Members, member.GetId())
 	}
+	trueNow := c.trueTime(now)
+	for _, m := range c.state.quarantined().GetRequests() {
+		d.Quarantines = append(d.Quarantines, DumpQuarantine{
+			Fingerprint: units.Fingerprint(m.GetRequest()).String(),
+			Strikes:     m.GetStrikes(),
+			Upstreams:   m.GetUpstreams(),
+			LeftMs:      time.Unix(0, m.GetUntilNs()).Sub(trueNow).Milliseconds(),
+		})
+	}
 	underWay := c.underWay.Total()
 	for _, e := range c.table.Entries() {
 		load := underWay[placer.HashOf(e.ID)]
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -90,12 +90,14 @@
 
 // answer answers a poll, unless its entry has given it up: an instance that is behind
 // would answer nothing else until all of them are through.
-func (c *coordinator) answer(p polled) {
-	if timekeeper.Now().Sub(p.at) > pollPatience {
+func (c *coordinator) answer(p polled) error {
+	now := timekeeper.Now()
+	if now.Sub(p.at) > pollPatience {
 		p.reply <- &messages.EntryPollResponse{}
-		return
+		return nil
 	}
 	p.reply <- c.poll(p.poll)
+	return c.quarantines.hear(now, p.poll)
 }
 
 // poll answers an entry.
@@ -118,6 +120,7 @@
 	// it where their entries are killed before there is another.
 	c.hearUsage(trueTime, poll)
 	response.Rollouts = c.rollouts.tell(leads)
+	c.quarantines.tell(leads, poll, response)
 	if !leads {
 		return response
 	}
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -19,6 +20,10 @@
 	ledger      *tallier.Ledger
 	// rollouts holds the last roll-out of each service.
 	rollouts map[units.Service]*messages.Rollout
+	// quarantines holds the requests that are or were quarantined, and quarantineNumber
+	// rises with each change of them.
+	quarantines      map[units.Fingerprint]*messages.Quarantine
+	quarantineNumber uint64
 }
 
 // apply takes one committed command. The highest version wins: a lower one that
@@ -33,9 +38,42 @@
 		s.ledger.Fix(reportFrom(change.UsageReport))
 	case *messages.Command_Rollout:
 		s.applyRollout(change.Rollout)
+	case *messages.Command_Quarantine:
+		s.applyQuarantine(change.Quarantine)
 	}
 }
 
+// applyQuarantine takes the next state of a request; the one whose quarantine ends first is
+// forgotten for it where there are too many.
+func (s *state) applyQuarantine(next *messages.Quarantine) {
+	if s.quarantines == nil {
+		s.quarantines = make(map[units.Fingerprint]*messages.Quarantine)
+	}
+	s.quarantineNumber++
+	request := units.Fingerprint(next.GetRequest())
+	if next.GetReleased() {
+		delete(s.quarantines, request)
+		return
+	}
+	s.quarantines[request] = next
+	if len(s.quarantines) <= mostQuarantines {
+		return
+	}
+	first := slices.MinFunc(s.quarantined().GetRequests(), func(a, b *messages.Quarantine) int {
+		return cmp.Or(cmp.Compare(a.GetUntilNs(), b.GetUntilNs()), cmp.Compare(a.GetRequest(), b.GetRequest()))
+	})
+	delete(s.quarantines, units.Fingerprint(first.GetRequest()))
+}
+
+// quarantined returns all requests that are or were quarantined, in order.
+func (s *state) quarantined() *messages.Quarantines {
+	m := &messages.Quarantines{Number: s.quarantineNumber}
+	for _, request := range slices.Sorted(maps.Keys(s.quarantines)) {
+		m.Requests = append(m.Requests, s.quarantines[request])
+	}
+	return m
+}
+
 // applyRollout takes the next state of a roll-out. Of two orders that were given at the same
 // time the first one counts, and a roll-out that has ended does not begin again.
 func (s *state) applyRollout(next *messages.Rollout) {
@@ -79,6 +117,7 @@
 	declarationPart = "declaration"
 	usagePart       = "usage/"
 	rolloutPart     = "rollout/"
+	quarantinePart  = "quarantines"
 )
 
 // snapshot encodes the state.
@@ -107,6 +146,11 @@
 			return nil, err
 		}
 	}
+	if s.quarantineNumber > 0 {
+		if err := add(quarantinePart, s.quarantined()); err != nil {
+			return nil, err
+		}
+	}
 	return proto.Marshal(states)
 }
 
@@ -124,6 +168,11 @@
 			}
 			s.apply(&messages.Command{Change: &messages.Command_Declaration{Declaration: d}})
 		}
+		if name == quarantinePart {
+			if err := s.restoreQuarantines(part); err != nil {
+				return err
+			}
+		}
 		if strings.HasPrefix(name, rolloutPart) {
 			if err := s.restoreRollout(part); err != nil {
 				return err
@@ -133,6 +182,23 @@
 	return s.restoreUsage(states)
 }
 
+// restoreQuarantines takes the quarantines unless later ones are known.
+func (s *state) restoreQuarantines(part []byte) error {
+	all := &messages.Quarantines{}
+	if err := proto.Unmarshal(part, all); err != nil {
+		return fmt.Errorf("decode a snapshot's quarantines: %w", err)
+	}
+	if all.GetNumber() <= s.quarantineNumber {
+		return nil
+	}
+	s.quarantineNumber = all.GetNumber()
+	s.quarantines = make(map[units.Fingerprint]*messages.Quarantine, len(all.GetRequests()))
+	for _, m := range all.GetRequests() {
+		s.quarantines[units.Fingerprint(m.GetRequest())] = m
+	}
+	return nil
+}
+
 // restoreRollout takes a roll-out unless a later state of it, or a later one, is known.
 func (s *state) restoreRollout(part []byte) error {
 	rollout := &messages.Rollout{}
