Log the limits that upstreams state

An upstream in need states in its answers how many requests a second it takes from all entries together. Nothing read it, so that logs could not tell an entry that ignores a limit from one that keeps it for itself, or from one that takes it back for an older answer.

The adapter decodes the header once; upstream-limit has the upstream's incarnation, the limit and how long ago the call was sent. What cannot be read, and what another upstream says, counts as nothing said. No decision is changed.

--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -39,6 +40,16 @@
 	Events bool
 	// RetryAfter is what a refusing upstream asks for.
 	RetryAfter time.Duration
+	// Limit is what the upstream says of how many calls it takes, nil where the answer is
+	// not that upstream's.
+	Limit *Limit
+}
+
+// Limit is how many calls an upstream says that it takes.
+type Limit struct {
+	// Stated is false where it takes as many as come.
+	Stated bool
+	Rate   units.CallRate
 }
 
 // Sending is what the head of an attempt says beside its call.
@@ -79,6 +90,9 @@
 	// Began is told that a call has begun to run, or may have: of one whose answer
 	// is lost nobody knows, and most have. It may be nil.
 	Began func(call *dispatcher.Call, upstream *tracker.Upstream)
+	// Limited takes what an upstream says of how many calls it takes, in an answer to a call
+	// that was sent then; it may be nil.
+	Limited func(upstream *tracker.Upstream, limit Limit, sentAt time.Time)
 }
 
 // ForeignError says that bytes arrived that do not answer the attempt.
@@ -145,6 +159,7 @@
 }
 
 func (e *exchange) run(ctx context.Context) dispatcher.Result {
+	sentAt := timekeeper.Now()
 	if result, sent := e.send(); !sent {
 		return result
 	}
@@ -156,6 +171,9 @@
 		return result
 	}
 	verdict := e.Dialect.Read(e.call, e.upstream, response.StatusCode, response.Header)
+	if e.Limited != nil && verdict.Limit != nil {
+		e.Limited(e.upstream, *verdict.Limit, sentAt)
+	}
 	if !verdict.Own {
 		return e.foreign("it names another attempt")
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -108,6 +108,7 @@
 					Guard:   (*guard)(g),
 					Donor:   g.placer.Donor,
 					Began:   g.began,
+					Limited: g.limited,
 				},
 				gateway: g,
 			},
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -63,6 +63,9 @@
 // String returns the fingerprint in hexadecimal, as logs show it.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// CallRate is a number of calls a second.
+type CallRate float64
+
 // Term numbers a leadership period and serves as the fencing number of orders.
 type Term uint64
 
