Hold all entries together to the limits that upstreams state

Cause: nothing read the limit, and nothing could have kept it: load is placed by each entry alone, by fill, and what one upstream's answer says reaches one entry. The class of the fault is a bound that holds for all entries together and is known to each alone.

Entries tell the leader what answers say, with their age; the leader keeps the latest, tells all entries, and hands out permits with the polls, one for each call, to those that have work, in turns (package pacer). The placer leaves out upstreams without a permit, takes one for each attempt of any kind, and notes what it left out as wanted. A limit ends with the upstream's life, or with an answer to a call that was sent half a second or more after the last statement: answers overtake each other. A new leader adds limits and withdraws none until it has heard all entries; without one each entry goes by half of its part. Upstreams that take less than there is count as missing where upstreams are ordered.

A property test plays 1 to 60 entries, limits of 0 to 40 a second, any spread of work and a leader that is lost for 6 s (6,000 cases).

--- a/src/gateway/figures.go
+++ b/src/gateway/figures.go
@@ -244,6 +244,9 @@
 	Ejected        bool  `yaml:"ejected"`
 	// AnsweredMs is how long ago it last answered, -1 for never.
 	AnsweredMs int64 `yaml:"answered-ms"`
+	// Limit is how many calls a second it takes from all entries together, nil for as many
+	// as come.
+	Limit *float64 `yaml:"limit,omitempty"`
 }
 
 // dumped is an entry's state as a dump shows it.
@@ -285,6 +288,11 @@
 	if !belief.AnsweredAt.IsZero() {
 		answered = timekeeper.Now().Sub(belief.AnsweredAt).Milliseconds()
 	}
+	var limit *float64
+	if rate, limited := g.gate.Limits()[units.LifeOf(c.Name, c.Incarnation)]; limited {
+		value := float64(rate)
+		limit = &value
+	}
 	return dumpedUpstream{
 		Name:           string(c.Name),
 		Address:        c.Address,
@@ -298,5 +306,6 @@
 		Stated:         belief.Stated,
 		Ejected:        belief.Ejected,
 		AnsweredMs:     answered,
+		Limit:          limit,
 	}
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/pacer"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
@@ -64,6 +65,7 @@
 	dispatcher *dispatcher.Dispatcher
 	evidence   quarantiner.Evidence
 	quarantine quarantine
+	gate       pacer.Gate
 }
 
 // Prepare makes the parts; it is called once, before Run and Serve.
@@ -83,6 +85,7 @@
 		Split:      g.split,
 		Each:       g.figures.each,
 		MostCalls:  g.connections,
+		Gate:       &g.gate,
 	}
 	g.quota = &apportioner.Meter{Window: apportioner.WindowOf(g.Settings.Quota)}
 	g.budget = &retrier.Budget{
--- a/src/gateway/losses.go
+++ b/src/gateway/losses.go
@@ -29,7 +29,7 @@
 
 	mu sync.Mutex
 	// checked holds what was lost with the upstreams that are being looked at.
-	checked map[quarantiner.Life][]lostCall
+	checked map[units.Life][]lostCall
 }
 
 // lostCall is a call that was lost with its upstream.
@@ -54,7 +54,7 @@
 		l.cut(ctx, upstream, lostCall{
 			loss: quarantiner.Loss{
 				Request:   call.Fingerprint,
-				Life:      quarantiner.LifeOf(upstream.Name, upstream.Incarnation),
+				Life:      units.LifeOf(upstream.Name, upstream.Incarnation),
 				Answering: result.Answering > 0,
 			},
 			id: call.ID,
@@ -89,7 +89,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.checked == nil {
-		l.checked = make(map[quarantiner.Life][]lostCall)
+		l.checked = make(map[units.Life][]lostCall)
 	}
 	calls, looking := l.checked[lost.loss.Life]
 	l.checked[lost.loss.Life] = append(calls, lost)
@@ -103,7 +103,7 @@
 //
 // Connections break for many reasons and upstreams lose answers; only one that takes no new
 // connection has ended.
-func (l *losses) check(ctx context.Context, upstream *tracker.Upstream, life quarantiner.Life) {
+func (l *losses) check(ctx context.Context, upstream *tracker.Upstream, life units.Life) {
 	time.Sleep(checkPause)
 	err := l.gateway.pool.Reach(ctx, upstream)
 	l.mu.Lock()
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -73,6 +73,7 @@
 	heard      quarantiner.Number
 	sent       quarantiner.Number
 	suspects   uint64
+	pace       pace
 	// more says that the last answer left something of the table out, stale that the fleet
 	// is older than the table.
 	more  bool
@@ -233,6 +234,7 @@
 	poll.Leadership = p.leadership
 	poll.SuspectsVersion = p.suspects
 	poll.Losses = p.losses(now)
+	p.pace.tell(now, &g.gate, poll)
 	poll.UnderWay = governor.EncodeLoads(p.tell())
 	poll.Number = uint64(p.number)
 	return poll
@@ -266,6 +268,7 @@
 	if r.GetLeadership() != p.leadership {
 		p.leadership = r.GetLeadership()
 		p.heard, p.sent = 0, 0
+		p.pace = pace{}
 	}
 	p.heard = p.sent
 	if r.GetSuspects() == nil {
@@ -348,6 +351,7 @@
 	p.followSuspects(now, r)
 	p.world.entries = countOf(p.world.entries, r)
 	p.gateway.budget.SetEntries(p.world.entries)
+	p.pace.follow(now, sentAt, &p.gateway.gate, r, p.world.entries)
 	p.gateway.placer.SetOthers(&placer.Others{
 		At:    now,
 		Loads: placer.Less(governor.DecodeLoads(r.GetUnderWay()), p.told[placer.Report(r.GetCounted())]),
--- a/src/gateway/quarantine_test.go
+++ b/src/gateway/quarantine_test.go
@@ -140,7 +140,7 @@
 		if q.holds(now, now, 7) {
 			t.Fatalf("after %d losses: got it quarantined, want it after 3", n)
 		}
-		q.lose(now, quarantiner.Loss{Request: 7, Life: quarantiner.Life(n)})
+		q.lose(now, quarantiner.Loss{Request: 7, Life: units.Life(n)})
 	}
 	if !q.holds(now, now, 7) {
 		t.Error("after 3 losses: got it not quarantined, want it quarantined")
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -86,6 +86,7 @@
 	rollouts  *rollouts
 	// quarantines keeps requests that end upstreams away from them.
 	quarantines *quarantines
+	pacing      *pacing
 	pages       pages
 }
 
@@ -131,6 +132,9 @@
 	c.quarantines = &quarantines{
 		coordinator: c,
 	}
+	c.pacing = &pacing{
+		coordinator: c,
+	}
 	if err := c.restore(kept.Snapshot); err != nil {
 		return nil, err
 	}
@@ -246,6 +250,7 @@
 // lead keeps the duties while this instance leads.
 func (c *coordinator) lead(ctx context.Context, now time.Time) error {
 	if c.leads(now) {
+		c.pacing.work(now)
 		if err := errors.Join(c.rollouts.work(now), c.quarantines.work(now)); err != nil {
 			return err
 		}
@@ -297,6 +302,7 @@
 		c.duties.begin()
 		c.rollouts.begin()
 		c.quarantines.begin()
+		c.pacing.begin()
 	}
 	return true
 }
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -45,6 +45,8 @@
 	// wait to be read, where this instance leads.
 	InFlight int64 `yaml:"in-flight"`
 	Unread   int64 `yaml:"unread"`
+	// Limit is how many calls a second it says that it takes, nil for as many as come.
+	Limit *float64 `yaml:"limit,omitempty"`
 }
 
 func (c *coordinator) dump() *Dump {
@@ -73,6 +75,7 @@
 		})
 	}
 	underWay := c.underWay.Total()
+	limits := c.pacing.limits()
 	for _, e := range c.table.Entries() {
 		load := underWay[placer.HashOf(e.ID)]
 		d.Upstreams = append(d.Upstreams, DumpUpstream{
@@ -83,6 +86,7 @@
 			HeardMs:  now.Sub(e.HeardAt).Milliseconds(),
 			InFlight: load.Calls,
 			Unread:   load.Prefill,
+			Limit:    limits[units.LifeOf(e.ID, e.Born)],
 		})
 	}
 	return d
--- a/src/governor/orders.go
+++ b/src/governor/orders.go
@@ -71,6 +71,7 @@
 			d.scalers[service.Name] = s
 		}
 		load := loads[service.Name]
+		load.Limited = c.pacing.short(now, service.Name)
 		stock := stockOf(c.table, service.Name, c.rollouts.barred(service.Name))
 		d.tell(now, duties, service.Name, s.Load(), stock)
 		for _, order := range s.Step(now, service, load, stock) {
@@ -83,6 +84,7 @@
 				Float64("asked", load.Asked).
 				Float64("seconds-each", load.Each).
 				Float64("running", load.Running).
+				Int("limited", load.Limited).
 				Uint64("fence", uint64(c.node.Term())).
 				Msg("upstreams-ordered")
 			d.calls++
--- a/src/governor/quarantine.go
+++ b/src/governor/quarantine.go
@@ -57,7 +57,7 @@
 		if !m.GetRan() {
 			q.weigher.Lose(now, quarantiner.Loss{
 				Request:   request,
-				Life:      quarantiner.Life(m.GetLife()),
+				Life:      units.Life(m.GetLife()),
 				Answering: m.GetAnswering(),
 			})
 			continue
--- a/src/governor/quarantine_test.go
+++ b/src/governor/quarantine_test.go
@@ -17,7 +17,7 @@
 const suspected units.Fingerprint = 1
 
 // newsOf returns an entry's poll with news of the request.
-func newsOf(c *coordinator, entry string, life quarantiner.Life, ran bool) *messages.EntryPoll {
+func newsOf(c *coordinator, entry string, life units.Life, ran bool) *messages.EntryPoll {
 	return &messages.EntryPoll{
 		Entry:       entry,
 		Incarnation: 1,
@@ -90,7 +90,7 @@
 	now := timekeeper.Now()
 	c.leads(now)
 	for life := range 2 {
-		hearNews(t, c, now.Add(time.Duration(life)*time.Second), newsOf(c, "e1", quarantiner.Life(life+1), false))
+		hearNews(t, c, now.Add(time.Duration(life)*time.Second), newsOf(c, "e1", units.Life(life+1), false))
 	}
 	if got := quarantinedBy(c); !slices.Equal(got, []units.Fingerprint{1}) {
 		t.Fatalf("after two losses: got %v quarantined, want [1]", got)
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -128,6 +128,7 @@
 	response.Counted = uint64(c.underWay.Counted(entry))
 	c.estimator.Take(now, entry, time.Unix(0, poll.GetWallNs()))
 	c.hearEntry(now, entry, poll)
+	c.pacing.tell(now, poll, response)
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.divider.Settled(now)
@@ -240,6 +241,7 @@
 		c.divider.Forget(entry)
 	}
 	c.rollouts.hear(entry, units.Incarnation(poll.GetIncarnation()), poll.GetVersions())
+	c.pacing.hear(now, poll)
 	c.duties.orders.hear(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.underWay.Hear(entry, placer.Report(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -78,6 +78,7 @@
 	Until time.Time
 	stats *stats
 	hash  Hash
+	life  units.Life
 	// place is where the upstream stands in an order that all entries work out alike,
 	// from 0 to 1.
 	place float64
@@ -102,6 +103,8 @@
 	Each func(service units.Service) time.Duration
 	// MostCalls returns how many calls this entry may have at an upstream at once.
 	MostCalls func(upstream *tracker.Upstream) int
+	// Gate holds calls to what upstreams say that they take; it may be nil.
+	Gate Gate
 	// Random draws; nil stands for the process's own source.
 	Random Random
 
@@ -113,6 +116,16 @@
 	out     map[ejector.Key]time.Time
 }
 
+// Gate lets calls go to upstreams that take only so many.
+type Gate interface {
+	// Closed returns the upstreams that may get no call now.
+	Closed(now time.Time) map[units.Life]bool
+	// Want notes that a call would have gone to an upstream that may get none.
+	Want(life units.Life)
+	// Take lets one call go to an upstream, and reports false where it may get none.
+	Take(now time.Time, life units.Life) bool
+}
+
 // Random is what the placer draws by, from several goroutines.
 type Random interface {
 	Float64() float64
@@ -162,6 +175,7 @@
 		Silent:   silent,
 		stats:    s,
 		hash:     hash,
+		life:     units.LifeOf(u.Name, u.Incarnation),
 		place:    placeOf(hash),
 	}
 }
@@ -189,6 +203,19 @@
 // Pick returns the upstream for the next attempt, or nil for none.
 func (p *Placer) Pick(call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
 	now := p.Now()
+	for {
+		c := p.pick(now, call, tried)
+		if c == nil {
+			return nil
+		}
+		// Another call may have taken what was left since it was looked at.
+		if p.Gate == nil || p.Gate.Take(now, c.life) {
+			return c.Upstream
+		}
+	}
+}
+
+func (p *Placer) pick(now time.Time, call *dispatcher.Call, tried []units.Upstream) *Candidate {
 	candidates := p.sound(now, p.version(call.Service, len(tried) == 0), tried)
 	if len(candidates) == 0 {
 		return nil
@@ -226,7 +253,7 @@
 	if len(tried) == 0 && hopeless(call, time.Duration(ahead)*p.each(call.Service)) {
 		return nil
 	}
-	return best.Upstream
+	return best
 }
 
 func (p *Placer) each(service units.Service) time.Duration {
@@ -378,7 +405,15 @@
 // that may be, and none that was tried where another is left.
 func (p *Placer) sound(now time.Time, all []*Candidate, tried []units.Upstream) []*Candidate {
 	var well, doubtful []*Candidate
+	var closed map[units.Life]bool
+	if p.Gate != nil {
+		closed = p.Gate.Closed(now)
+	}
 	for _, c := range all {
+		if closed[c.life] {
+			p.Gate.Want(c.life)
+			continue
+		}
 		if slices.Contains(tried, c.Name) || int(c.Live.InFlight.Load()) >= p.MostCalls(c.Upstream) {
 			continue
 		}
--- a/src/quarantiner/quarantiner.go
+++ b/src/quarantiner/quarantiner.go
@@ -6,26 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// Life is one life of one upstream.
-type Life uint64
-
-// LifeOf returns the life of an upstream that started then.
-func LifeOf(upstream units.Upstream, incarnation units.Incarnation) Life {
-	return Life(xxhash.Sum64String(string(upstream)) ^ uint64(incarnation)*lifeMix)
-}
-
-// lifeMix is odd and has its bits spread.
-const lifeMix = 0x9e3779b97f4a7c15
-
 // Loss says that an upstream ended while it had a request.
 type Loss struct {
 	Request units.Fingerprint
-	Life    Life
+	Life    units.Life
 	// Answering says that a part of the answer had come: what ends an upstream does so
 	// when it begins to run, mostly before that.
 	Answering bool
@@ -77,13 +64,13 @@
 	suspects map[units.Fingerprint]*suspect
 	ran      map[units.Fingerprint]time.Time
 	// explained holds the lives that a quarantined request has ended.
-	explained map[Life]time.Time
+	explained map[units.Life]time.Time
 	version   uint64
 }
 
 // suspect is what speaks against one request.
 type suspect struct {
-	lives  map[Life]Points
+	lives  map[units.Life]Points
 	points Points
 	lostAt time.Time
 	// enoughAt is when there were enough points, zero before.
@@ -111,7 +98,7 @@
 	}
 	s := q.suspects[loss.Request]
 	if s == nil {
-		s = &suspect{lives: make(map[Life]Points)}
+		s = &suspect{lives: make(map[units.Life]Points)}
 		q.suspects[loss.Request] = s
 		q.version++
 	}
@@ -208,7 +195,7 @@
 // explain takes the lives that a request has ended off all that have fewer points.
 func (q *Quarantiner) explain(now time.Time, verdict Verdict) {
 	if q.explained == nil {
-		q.explained = make(map[Life]time.Time)
+		q.explained = make(map[units.Life]time.Time)
 	}
 	lives := q.suspects[verdict.Request].lives
 	for request, s := range q.suspects {
@@ -239,7 +226,7 @@
 		}
 	}
 	maps.DeleteFunc(q.ran, func(_ units.Fingerprint, at time.Time) bool { return now.Sub(at) >= ranFor })
-	maps.DeleteFunc(q.explained, func(_ Life, at time.Time) bool { return now.Sub(at) >= suspectFor })
+	maps.DeleteFunc(q.explained, func(_ units.Life, at time.Time) bool { return now.Sub(at) >= suspectFor })
 }
 
 // Suspects returns the requests that upstreams were lost with, in order, and a number that
--- a/src/quarantiner/quarantiner_test.go
+++ b/src/quarantiner/quarantiner_test.go
@@ -19,7 +19,7 @@
 type seen struct {
 	at        int
 	request   units.Fingerprint
-	life      Life
+	life      units.Life
 	answering bool
 	ran       bool
 }
@@ -127,7 +127,7 @@
 	q := &Quarantiner{Enough: FleetPoints, Settle: Settle}
 	for n := range 5 * mostSuspects {
 		now := began.Add(time.Duration(n) * time.Millisecond)
-		q.Lose(now, Loss{Request: units.Fingerprint(n), Life: Life(n)})
+		q.Lose(now, Loss{Request: units.Fingerprint(n), Life: units.Life(n)})
 		q.Ran(now, units.Fingerprint(n+1_000_000))
 	}
 	if got := len(q.suspects); got > mostSuspects {
@@ -154,7 +154,7 @@
 		beside := rapid.IntRange(0, 20).Draw(t, "calls beside it")
 		q := &Quarantiner{Enough: FleetPoints, Settle: Settle}
 		const fatal units.Fingerprint = 1
-		next, life := fatal, Life(0)
+		next, life := fatal, units.Life(0)
 		// retried are calls whose upstream has ended and that go to another one.
 		var retried []units.Fingerprint
 		for ends := 1; ends <= 3; ends++ {
@@ -233,7 +233,7 @@
 func TestEvidenceIsBounded(t *testing.T) {
 	e := &Evidence{}
 	for n := range 10 * mostNews {
-		e.Lose(began, Loss{Request: units.Fingerprint(n), Life: Life(n)})
+		e.Lose(began, Loss{Request: units.Fingerprint(n), Life: units.Life(n)})
 	}
 	if got := len(e.After(began, 0, 100*mostNews)); got != mostNews {
 		t.Errorf("news: got %d, want %d", got, mostNews)
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -77,6 +77,8 @@
 	Each float64
 	// Running is how many calls are under way, on average.
 	Running float64
+	// Limited is how many upstreams say that they take fewer calls than there are for them.
+	Limited int
 }
 
 // Stock counts a service's upstreams of each kind that take calls now.
@@ -151,6 +153,7 @@
 		s.runningEach = least(s.runningEach, s.recent.Running/s.recent.Asked, passed)
 	}
 	s.load.Each = s.each
+	s.load.Limited = load.Limited
 	s.load.Running = s.load.Asked * s.runningEach
 }
 
@@ -201,5 +204,5 @@
 	if service.Engine != nil && service.Engine.Slots > 0 {
 		places += s.load.Running / (full * float64(service.Engine.Slots))
 	}
-	return int(math.Ceil(max(reading, places)))
+	return int(math.Ceil(max(reading, places))) + s.load.Limited
 }
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Brand names a brand that operators resell the service under.
@@ -66,6 +68,17 @@
 // CallRate is a number of calls a second.
 type CallRate float64
 
+// Life identifies one life of one upstream, from its start to its end.
+type Life uint64
+
+// lifeMix is odd and has its bits spread.
+const lifeMix = 0x9e3779b97f4a7c15
+
+// LifeOf returns the life of an upstream that started then.
+func LifeOf(upstream Upstream, incarnation Incarnation) Life {
+	return Life(xxhash.Sum64String(string(upstream)) ^ uint64(incarnation)*lifeMix)
+}
+
 // Term numbers a leadership period and serves as the fencing number of orders.
 type Term uint64
 
