--- a/src/gateway/losses.go
+++ b/src/gateway/losses.go
@@ -106,16 +106,32 @@
 func (l *losses) check(ctx context.Context, upstream *tracker.Upstream, life units.Life) {
 	time.Sleep(checkPause)
 	err := l.gateway.pool.Reach(ctx, upstream)
+	// What is lost meanwhile had the same end.
+	for calls := l.next(life); len(calls) > 0; calls = l.next(life) {
+		if err != nil {
+			l.gateway.tellEnd(upstream, calls, err)
+		}
+	}
+}
+
+// next returns the calls that were lost with an upstream and not yet looked at; without any it
+// is looked at no more.
+func (l *losses) next(life units.Life) []lostCall {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	calls := l.checked[life]
-	delete(l.checked, life)
-	l.mu.Unlock()
-	if err == nil {
-		return
+	if len(calls) == 0 {
+		delete(l.checked, life)
+		return nil
 	}
-	g := l.gateway
-	now := timekeeper.Now()
+	l.checked[life] = nil
+	return calls
+}
+
+// tellEnd tells what an upstream had when it ended; err is why it takes no connection.
+func (g *Gateway) tellEnd(upstream *tracker.Upstream, calls []lostCall, err error) {
 	g.figures.upstreamEnded(upstream)
+	now := timekeeper.Now()
 	suspected := 0
 	for _, lost := range calls {
 		if !g.evidence.Lose(now, lost.loss) {
