Take permits back where an upstream lowers its limit

An upstream that lowers its limit got the calls of the higher one for as long as their permits hold, a second. Permits shrink with the limit now, whether an answer or the leader tells of it. The test fails without it with 20 calls, 1 wanted.

--- a/src/pacer/gate.go
+++ b/src/pacer/gate.go
@@ -78,6 +78,7 @@
 		return false
 	}
 	changed := known.Stated != o.Stated || known.Rate != o.Rate
+	known.trim(o.Rate)
 	known.Observation = o
 	g.last++
 	known.news = g.last
@@ -111,6 +112,7 @@
 		if !known.Stated || known.AnsweredAt.Before(limit.StatedAt) {
 			known.AnsweredAt = limit.StatedAt
 		}
+		known.trim(limit.Rate)
 		known.Life = limit.Life
 		known.Stated = true
 		known.Rate = limit.Rate
@@ -123,6 +125,18 @@
 	g.count()
 }
 
+// trim takes back what a lower limit leaves no room for of the permits of a higher one.
+func (known *gate) trim(rate units.CallRate) {
+	if !known.Stated || rate >= known.Rate {
+		return
+	}
+	left := float64(rate / known.Rate)
+	for i := range known.permits {
+		known.permits[i].calls = int(left * float64(known.permits[i].calls))
+	}
+	known.permits = slices.DeleteFunc(known.permits, func(p permit) bool { return p.calls == 0 })
+}
+
 func (g *Gate) count() {
 	limited := int64(0)
 	for _, known := range g.lives {
--- a/src/pacer/pacer_test.go
+++ b/src/pacer/pacer_test.go
@@ -315,6 +315,33 @@
 	}
 }
 
+// Guards against an upstream that lowers its limit and gets the calls of the higher one for as
+// long as their permits hold, whoever tells of it.
+func TestLowerLimitTakesPermitsBack(t *testing.T) {
+	lower := map[string]func(g *Gate, now time.Time){
+		"by an answer":  func(g *Gate, now time.Time) { g.Hear(Observation{Life: life, Stated: true, Rate: 1, AnsweredAt: now}) },
+		"by the leader": func(g *Gate, now time.Time) { g.Follow(now, 9, []Limit{{Life: life, Rate: 1, StatedAt: now}}, true) },
+	}
+	for name, tell := range lower {
+		t.Run(name, func(t *testing.T) {
+			g := &Gate{}
+			now := at(100)
+			g.Hear(stated(10, 0))
+			g.Led(now, 3)
+			g.Permit(now, life, 8)
+			g.Permit(now, life, 12)
+			tell(g, now.Add(time.Millisecond))
+			taken := 0
+			for g.Take(now.Add(2*time.Millisecond), life) {
+				taken++
+			}
+			if want := 1; taken != want {
+				t.Errorf("calls by 20 permits at a limit of 10 that is 1 now: got %d, want %d", taken, want)
+			}
+		})
+	}
+}
+
 // Guards against limits of upstreams that have ended, which nothing withdraws: the next life
 // knows nothing of them.
 func TestLimitsEndWithTheirUpstream(t *testing.T) {
