Release a request whose run is told while its verdict is being committed

Where that news came between the verdict and the moment at which the leader saw it committed, it was taken for a repetition of the verdict's own proposal and dropped, and a harmless request stayed quarantined for ten minutes. Releases have a pause of their own now and go behind the verdict in the log. Entries also look at newly quarantined requests for such that have run there within the last minute, and tell it.

TestRunDuringTheVerdictReleasesARequest fails on the code before.

--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -309,7 +309,7 @@
 		}
 	}
 	p.world.rollouts = p.world.rollouts.next(sentAt, r)
-	p.gateway.quarantine.follow(r.GetQuarantines())
+	p.gateway.evidence.Recall(now, p.gateway.quarantine.follow(r.GetQuarantines()))
 	if r.GetLeads() {
 		p.obey(now, sentAt, r)
 	}
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,18 +46,20 @@
 	}
 }
 
-// follow takes the leader's quarantines unless newer ones are known.
-func (q *quarantine) follow(m *messages.Quarantines) {
+// follow takes the leader's quarantines unless newer ones are known, and returns the requests
+// that it takes.
+func (q *quarantine) follow(m *messages.Quarantines) []units.Fingerprint {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if m.GetNumber() <= q.number {
-		return
+		return nil
 	}
 	q.number = m.GetNumber()
 	q.fleet = make(map[units.Fingerprint]time.Time, len(m.GetRequests()))
 	for _, r := range m.GetRequests() {
 		q.fleet[units.Fingerprint(r.GetRequest())] = time.Unix(0, r.GetUntilNs())
 	}
+	return slices.Collect(maps.Keys(q.fleet))
 }
 
 // known returns the number of the quarantines that were taken last.
--- a/src/governor/quarantine.go
+++ b/src/governor/quarantine.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -33,13 +34,17 @@
 	leadership uint64
 	weigher    *quarantiner.Quarantiner
 	workedAt   time.Time
-	proposed   map[units.Fingerprint]time.Time
+	// proposed holds when verdicts were proposed that are not known to be committed, released
+	// when the end of a quarantine was.
+	proposed map[units.Fingerprint]time.Time
+	released map[units.Fingerprint]time.Time
 }
 
 // begin starts a leadership that knows nothing of what entries have seen.
 func (q *quarantines) begin() {
 	q.leadership = rand.Uint64() | 1
 	q.proposed = make(map[units.Fingerprint]time.Time)
+	q.released = make(map[units.Fingerprint]time.Time)
 	q.weigher = &quarantiner.Quarantiner{
 		Enough:   quarantiner.FleetPoints,
 		Settle:   quarantiner.Settle,
@@ -70,17 +75,21 @@
 	return nil
 }
 
-// release ends the quarantine of a request that has run.
+// release ends the quarantine of a request that has run, also one that is being committed: the
+// news comes once, and a request that is quarantined runs nowhere to tell it again.
 func (q *quarantines) release(now time.Time, entry string, request units.Fingerprint) error {
 	c := q.coordinator
-	if c.state.quarantines[request] == nil || now.Sub(q.proposed[request]) < quarantinePause {
+	_, pending := q.proposed[request]
+	if c.state.quarantines[request] == nil && !pending || now.Sub(q.released[request]) < quarantinePause {
 		return nil
 	}
+	delete(q.proposed, request)
+	q.released[request] = now
 	c.log.Info().
 		Stringer("fingerprint", request).
 		Str("entry", entry).
 		Msg("request-released")
-	return q.propose(now, &messages.Quarantine{
+	return q.propose(&messages.Quarantine{
 		Request:  uint64(request),
 		Released: true,
 	})
@@ -94,6 +103,7 @@
 	q.workedAt = now
 	c := q.coordinator
 	trueNow := c.trueTime(now)
+	maps.DeleteFunc(q.released, func(_ units.Fingerprint, at time.Time) bool { return now.Sub(at) >= quarantinePause })
 	for _, verdict := range q.weigher.Due(now) {
 		known := c.state.quarantines[verdict.Request]
 		pending, found := q.proposed[verdict.Request]
@@ -105,6 +115,7 @@
 		if found && now.Sub(pending) < quarantinePause {
 			continue
 		}
+		q.proposed[verdict.Request] = now
 		strikes := known.GetStrikes() + 1
 		lasts := quarantineFor(strikes)
 		c.log.Warn().
@@ -114,7 +125,7 @@
 			Uint32("strikes", strikes).
 			Dur("lasts-ms", lasts).
 			Msg("request-quarantined")
-		err := q.propose(now, &messages.Quarantine{
+		err := q.propose(&messages.Quarantine{
 			Request:   uint64(verdict.Request),
 			Strikes:   strikes,
 			UntilNs:   trueNow.Add(lasts).UnixNano(),
@@ -136,8 +147,7 @@
 	return min(lasts, lastQuarantineTime)
 }
 
-func (q *quarantines) propose(now time.Time, m *messages.Quarantine) error {
-	q.proposed[units.Fingerprint(m.GetRequest())] = now
+func (q *quarantines) propose(m *messages.Quarantine) error {
 	return q.coordinator.step(replicator.Proposed{
 		Command: &messages.Command{
 			Change: &messages.Command_Quarantine{
--- a/src/governor/quarantine_test.go
+++ b/src/governor/quarantine_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// Guards against a request that stays quarantined since the news that it has run came while the
+// verdict was being committed.
+func TestRunDuringTheVerdictReleasesARequest(t *testing.T) {
+	_, c := newLeader(t)
+	now := timekeeper.Now()
+	c.leads(now)
+	for life := range 2 {
+		if err := c.quarantines.hear(now, newsOf(c, "e1", units.Life(life+1), false)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now = now.Add(quarantiner.Settle)
+	if err := c.quarantines.work(now); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.quarantines.hear(now.Add(time.Millisecond), newsOf(c, "e2", 0, true)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.quarantines.work(now.Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if got := quarantinedBy(c); len(got) > 0 {
+		t.Errorf("after it has run: got %v quarantined, want none", got)
+	}
+}
+
 // Guards against a new leader that takes entries to have told it what they told the one before.
 func TestNewsIsToldToEachLeadership(t *testing.T) {
 	_, c := newLeader(t)
--- a/src/quarantiner/evidence.go
+++ b/src/quarantiner/evidence.go
@@ -95,6 +95,17 @@
 	}
 }
 
+// Recall tells of the requests among these that have run here lately.
+func (e *Evidence) Recall(now time.Time, requests []units.Fingerprint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, request := range requests {
+		if e.ranLately(now, request) {
+			e.clear(now, request)
+		}
+	}
+}
+
 // After returns the news behind a number, so many at most.
 func (e *Evidence) After(now time.Time, number Number, most int) []News {
 	e.mu.Lock()
--- a/src/quarantiner/quarantiner_test.go
+++ b/src/quarantiner/quarantiner_test.go
@@ -217,6 +217,7 @@
 		{name: "others suspect what has run here", do: func() { e.Follow(now, []units.Fingerprint{5, 6}) }, want: "1:1:false 3:2:true 4:5:true "},
 		{name: "what others suspect runs here", do: func() { e.Ran(now, 6) }, want: "1:1:false 3:2:true 4:5:true 5:6:true "},
 		{name: "the first is still suspected here", do: func() { e.Follow(now, nil); e.Ran(now, 1) }, want: "3:2:true 4:5:true 5:6:true 6:1:true "},
+		{name: "what has run here is quarantined", do: func() { e.Recall(now, []units.Fingerprint{6, 9}) }, want: "3:2:true 4:5:true 6:1:true 7:6:true "},
 		{name: "all is old", do: func() { now = now.Add(suspectFor) }, want: ""},
 	}
 	for _, step := range steps {
