Log what upstreams ask for in their answers

Callers saw calls refused while upstreams were free. From the logs it could not be told whether an upstream had asked for a back-off, or what an entry made of it: call-ended says "refused with status 503" and no more, and no counter separates such refusals from those of a full upstream.

Entries now log upstream-backoff with the wait, count upstream_backoffs by service, and log upstream-says-it-leaves.

--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -38,8 +38,11 @@
 	ModelVersion units.ModelVersion
 	// IsEventStream is set where the answer is a stream of events.
 	IsEventStream bool
-	// RetryAfter is the wait that a refusing upstream asks for.
+	// RetryAfter is how long a refusing upstream wants no calls from this entry, 0 if it does
+	// not ask for a back-off.
 	RetryAfter time.Duration
+	// Leaving is set where the upstream states that it is leaving.
+	Leaving bool
 	// Limit is the call rate limit that the upstream states, nil if the answer is not
 	// from that upstream or its limit cannot be read.
 	Limit *Limit
@@ -90,9 +93,9 @@
 	// OnStarted is called once a call has started to run or may have: it includes calls whose
 	// answer is lost, most of which have run. It may be nil.
 	OnStarted func(call *dispatcher.Call, upstream *tracker.Upstream)
-	// OnLimit is called with the limit that an upstream states in an answer, and the time
-	// at which that answer's call was sent; it may be nil.
-	OnLimit func(upstream *tracker.Upstream, limit Limit, sentAt time.Time)
+	// OnAnswer is called with the head of each answer to its attempt, and the time at which the
+	// attempt was sent; it may be nil.
+	OnAnswer func(upstream *tracker.Upstream, verdict Verdict, sentAt time.Time)
 }
 
 // InvalidAnswerError is the error for received bytes that do not answer the attempt.
@@ -173,12 +176,12 @@
 		return result
 	}
 	verdict := e.Dialect.CheckAnswer(e.call, e.upstream, response.StatusCode, response.Header)
-	if e.OnLimit != nil && verdict.Limit != nil {
-		e.OnLimit(e.upstream, *verdict.Limit, sentAt)
-	}
 	if !verdict.MatchesAttempt {
 		return e.foreignResult("it names another attempt")
 	}
+	if e.OnAnswer != nil {
+		e.OnAnswer(e.upstream, verdict, sentAt)
+	}
 	if verdict.NotRun {
 		// The body of a refusal is short; reading it allows the connection to be reused.
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, readBuffer))
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -111,7 +111,7 @@
 					Guard:     (*attemptGuard)(g),
 					Donor:     g.placer.Donor,
 					OnStarted: g.countCall,
-					OnLimit:   g.recordLimit,
+					OnAnswer:  g.recordAnswer,
 				},
 				gateway: g,
 			},
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -169,7 +169,7 @@
 func (t *trafficStats) firstByteHistogram(service units.Service) tally.Histogram {
 	h := t.firstByte[string(service)]
 	if h == nil {
-		h = t.scope.Tagged(map[string]string{"service": string(service)}).Histogram("first_byte", meter.LatencyBuckets)
+		h = t.scope.Tagged(serviceTag(service)).Histogram("first_byte", meter.LatencyBuckets)
 		t.firstByte[string(service)] = h
 	}
 	return h
@@ -200,14 +200,23 @@
 	counter.Inc(1)
 }
 
+func serviceTag(service units.Service) map[string]string {
+	return map[string]string{"service": string(service)}
+}
+
 // connectionCut counts a connection to an upstream that was cut during a call.
 func (t *trafficStats) connectionCut(u *tracker.Upstream) {
-	t.scope.Tagged(map[string]string{"service": string(u.Service)}).Counter("upstream_cuts").Inc(1)
+	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_cuts").Inc(1)
+}
+
+// backoffRequested counts a call that an upstream refused with the wish for a back-off.
+func (t *trafficStats) backoffRequested(u *tracker.Upstream) {
+	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_backoffs").Inc(1)
 }
 
 // upstreamCrashed counts an upstream that has crashed with calls of this entry.
 func (t *trafficStats) upstreamCrashed(u *tracker.Upstream) {
-	t.scope.Tagged(map[string]string{"service": string(u.Service)}).Counter("upstream_ends").Inc(1)
+	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_ends").Inc(1)
 }
 
 // loads returns the load of each service since the start.
