Keep calls from upstreams that have asked for a back-off

Callers saw calls refused (no-upstream, Retry-After: 3) while ten other upstreams accepted calls; two to five upstreams that had refused an entry with Retry-After got up to 96 calls a second.

Cause: Retry-After went into the refusal of that one call and was forgotten with it. A refusal as full says nothing about an upstream's health, so the ejector ignores it, and an upstream that refuses everything looks idle: it got the next calls first. Each of them used up a retry, and once the budget was spent, calls were refused though nobody else was busy. Ruled out by the logs and the tests: a path that is not held back (first attempts and resumed streams went out alike), a back-off that ends early (there was no pause at all).

Package withholder holds what each incarnation of an upstream has asked this entry for. The placer leaves such upstreams out, the guard checks again before the first byte (a connection may take 400 ms to make), and such an attempt costs no retry. The longest of several back-offs holds, whatever the order of the answers; another incarnation has asked for nothing. Back-offs end spread over up to a second, and calls return one by one, doubling with each accepted one; an upstream that recovers is the last choice, not none. Where all upstreams back off, calls are refused at once with the shortest wait that is left, spread over a third; where not, callers are no longer told to wait as long as one upstream asked for. Prompt prefixes are not fetched from an upstream that backs off.

--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -213,3 +213,38 @@
 		})
 	}
 }
+
+// Guards against callers who are told to wait as long as one upstream asked for, although others
+// accept calls, and against a wait that is shorter or longer than the back-off of all of them.
+func TestRefusalNamesTheBackoffOfAllUpstreams(t *testing.T) {
+	cases := map[string]struct {
+		left, want time.Duration
+	}{
+		"an upstream accepts calls": {want: retryAfter},
+		"all back off":              {left: 300 * time.Millisecond, want: 300 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := &refusingUpstreams{}
+				d := &Dispatcher{
+					Limiter:     fake,
+					Recorder:    fake,
+					Router:      fake,
+					Exchanger:   fake,
+					Budget:      fake,
+					BackoffLeft: func(*Call) time.Duration { return c.left },
+				}
+				startedAt := time.Now()
+				err := d.Do(t.Context(), &Call{Deadline: startedAt.Add(time.Minute)}, noSink{})
+				var refusal *Refusal
+				if !errors.As(err, &refusal) || refusal.Executed != ExecutedNo || refusal.RetryAfter != c.want {
+					t.Errorf("error: got %v, want a refusal with executed no and retry after %v", err, c.want)
+				}
+				if took := time.Since(startedAt); took != 0 {
+					t.Errorf("refused after %v, want at once", took)
+				}
+			})
+		})
+	}
+}
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -109,6 +110,10 @@
 	Observer Observer
 	// Budget may be nil; retries are then not limited by a budget.
 	Budget Budget
+	// BackoffLeft returns how long no upstream accepts the call because all of them have asked for
+	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
+	// that an upstream asked for.
+	BackoffLeft func(call *Call) time.Duration
 }
 
 // Do runs a call to completion. An error that is a *Refusal is the response to the
@@ -273,7 +278,15 @@
 	if state.upstreamFailure != nil && stream.Offset() == 0 {
 		return state.upstreamFailure, nil
 	}
-	return nil, noUpstreamRefusal(state.executed, state.refusalWait)
+	return nil, noUpstreamRefusal(state.executed, d.refusalWait(call, state))
+}
+
+// refusalWait returns when the caller of a refused call should send it again.
+func (d *Dispatcher) refusalWait(call *Call, state *attemptState) time.Duration {
+	if d.BackoffLeft == nil {
+		return state.refusalWait
+	}
+	return cmp.Or(d.BackoffLeft(call), retryAfter)
 }
 
 // recordResult records how an attempt failed; an error ends the call.
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -75,10 +75,23 @@
 	CheckAnswer(call *dispatcher.Call, upstream *tracker.Upstream, status int, header http.Header) Verdict
 }
 
-// Guard decides whether a call may still be sent.
+// Guard decides whether a call may still be sent to an upstream.
 type Guard interface {
-	// Check returns the time left for the call, or why it may not be sent.
-	Check(call *dispatcher.Call) (left time.Duration, err error)
+	// Check returns the time left for the call, or why it may not be sent; a *WithheldError if
+	// another upstream may still get it.
+	Check(call *dispatcher.Call, upstream *tracker.Upstream) (left time.Duration, err error)
+}
+
+// WithheldError is the error for an upstream that must not receive a call now.
+type WithheldError struct {
+	Upstream units.Upstream
+	// State is why, such as "backing-off".
+	State string
+}
+
+// Error names the upstream and its state.
+func (e *WithheldError) Error() string {
+	return fmt.Sprintf("%s is %s; use another upstream", e.Upstream, e.State)
 }
 
 // Exchanger runs attempts; its fields are set before use.
@@ -213,12 +226,14 @@
 // send writes the request. If that fails it returns false and the result, which
 // distinguishes whether any byte was sent.
 func (e *exchange) send() (dispatcher.Result, bool) {
-	left, err := e.Guard.Check(e.call)
+	left, err := e.Guard.Check(e.call, e.upstream)
 	if err != nil {
 		e.reusable = true
+		var withheld *WithheldError
 		return dispatcher.Result{
-			Kind: dispatcher.NotRun,
-			Err:  err,
+			Kind:   dispatcher.NotRun,
+			Unsent: errors.As(err, &withheld),
+			Err:    err,
 		}, false
 	}
 	sending := RequestInfo{
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -129,7 +129,9 @@
 // fakeGuard refuses calls with err if it is set.
 type fakeGuard struct{ err error }
 
-func (g *fakeGuard) Check(*dispatcher.Call) (time.Duration, error) { return time.Second, g.err }
+func (g *fakeGuard) Check(*dispatcher.Call, *tracker.Upstream) (time.Duration, error) {
+	return time.Second, g.err
+}
 
 // recordingSink records what the caller receives.
 type recordingSink struct {
@@ -468,3 +470,18 @@
 		})
 	}
 }
+
+// Guards against a call that is refused although other upstreams accept it, because the chosen one
+// asked for no more calls while a connection to it was being made: the attempt was never sent, and
+// costs no retry.
+func TestWithheldAttemptIsUnsent(t *testing.T) {
+	u := newUpstream(t, func(int, int, string) string { return wholeAnswer })
+	x := newExchanger(&fakeGuard{err: &WithheldError{Upstream: u.Name, State: "backing-off"}})
+	result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+	if result.Kind != dispatcher.NotRun || !result.Unsent || result.ConnectFailed {
+		t.Errorf("result: got %v, unsent %t, unreached %t, want it not run and unsent alone", result.Kind, result.Unsent, result.ConnectFailed)
+	}
+	if _, requests := u.counts(); requests != 0 {
+		t.Errorf("requests at the upstream: got %d, want none", requests)
+	}
+}
--- /dev/null
+++ b/src/gateway/answer_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/tracker"
+)
+
+// Guards against a call that is sent to an upstream that asked for none after the call had been
+// assigned to it, and against one that is withheld from another incarnation or upstream.
+func TestAnswersBindTheNextAttempt(t *testing.T) {
+	upstream := &tracker.Upstream{Name: "u", Service: "s", Incarnation: 1, Local: &tracker.LocalState{}}
+	restarted := &tracker.Upstream{Name: "u", Service: "s", Incarnation: 2, Local: &tracker.LocalState{}}
+	other := &tracker.Upstream{Name: "v", Service: "s", Incarnation: 1, Local: &tracker.LocalState{}}
+	cases := map[string]struct {
+		verdict exchanger.Verdict
+		// want is the state in which the call is withheld, "" if it may be sent.
+		want string
+	}{
+		"accepted":            {},
+		"refused as full":     {verdict: exchanger.Verdict{NotRun: true}},
+		"refused with a wait": {verdict: exchanger.Verdict{NotRun: true, RetryAfter: time.Minute}, want: "backing-off"},
+		"failed with a wait":  {verdict: exchanger.Verdict{RetryAfter: time.Minute}, want: "backing-off"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newLimitedGateway(t, time.Minute)
+			g.Log = zerolog.Nop()
+			now := timekeeper.Now()
+			g.recordAnswer(upstream, c.verdict, now)
+			call := &dispatcher.Call{BootTimeDeadline: now.Add(time.Minute)}
+			_, err := (*attemptGuard)(g).Check(call, upstream)
+			got := ""
+			var withheld *exchanger.WithheldError
+			if errors.As(err, &withheld) {
+				got = withheld.State
+			}
+			if got != c.want || err != nil && got == "" {
+				t.Errorf("next attempt: got %v, want it withheld as %q", err, c.want)
+			}
+			for _, u := range []*tracker.Upstream{restarted, other} {
+				if _, err := (*attemptGuard)(g).Check(call, u); err != nil {
+					t.Errorf("attempt at %s, incarnation %d: got %v, want it sent", u.Name, u.Incarnation, err)
+				}
+			}
+		})
+	}
+}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // sharedConnectionFraction is the fraction of an upstream's connections that is divided among
@@ -66,6 +67,7 @@
 	evidence     quarantiner.Evidence
 	quarantine   quarantine
 	gate         pacer.Gate
+	withholder   withholder.Withholder
 }
 
 // Prepare creates the components; it is called once, before Run and Serve.
@@ -86,6 +88,7 @@
 		PrefillTime: g.trafficStats.prefillPerToken,
 		MaxInFlight: g.connections,
 		Gate:        &g.gate,
+		Withholder:  &g.withholder,
 	}
 	g.quota = &allocator.LocalLimiter{Window: allocator.NewWindow(g.Settings.Quota)}
 	g.retryBudget = &retrier.Budget{
@@ -119,6 +122,9 @@
 		},
 		Observer: (*observer)(g),
 		Budget:   g.retryBudget,
+		BackoffLeft: func(call *dispatcher.Call) time.Duration {
+			return spreadWait(g.placer.BackoffLeft(call))
+		},
 	}
 }
 
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -322,6 +322,7 @@
 		p.fleetStale = false
 		p.snapshot.fleet, p.snapshot.leaving = p.candidateBuilder.fleet(now, p.table, p.gateway.placer)
 		p.gateway.placer.Retain(p.snapshot.fleet, p.snapshot.leaving)
+		p.retainWithheld(now)
 	}
 	updated := p.snapshot
 	p.gateway.snapshot.Store(&updated)
@@ -330,6 +331,15 @@
 	}
 }
 
+// retainWithheld drops what upstreams have asked for that are no longer in the table.
+func (p *poller) retainWithheld(now time.Time) {
+	known := make(map[units.IncarnationID]bool)
+	for _, e := range p.table.Upstreams() {
+		known[units.NewIncarnationID(e.ID, e.Incarnation)] = true
+	}
+	p.gateway.withholder.Retain(now, func(id units.IncarnationID) bool { return known[id] })
+}
+
 // upstreamChanges returns the changes of the table in a response. A page that cannot be decoded
 // leaves the table as it is, and the next full table repairs it.
 func (p *poller) upstreamChanges(r *messages.EntryPollResponse) []*messages.RegisteredUpstream {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
@@ -157,11 +158,15 @@
 }
 
 // newUnreadyRefusal returns the refusal of a call that this entry cannot serve before control
-// responds. The retry times of callers are spread over a third of the time, so that they do not
-// all come back at once.
+// responds.
 func newUnreadyRefusal(detail string) *dispatcher.Refusal {
-	wait := time.Duration(float64(unreadyRetryAfter) * (1 + rand.Float64()/3))
-	return newRefusal(http.StatusServiceUnavailable, dispatcher.ProblemUnready, detail, wait)
+	return newRefusal(http.StatusServiceUnavailable, dispatcher.ProblemUnready, detail, spreadWait(unreadyRetryAfter))
+}
+
+// spreadWait extends a wait by up to a third, so that the callers who are told to wait do not all
+// come back at once.
+func spreadWait(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * (1 + rand.Float64()/3))
 }
 
 // accountLimiter enforces the limits of accounts.
@@ -226,12 +231,21 @@
 // attemptGuard checks a call once more before the first byte of an attempt is sent.
 type attemptGuard Gateway
 
-// Check returns the time that the call has left.
-func (a *attemptGuard) Check(call *dispatcher.Call) (time.Duration, error) {
-	if err := (*Gateway)(a).checkPermitted(call); err != nil {
+// Check returns the time that the call has left. An upstream may have asked for no more calls
+// while a connection to it was being made.
+func (a *attemptGuard) Check(call *dispatcher.Call, upstream *tracker.Upstream) (time.Duration, error) {
+	g := (*Gateway)(a)
+	if err := g.checkPermitted(call); err != nil {
 		return 0, err
 	}
-	return call.BootTimeDeadline.Sub(timekeeper.Now()), nil
+	now := timekeeper.Now()
+	if state := g.withholder.Admit(now, units.NewIncarnationID(upstream.Name, upstream.Incarnation)); state.Withheld() {
+		return 0, &exchanger.WithheldError{
+			Upstream: upstream.Name,
+			State:    string(state),
+		}
+	}
+	return call.BootTimeDeadline.Sub(now), nil
 }
 
 // observer passes the result of each exchange to the placer and to the traffic statistics.
--- a/src/placer/donor.go
+++ b/src/placer/donor.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // minFetchedTokens is the minimum size, in tokens, of a prompt prefix that is worth
@@ -34,7 +35,9 @@
 				continue
 			}
 			gone := !c.TerminatesAt.IsZero() && !now.Before(c.TerminatesAt)
-			if c.Name == chosen.Name || gone || c.Silent && !c.hasAnsweredRecently(now) || p.isEjected(now, c.Upstream) {
+			// An upstream that has asked for a back-off is overloaded.
+			overloaded := p.stateOf(now, c) == withholder.BackingOff
+			if c.Name == chosen.Name || gone || overloaded || c.Silent && !c.hasAnsweredRecently(now) || p.isEjected(now, c.Upstream) {
 				continue
 			}
 			if r := ownerRank(prefix, c.hash); best == nil || r > bestRank {
--- a/src/placer/donor_test.go
+++ b/src/placer/donor_test.go
@@ -9,6 +9,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // A call goes to an upstream that has not cached its long prompt prefix. The donor must be
@@ -54,11 +55,17 @@
 		// want is the index of the donor among the prefix's owners, -1 for none.
 		want int
 	}{
-		"the owner":                    {call: call},
-		"the owner while it leaves":    {call: call, change: func(f *fixture) { leave(f, f.now.Add(time.Second)) }},
-		"not an owner that has left":   {call: call, change: func(f *fixture) { leave(f, f.now) }, want: 1},
-		"not a silent owner":           {call: call, change: func(f *fixture) { ownersOf(7, f.fleet["s"])[0].Silent = true }, want: 1},
-		"not an ejected owner":         {call: call, change: func(f *fixture) { f.eject(ownersOf(7, f.fleet["s"])[0].Upstream) }, want: 1},
+		"the owner":                  {call: call},
+		"the owner while it leaves":  {call: call, change: func(f *fixture) { leave(f, f.now.Add(time.Second)) }},
+		"not an owner that has left": {call: call, change: func(f *fixture) { leave(f, f.now) }, want: 1},
+		"not a silent owner":         {call: call, change: func(f *fixture) { ownersOf(7, f.fleet["s"])[0].Silent = true }, want: 1},
+		"not an ejected owner":       {call: call, change: func(f *fixture) { f.eject(ownersOf(7, f.fleet["s"])[0].Upstream) }, want: 1},
+		"not an owner that backs off": {call: call, change: func(f *fixture) {
+			f.withhold(map[units.Upstream]withholder.State{ownersOf(7, f.fleet["s"])[0].Name: withholder.BackingOff})
+		}, want: 1},
+		"an owner that says it leaves": {call: call, change: func(f *fixture) {
+			f.withhold(map[units.Upstream]withholder.State{ownersOf(7, f.fleet["s"])[0].Name: withholder.Leaving})
+		}},
 		"none without a shared prefix": {call: &dispatcher.Call{Service: "s", PromptTokens: 5000, Prefixes: call.Prefixes[2:]}, want: -1},
 		"none for a short prefix":      {call: &dispatcher.Call{Service: "s", PromptTokens: 110, Prefixes: []dispatcher.PromptPrefix{{ID: 7, Tokens: 100}, {ID: 9, Tokens: 10}}}, want: -1},
 	}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 const (
@@ -106,6 +107,8 @@
 	MaxInFlight func(upstream *tracker.Upstream) int
 	// Gate keeps calls within the rates that upstreams accept; it may be nil.
 	Gate Gate
+	// Withholder tells which upstreams have asked this entry for no calls; it may be nil.
+	Withholder Withholder
 	// Random is the source of randomness; nil selects the process's own source.
 	Random Random
 
@@ -127,6 +130,14 @@
 	Admit(now time.Time, id units.IncarnationID) bool
 }
 
+// Withholder tells which upstreams have asked this entry for no calls.
+type Withholder interface {
+	// StateOf returns whether an upstream may receive a call now.
+	StateOf(now time.Time, id units.IncarnationID) withholder.State
+	// BackoffLeft returns how much of an upstream's back-off is left, 0 for none.
+	BackoffLeft(now time.Time, id units.IncarnationID) time.Duration
+}
+
 // Random is the placer's source of randomness; it must be safe for concurrent use.
 type Random interface {
 	Float64() float64
@@ -408,8 +419,8 @@
 }
 
 // eligible returns the candidates to choose from: the healthy ones, or the suspect ones
-// where none is healthy. Those that were tried, are at the limit of calls or are closed by
-// the gate are left out.
+// where none is healthy. Those that were tried, are at the limit of calls, are closed by the
+// gate or have asked for no calls are left out.
 func (p *Placer) eligible(now time.Time, all []*Candidate, tried []units.Upstream) []*Candidate {
 	var healthy, suspect []*Candidate
 	var closed map[units.IncarnationID]bool
@@ -417,6 +428,10 @@
 		closed = p.Gate.Closed(now)
 	}
 	for _, c := range all {
+		state := p.stateOf(now, c)
+		if state.Withheld() {
+			continue
+		}
 		if closed[c.incarnationID] {
 			p.Gate.RecordDemand(c.incarnationID)
 			continue
@@ -424,7 +439,7 @@
 		if slices.Contains(tried, c.Name) || int(c.Local.InFlight.Load()) >= p.MaxInFlight(c.Upstream) {
 			continue
 		}
-		if p.isEjected(now, c.Upstream) || c.Silent && !c.hasAnsweredRecently(now) {
+		if state == withholder.Recovering || p.isEjected(now, c.Upstream) || c.Silent && !c.hasAnsweredRecently(now) {
 			suspect = append(suspect, c)
 			continue
 		}
@@ -435,3 +450,29 @@
 	}
 	return suspect
 }
+
+func (p *Placer) stateOf(now time.Time, c *Candidate) withholder.State {
+	if p.Withholder == nil {
+		return withholder.Accepting
+	}
+	return p.Withholder.StateOf(now, c.incarnationID)
+}
+
+// BackoffLeft returns how long all upstreams of a call's service that are not leaving want no calls
+// from this entry, 0 where one of them accepts calls or there are none.
+func (p *Placer) BackoffLeft(call *dispatcher.Call) time.Duration {
+	now := p.Now()
+	shortest := time.Duration(0)
+	for _, c := range p.Fleet()[call.Service] {
+		switch state := p.stateOf(now, c); {
+		case state == withholder.Leaving:
+		case state != withholder.BackingOff:
+			return 0
+		default:
+			if left := p.Withholder.BackoffLeft(now, c.incarnationID); shortest == 0 || left < shortest {
+				shortest = left
+			}
+		}
+	}
+	return shortest
+}
