Send nothing more to upstreams whose answers say that they leave

Callers see calls broken off by upstreams that had said in their answers that they were leaving, before their heartbeat reached the entry, or without any.

Cause: the same as of the back-offs: what an answer says beyond its own call was dropped. Only heartbeats made an upstream leave, through control; an entry that control cannot reach never learned of it.

--- a/src/gateway/answer_test.go
+++ b/src/gateway/answer_test.go
@@ -24,10 +24,12 @@
 		// want is the state in which the call is withheld, "" if it may be sent.
 		want string
 	}{
-		"accepted":            {},
-		"refused as full":     {verdict: exchanger.Verdict{NotRun: true}},
-		"refused with a wait": {verdict: exchanger.Verdict{NotRun: true, RetryAfter: time.Minute}, want: "backing-off"},
-		"failed with a wait":  {verdict: exchanger.Verdict{RetryAfter: time.Minute}, want: "backing-off"},
+		"accepted":             {},
+		"refused as full":      {verdict: exchanger.Verdict{NotRun: true}},
+		"refused with a wait":  {verdict: exchanger.Verdict{NotRun: true, RetryAfter: time.Minute}, want: "backing-off"},
+		"failed with a wait":   {verdict: exchanger.Verdict{RetryAfter: time.Minute}, want: "backing-off"},
+		"accepted and leaving": {verdict: exchanger.Verdict{Leaving: true}, want: "leaving"},
+		"refused and leaving":  {verdict: exchanger.Verdict{NotRun: true, RetryAfter: time.Minute, Leaving: true}, want: "leaving"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 const (
@@ -157,12 +158,16 @@
 		Msg("upstream-ended")
 }
 
-// acceptsCalls reports whether an upstream currently accepts new calls.
+// acceptsCalls reports whether an upstream is in use and has not said that it is leaving.
 func (g *Gateway) acceptsCalls(upstream *tracker.Upstream) bool {
 	snap := g.snapshot.Load()
 	if snap == nil {
 		return false
 	}
+	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+	if g.withholder.StateOf(timekeeper.Now(), id) == withholder.Leaving {
+		return false
+	}
 	return containsUpstream(snap.fleet[upstream.Service], upstream)
 }
 
--- a/src/gateway/loss_detector_test.go
+++ b/src/gateway/loss_detector_test.go
@@ -27,11 +27,14 @@
 		// crashed makes the upstream accept no new connection, leaving makes it accept no calls.
 		crashed bool
 		leaving bool
-		want    int
+		// saidItLeaves is set where the upstream has said so in an answer.
+		saidItLeaves bool
+		want         int
 	}{
 		"upstream that crashed":        {result: cut, crashed: true, want: 1},
 		"lost answer":                  {result: cut},
 		"leaving upstream":             {result: cut, crashed: true, leaving: true},
+		"upstream that said it leaves": {result: cut, crashed: true, saidItLeaves: true},
 		"caller who left":              {result: dispatcher.Result{Kind: dispatcher.CallerGone}, crashed: true},
 		"call that had run for long":   {result: dispatcher.Result{Kind: dispatcher.Unresumable, ConnectionLost: true, AnswerDuration: minRunTime}, crashed: true},
 		"stream that had just started": {result: dispatcher.Result{Kind: dispatcher.Unresumable, ConnectionLost: true, AnswerDuration: minRunTime / 2}, crashed: true, want: 1},
@@ -62,6 +65,9 @@
 				snap.fleet = placer.Fleet{"s": {{Upstream: upstream}}}
 			}
 			g.snapshot.Store(&snap)
+			if c.saidItLeaves {
+				g.recordAnswer(upstream, exchanger.Verdict{Leaving: true}, timekeeper.Now())
+			}
 			l := &lossDetector{
 				Exchanger: &fixedExchanger{result: c.result, after: func() {}},
 				gateway:   g,
