Plan upstreams without taking back-offs for idleness

Cause: the planner takes the calls in flight for each call that is asked for, and its minimum falls at once. A call that is refused is in flight for no time, so that refusals make every call seem cheap, and the plan stays small for long after. Nothing told the leader that upstreams refuse calls on purpose.

Entries report with each poll which upstreams they back off from; the leader counts such an upstream as missing, in part where only some entries back off from it, and smoothed, since most back-offs are shorter than an upstream takes to start. While there are back-offs, and until the smoothed load contains none of their refusals, the minimum stays as it is.

Dumps of entries name the state of withheld upstreams.

--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -238,6 +238,9 @@
 	poll.SuspectsVersion = p.suspects
 	poll.Losses = p.unreportedLosses(now)
 	p.limitSync.report(now, &g.gate, poll)
+	for _, id := range g.withholder.BackingOff(now) {
+		poll.BackingOff = append(poll.BackingOff, uint64(id))
+	}
 	poll.UnderWay = governor.EncodeLoads(p.report())
 	poll.Number = uint64(p.reportNumber)
 	return poll
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -15,6 +15,7 @@
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // trafficStats collects statistics of calls and exchanges, for metrics and for control.
@@ -257,6 +258,10 @@
 	AnsweredMs int64 `yaml:"answered-ms"`
 	// Limit is how many calls a second it accepts from all entries together, nil for no limit.
 	Limit *float64 `yaml:"limit,omitempty"`
+	// Withheld is why it gets no calls, "" if nothing forbids them, and BackoffMs the rest of the
+	// back-off that it has asked for.
+	Withheld  string `yaml:"withheld,omitempty"`
+	BackoffMs int64  `yaml:"backoff-ms,omitempty"`
 }
 
 // entryDump is the state of an entry in a dump.
@@ -294,16 +299,22 @@
 // dumpUpstream returns the calls that this entry has at an upstream and what it assumes about
 // it.
 func (g *Gateway) dumpUpstream(c *placer.Candidate) upstreamDump {
+	now := timekeeper.Now()
+	id := units.NewIncarnationID(c.Name, c.Incarnation)
 	belief := g.placer.Assess(c)
 	answered := int64(-1)
 	if !belief.AnsweredAt.IsZero() {
-		answered = timekeeper.Now().Sub(belief.AnsweredAt).Milliseconds()
+		answered = now.Sub(belief.AnsweredAt).Milliseconds()
 	}
 	var limit *float64
-	if rate, limited := g.gate.Limits()[units.NewIncarnationID(c.Name, c.Incarnation)]; limited {
+	if rate, limited := g.gate.Limits()[id]; limited {
 		value := float64(rate)
 		limit = &value
 	}
+	withheld := ""
+	if state := g.withholder.StateOf(now, id); state != withholder.Accepting {
+		withheld = string(state)
+	}
 	return upstreamDump{
 		Name:                string(c.Name),
 		Address:             c.Address,
@@ -318,5 +329,7 @@
 		Ejected:             belief.Ejected,
 		AnsweredMs:          answered,
 		Limit:               limit,
+		Withheld:            withheld,
+		BackoffMs:           g.withholder.BackoffLeft(now, id).Milliseconds(),
 	}
 }
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -92,6 +92,7 @@
 	// quarantines blocks requests that terminate upstreams from reaching further ones.
 	quarantines *quarantines
 	rateLimits  *rateLimits
+	backoffs    *backoffs
 	pages       pages
 }
 
@@ -141,6 +142,9 @@
 	c.rateLimits = &rateLimits{
 		coordinator: c,
 	}
+	c.backoffs = &backoffs{
+		coordinator: c,
+	}
 	if err := c.restore(stored.Snapshot); err != nil {
 		return nil, err
 	}
@@ -309,6 +313,7 @@
 		c.rollouts.startLeadership()
 		c.quarantines.startLeadership()
 		c.rateLimits.startLeadership()
+		c.backoffs.startLeadership()
 	}
 	return true
 }
--- a/src/governor/orders.go
+++ b/src/governor/orders.go
@@ -73,6 +73,7 @@
 		}
 		load := loads[service.Name]
 		load.LimitedUpstreams = c.rateLimits.limitedUpstreams(now, service.Name)
+		load.BackedOffUpstreams = c.backoffs.upstreams(now, service.Name)
 		stock := readyUpstreams(c.table, service.Name, c.rollouts.separateRelease(service.Name))
 		o.logLoad(now, duties, service.Name, s.Load(), stock)
 		for _, order := range s.Step(now, service, load, stock) {
@@ -86,6 +87,7 @@
 				Float64("seconds-each", load.SecondsPerUnit).
 				Float64("running", load.Concurrency).
 				Int("limited", load.LimitedUpstreams).
+				Float64("backed-off", load.BackedOffUpstreams).
 				Uint64("fence", uint64(c.node.Term())).
 				Msg("upstreams-ordered")
 			o.pending++
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -242,6 +242,7 @@
 	}
 	c.rollouts.record(entry, units.Incarnation(poll.GetIncarnation()), poll.GetVersions())
 	c.rateLimits.record(now, poll)
+	c.backoffs.record(now, entry, poll)
 	c.duties.orders.record(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.inFlight.Record(entry, placer.ReportNumber(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -39,6 +39,8 @@
 	// nothing that the next burst needs.
 	smoothingPeriod = 3 * time.Second
 	decayPeriod     = 10 * time.Second
+	// backoffMemory is how long after a back-off the smoothed load still contains refused calls.
+	backoffMemory = 4 * smoothingPeriod
 	// costRisePeriod is the time constant with which the cost of a token may rise: slower
 	// upstreams stay slow, a queue is gone before.
 	costRisePeriod = 30 * time.Second
@@ -81,6 +83,9 @@
 	// LimitedUpstreams is how many upstreams report that they accept fewer calls than there are for
 	// them.
 	LimitedUpstreams int
+	// BackedOffUpstreams is how many upstreams have asked for a back-off; one that has asked only
+	// some of the entries counts in part.
+	BackedOffUpstreams float64
 }
 
 // PoolSizes is the number of a service's upstreams in each pool: those that take calls now, or
@@ -98,6 +103,8 @@
 	initialUpstreams int
 	startedIdle      bool
 	firstStepAt      time.Time
+	// backedOffAt is when upstreams last backed off.
+	backedOffAt time.Time
 	// smoothed is the load without noise, load the one that the plan is based on.
 	smoothed Load
 	load     Load
@@ -151,12 +158,16 @@
 		s.secondsPerUnit = trackMinimum(s.secondsPerUnit, load.SecondsPerUnit, elapsed)
 	}
 	// Calls that have just begun have not been in flight for long; estimated from them, a call
-	// would seem to need no slot.
-	if s.smoothed.Demand > 0 && !s.firstCallAt.IsZero() && now.Sub(s.firstCallAt) >= warmUp {
+	// would seem to need no slot; so would calls that upstreams refuse before a back-off.
+	if load.BackedOffUpstreams > 0 {
+		s.backedOffAt = now
+	}
+	if now.Sub(s.backedOffAt) >= backoffMemory && s.smoothed.Demand > 0 && !s.firstCallAt.IsZero() && now.Sub(s.firstCallAt) >= warmUp {
 		s.concurrencyPerUnit = trackMinimum(s.concurrencyPerUnit, s.smoothed.Concurrency/s.smoothed.Demand, elapsed)
 	}
 	s.load.SecondsPerUnit = s.secondsPerUnit
 	s.load.LimitedUpstreams = load.LimitedUpstreams
+	s.load.BackedOffUpstreams = smooth(s.load.BackedOffUpstreams, load.BackedOffUpstreams, elapsed, smoothingPeriod)
 	s.load.Concurrency = s.load.Demand * s.concurrencyPerUnit
 }
 
@@ -207,5 +218,6 @@
 	if service.Engine != nil && service.Engine.Slots > 0 {
 		slots += s.load.Concurrency / (maxSlotUtilization * float64(service.Engine.Slots))
 	}
-	return int(math.Ceil(max(prefill, slots))) + s.load.LimitedUpstreams
+	missing := s.load.LimitedUpstreams + int(math.Round(s.load.BackedOffUpstreams))
+	return int(math.Ceil(max(prefill, slots))) + missing
 }
