--- a/src/withholder/withholder_test.go
+++ b/src/withholder/withholder_test.go
@@ -1,6 +1,7 @@
 package withholder
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 		"shorter one later":           {answers: []answer{{id: life, wait: 3 * time.Second}, {at: time.Second, id: life, wait: time.Second}}, want: 3 * time.Second},
 		"longer one later":            {answers: []answer{{id: life, wait: 3 * time.Second}, {at: time.Second, id: life, wait: 4 * time.Second}}, want: 5 * time.Second},
 		"another one after its end":   {answers: []answer{{id: life, wait: time.Second}, {at: 2 * time.Second, id: life, wait: time.Second}}, want: 3 * time.Second},
-		"accepted call during it":     {answers: []answer{{id: life, wait: 3 * time.Second}, {at: time.Second, id: life}}, want: 3 * time.Second},
+		"accepted calls during it":    {answers: append([]answer{{id: life, wait: 3 * time.Second}}, slices.Repeat([]answer{{at: time.Second, id: life}}, maxTrials)...), want: 3 * time.Second},
 		"of another incarnation":      {answers: []answer{{id: otherLife, wait: 3 * time.Second}}},
 		"beyond any reasonable limit": {answers: []answer{{id: life, wait: 1000 * time.Hour}}, want: maxBackoff},
 	}
