Let the other version take over while a roll-out's upstreams back off

During a roll-out the target's share of first attempts goes to a few upstreams. Where all of these have asked for back-offs, their calls would have been refused although the other version accepts them. Such a call goes to the other version, unless that takes no more calls.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -229,7 +229,11 @@
 }
 
 func (p *Placer) pick(now time.Time, call *dispatcher.Call, tried []units.Upstream) *Candidate {
-	candidates := p.eligible(now, p.versionCandidates(call.Service, len(tried) == 0), tried)
+	assigned, fallback := p.versionCandidates(call.Service, len(tried) == 0)
+	candidates := p.eligible(now, assigned, tried)
+	if len(candidates) == 0 {
+		candidates = p.eligible(now, fallback, tried)
+	}
 	if len(candidates) == 0 {
 		return nil
 	}
--- a/src/placer/split.go
+++ b/src/placer/split.go
@@ -17,19 +17,20 @@
 	TargetOnly bool
 }
 
-// versionCandidates returns the upstreams of the version that an attempt is assigned to.
+// versionCandidates returns the upstreams of the version that an attempt is assigned to, and those
+// that may get it where none of these accepts it.
 //
 // While a version is under evaluation, its share goes to only a few of its upstreams, so
 // that each of them is as busy as with all calls: a version may fail under load only.
 // Retries go to the other versions, which are known to be good.
-func (p *Placer) versionCandidates(service units.Service, firstAttempt bool) []*Candidate {
+func (p *Placer) versionCandidates(service units.Service, firstAttempt bool) (assigned, fallback []*Candidate) {
 	all := p.Fleet()[service]
 	if p.Split == nil {
-		return all
+		return all, nil
 	}
 	split, found := p.Split(service)
 	if !found {
-		return all
+		return all, nil
 	}
 	var target, other []*Candidate
 	for _, c := range all {
@@ -41,12 +42,12 @@
 	}
 	switch {
 	case split.TargetOnly:
-		return target
+		return target, nil
 	case split.Share >= 1 && len(target) > 0:
-		return target
+		return target, other
 	case firstAttempt && len(target) > 0 && p.random().Float64() < split.Share:
 		slices.SortFunc(target, func(a, b *Candidate) int { return cmp.Compare(a.position, b.position) })
-		return target[:int(math.Ceil(split.Share*float64(len(target))))]
+		return target[:int(math.Ceil(split.Share*float64(len(target))))], other
 	}
-	return other
+	return other, nil
 }
--- a/src/placer/split_test.go
+++ b/src/placer/split_test.go
@@ -9,6 +9,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // newRolloutPlacer returns a placer with ten upstreams of each of two versions.
@@ -79,3 +80,35 @@
 		})
 	}
 }
+
+// Guards against calls that are refused although the other version accepts them, because all
+// upstreams that the target's share goes to have asked for a back-off.
+func TestOtherVersionTakesOverDuringBackoffs(t *testing.T) {
+	cases := map[string]struct {
+		split Split
+		want  units.Release
+	}{
+		"a small share": {split: Split{Target: "v2", Share: 0.15}, want: "v1"},
+		"all calls":     {split: Split{Target: "v2", Share: 1}, want: "v1"},
+		"completed":     {split: Split{Target: "v2", TargetOnly: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newRolloutPlacer(c.split)
+			w := &withholder.Withholder{}
+			for i := range 10 {
+				w.RecordBackoff(p.Now(), incarnationOf(units.Upstream(fmt.Sprintf("v2-%d", i))), time.Hour)
+			}
+			p.Withholder = w
+			for range 200 {
+				got := units.Release("")
+				if u := p.Pick(&dispatcher.Call{Service: "s"}, nil); u != nil {
+					got = u.Release
+				}
+				if got != c.want {
+					t.Fatalf("version: got %q, want %q", got, c.want)
+				}
+			}
+		})
+	}
+}
