Remove a voter that is lost for good before its successor votes

Operators and callers saw no leader any more after a control instance had lost its disk twice, the second time 0.7 s after its return.

Cause: a repair promoted the new identity first and removed the lost one afterwards. In between there are four voters, two of them on one instance; when that loses its disk again, two of four are left, and no leader can be elected, although only one instance has lost anything. The other order was kept for voters that may return: with the larger set each of them still counts. One whose instance has come back with another identity cannot return. Removing it first costs nothing: the remaining voters need the same members to agree.

The injected disk losses of TestGuaranteesHoldUnderFaults did not reach this, since they were allowed by the members of a membership, learners included, and lost identities as well. It allows more than before where the learner's disk is lost, and no longer the loss of a voter beside a learner that is not a voter yet, which is one disk more than is tolerated.

--- a/src/replicator/repair.go
+++ b/src/replicator/repair.go
@@ -17,9 +17,12 @@
 	dataCentre units.DataCentre
 	learner    bool
 	self       bool
-	// live is false for a member that has not answered for the repair timeout, or
-	// whose instance has returned with another identity.
+	// live is false for a member that has not answered for the repair timeout, or that is
+	// replaced.
 	live bool
+	// replaced is set where the instance has returned with another identity, so that this
+	// one is lost for good.
+	replaced bool
 	// caughtUp reports that a learner holds all committed records and has answered recently.
 	caughtUp bool
 }
@@ -47,8 +50,8 @@
 )
 
 // next returns the next step towards the wanted number of live voters, spread
-// over data centres. A voter is added before one is removed: in between, the
-// larger set needs a larger majority, of which the new voter can be part.
+// over data centres. A voter is added before one is removed that may return: in
+// between, the larger set needs a larger majority, of which the new voter can be part.
 func (r *repairPlan) next() membershipChange {
 	for _, m := range r.members {
 		if m.learner {
@@ -77,14 +80,29 @@
 			kind: remove,
 		}
 	case learner.caughtUp:
-		return membershipChange{
-			id:   learner.id,
-			kind: promote,
-		}
+		return r.promoteLearner(learner)
 	}
 	return membershipChange{}
 }
 
+// promoteLearner makes a learner a voter, after a voter that is lost for good was removed.
+// With both, an instance that lost its disk once more would count as two lost voters, and
+// of four voters no majority would be left.
+func (r *repairPlan) promoteLearner(learner memberStatus) membershipChange {
+	for _, v := range r.voters() {
+		if v.replaced && !v.self {
+			return membershipChange{
+				id:   v.id,
+				kind: remove,
+			}
+		}
+	}
+	return membershipChange{
+		id:   learner.id,
+		kind: promote,
+	}
+}
+
 // removeVoter removes a voter that is not live, or else one that shares its data
 // centre. The leader has a majority, so that the remaining voters still have one.
 func (r *repairPlan) removeVoter(voters []memberStatus) membershipChange {
@@ -227,7 +245,8 @@
 	}
 	// An instance that returns with another identity has lost the disk of the old
 	// one, so that waiting for the old one is pointless.
-	c.live = now.Sub(lastContact) <= n.options.RepairTimeout && !returned[id.Instance()]
+	c.replaced = returned[id.Instance()]
+	c.live = now.Sub(lastContact) <= n.options.RepairTimeout && !c.replaced
 	// Between the promotion of a learner and the removal of the voter that it
 	// replaces, the loss of the new voter would leave no majority. So a learner that
 	// has not answered for half an election timeout is not promoted.
--- a/src/replicator/safety_test.go
+++ b/src/replicator/safety_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -188,30 +189,28 @@
 	f.submit(m, max(1, f.version), operator)
 }
 
-// replaceDisk replaces a member's disk by an empty one if a majority of every
-// membership that may be in effect keeps its disks. Learners count as voters here,
-// since one may be promoted at any time.
+// replaceDisk replaces a member's disk by an empty one if a majority of the voters of every
+// membership that may be in effect, now or after the next steps of a repair, keeps its disks.
 func (f *faultInjector) replaceDisk(m *member) {
-	holders := make(map[units.VoterID]bool)
+	current := make(map[units.VoterID]bool)
 	for _, other := range f.members {
-		if other != m {
-			holders[other.id] = true
-		}
+		current[other.id] = true
 	}
 	for _, other := range f.members {
 		if other.disk.Snapshot == nil {
 			continue
 		}
-		for _, storedMemberships := range other.storedMemberships() {
-			kept := 0
-			members := storedMemberships.membership.GetMembers()
-			for _, member := range members {
-				if holders[units.VoterID(member.GetId())] {
-					kept++
+		for _, stored := range other.storedMemberships() {
+			for _, voters := range reachableVoters(stored.membership, current) {
+				kept := 0
+				for _, voter := range voters {
+					if current[voter] && voter != m.id {
+						kept++
+					}
+				}
+				if kept <= len(voters)/2 {
+					return
 				}
-			}
-			if kept <= len(members)/2 {
-				return
 			}
 		}
 	}
@@ -220,6 +219,25 @@
 	m.start(f.voters)
 }
 
+// reachableVoters returns the voters of a membership, and those after the next steps of a repair:
+// without the voters whose instances have other identities by now, and then with the learners.
+func reachableVoters(membership *messages.Membership, current map[units.VoterID]bool) [][]units.VoterID {
+	voters := votersOf(membership)
+	var remaining, promoted []units.VoterID
+	for _, voter := range voters {
+		if current[voter] {
+			remaining = append(remaining, voter)
+		}
+	}
+	promoted = append(promoted, remaining...)
+	for _, member := range membership.GetMembers() {
+		if member.GetLearner() {
+			promoted = append(promoted, units.VoterID(member.GetId()))
+		}
+	}
+	return [][]units.VoterID{voters, remaining, promoted}
+}
+
 // storedMemberships returns the memberships on a member's disk that may be in effect.
 func (m *member) storedMemberships() memberships {
 	all := memberships{{
--- a/src/replicator/scenario_test.go
+++ b/src/replicator/scenario_test.go
@@ -417,3 +417,34 @@
 		}
 	})
 }
+
+// Guards against a log without a majority after an instance has lost its disk twice, the second
+// time soon after it came back: the identity that was lost first and the new one were both voters.
+func TestDiskLostAgainSoonAfterTheReturn(t *testing.T) {
+	for delay := range 60 {
+		s := &threeVoters{cluster: newCluster(t, 3, 3)}
+		s.runWithoutFaults(200)
+		s.firstLeader = s.leader()
+		if s.firstLeader == nil {
+			t.Fatal("no leader after two seconds without faults")
+		}
+		for _, m := range s.members {
+			if m != s.firstLeader {
+				s.other = m
+			}
+		}
+		s.submit(s.firstLeader, 1, "operator-1")
+		s.runWithoutFaults(20)
+		s.other.node = nil
+		s.other.loseDisk()
+		s.runWithoutFaults(30)
+		s.other.start(3)
+		s.runWithoutFaults(delay)
+		s.other.node = nil
+		s.other.loseDisk()
+		s.runWithoutFaults(300)
+		if s.leader() == nil {
+			t.Errorf("leader after the second loss, %d ms after the return: got none, want one", 10*delay)
+		}
+	}
+}
