--- a/src/placer/donor.go
+++ b/src/placer/donor.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"time"
+
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/withholder"
@@ -19,7 +21,7 @@
 // joins, and at all new owners when a data centre is reclaimed. The chosen upstream fetches
 // only what it lacks, so that asking for what it holds costs nothing, and no entry needs
 // to know what each upstream holds. A leaving upstream still serves its cache: this is the
-// last chance to preserve it.
+// last chance to preserve it. Another version may store its KV cache in another format.
 func (p *Placer) Donor(call *dispatcher.Call, chosen *tracker.Upstream) *tracker.Upstream {
 	if len(call.Prefixes) < 2 || call.SharedTokens() < minFetchedTokens {
 		return nil
@@ -30,14 +32,7 @@
 	now := p.Now()
 	consider := func(candidates []*Candidate) {
 		for _, c := range candidates {
-			// Another version may store its KV cache in another format.
-			if c.Release != chosen.Release {
-				continue
-			}
-			gone := !c.TerminatesAt.IsZero() && !now.Before(c.TerminatesAt)
-			// An upstream that has asked for a back-off is overloaded.
-			overloaded := p.stateOf(now, c) == withholder.BackingOff
-			if c.Name == chosen.Name || gone || overloaded || c.Silent && !c.hasAnsweredRecently(now) || p.isEjected(now, c.Upstream) {
+			if c.Name == chosen.Name || c.Release != chosen.Release || !p.servesCache(now, c) {
 				continue
 			}
 			if r := ownerRank(prefix, c.hash); best == nil || r > bestRank {
@@ -54,3 +49,11 @@
 	}
 	return best.Upstream
 }
+
+// servesCache reports whether an upstream is likely to serve its KV cache to others. One that has
+// asked for a back-off is overloaded.
+func (p *Placer) servesCache(now time.Time, c *Candidate) bool {
+	gone := !c.TerminatesAt.IsZero() && !now.Before(c.TerminatesAt)
+	overloaded := p.stateOf(now, c) == withholder.BackingOff
+	return !gone && !overloaded && !p.isEjected(now, c.Upstream) && (!c.Silent || c.hasAnsweredRecently(now))
+}
