--- a/src/scaler/backoff_test.go
+++ b/src/scaler/backoff_test.go
@@ -53,3 +53,16 @@
 		})
 	}
 }
+
+// Guards against a plan without slots by a leader that is elected while upstreams back off: it has
+// no earlier estimate to keep.
+func TestLeaderElectedDuringBackoffsPlansSlots(t *testing.T) {
+	load := Load{Demand: 300_000, SecondsPerUnit: 1e-6, Concurrency: 300, BackedOffUpstreams: 1}
+	p := newFakePlatform(service())
+	s := &Scaler{}
+	p.run(s, startTime, warmUp+5*time.Second, func(int) Load { return load })
+	slots := maxSlotUtilization * float64(p.service.Engine.Slots)
+	if got, want := s.requiredByLoad(p.service), int(load.Concurrency/slots); got < want {
+		t.Errorf("needed by the calls in flight: got %d, want at least %d", got, want)
+	}
+}
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -157,13 +157,13 @@
 	if load.SecondsPerUnit > 0 {
 		s.secondsPerUnit = trackMinimum(s.secondsPerUnit, load.SecondsPerUnit, elapsed)
 	}
-	// Calls that have just begun have not been in flight for long; estimated from them, a call
-	// would seem to need no slot; so would calls that upstreams refuse before a back-off.
 	if load.BackedOffUpstreams > 0 {
 		s.backedOffAt = now
 	}
-	if now.Sub(s.backedOffAt) >= backoffMemory && s.smoothed.Demand > 0 && !s.firstCallAt.IsZero() && now.Sub(s.firstCallAt) >= warmUp {
-		s.concurrencyPerUnit = trackMinimum(s.concurrencyPerUnit, s.smoothed.Concurrency/s.smoothed.Demand, elapsed)
+	// Calls that have just begun have not been in flight for long; estimated from them, a call
+	// would seem to need no slot.
+	if s.smoothed.Demand > 0 && !s.firstCallAt.IsZero() && now.Sub(s.firstCallAt) >= warmUp {
+		s.updateConcurrency(now, elapsed)
 	}
 	s.load.SecondsPerUnit = s.secondsPerUnit
 	s.load.LimitedUpstreams = load.LimitedUpstreams
@@ -171,6 +171,16 @@
 	s.load.Concurrency = s.load.Demand * s.concurrencyPerUnit
 }
 
+// updateConcurrency updates how many calls are in flight for each unit of demand. Calls that
+// upstreams refuse with a back-off are in flight for no time, and would make it fall.
+func (s *Scaler) updateConcurrency(now time.Time, elapsed time.Duration) {
+	estimate := trackMinimum(s.concurrencyPerUnit, s.smoothed.Concurrency/s.smoothed.Demand, elapsed)
+	if now.Sub(s.backedOffAt) < backoffMemory {
+		estimate = max(estimate, s.concurrencyPerUnit)
+	}
+	s.concurrencyPerUnit = estimate
+}
+
 // trackMinimum falls at once and rises slowly. Once there are too few upstreams, queueing
 // delays every call, and the delay no longer shows how many would be enough: a plan based on it
 // orders several times what is needed.
