--- a/src/withholder/summary.go
+++ b/src/withholder/summary.go
@@ -29,7 +29,10 @@
 		delete(s.reports, entry)
 		return
 	}
-	s.reports[entry] = report{at: now, backingOff: backingOff}
+	s.reports[entry] = report{
+		at:         now,
+		backingOff: backingOff,
+	}
 }
 
 // Fractions returns, for each upstream that some of the given number of entries back off from, the
