Take an answer for that of the incarnation that gave it

A fault that leads there was found by reading: an engine that crashes starts again under its id, and refuses an entry with Retry-After before control has told the entry of the new incarnation. The back-off was kept for the earlier one, and the new one got every call once it was announced. A notice of leaving would have been lost in the same way.

When the table shows that an upstream has started again, what was recorded for the earlier incarnation since the start belongs to the new one, and so does the answer to an attempt that was still assigned to the earlier one.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -254,6 +254,14 @@
 	return upstream.message(max(0, now.Sub(upstream.HeartbeatAt)))
 }
 
+// IncarnationOf returns the incarnation of an upstream, 0 if the upstream is unknown.
+func (t *Table) IncarnationOf(id units.Upstream) units.Incarnation {
+	if upstream := t.upstreams[id]; upstream != nil {
+		return upstream.Incarnation
+	}
+	return 0
+}
+
 // Upstreams returns all upstreams, sorted by ID. The caller must not modify them.
 func (t *Table) Upstreams() []*Upstream {
 	list := make([]*Upstream, 0, len(t.upstreams))
--- a/src/gateway/answer.go
+++ b/src/gateway/answer.go
@@ -27,7 +27,7 @@
 			g.logAnswer(upstream, "upstream-recovered", verdict, sentAt)
 		}
 	}
-	if verdict.Leaving && g.withholder.RecordLeaving(id) {
+	if verdict.Leaving && g.withholder.RecordLeaving(now, id) {
 		g.logAnswer(upstream, "upstream-says-it-leaves", verdict, sentAt)
 	}
 }
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -309,9 +309,12 @@
 	p.updateControls(r.GetControls())
 	changed := p.applyConfiguration(r.GetDeclaration())
 	for _, m := range p.upstreamChanges(r) {
+		id := units.Upstream(m.GetId())
+		earlier := p.table.IncarnationOf(id)
 		if p.table.Merge(now, m) {
 			changed = true
 			p.gateway.logUpstream(m)
+			p.succeedUpstream(id, earlier)
 		}
 	}
 	p.snapshot.rollouts = p.snapshot.rollouts.updated(sentAt, r)
@@ -334,6 +337,17 @@
 	}
 }
 
+// succeedUpstream passes on what an upstream has asked for if it has started again since the
+// earlier incarnation.
+func (p *poller) succeedUpstream(id units.Upstream, earlier units.Incarnation) {
+	later := p.table.IncarnationOf(id)
+	if earlier == 0 || later == earlier {
+		return
+	}
+	startedAt := time.UnixMilli(int64(later)).Add(-p.snapshot.trueTimeOffset)
+	p.gateway.withholder.Succeed(units.NewIncarnationID(id, earlier), units.NewIncarnationID(id, later), startedAt)
+}
+
 // retainWithheld drops what upstreams have asked for that are no longer in the table.
 func (p *poller) retainWithheld(now time.Time) {
 	known := make(map[units.IncarnationID]bool)
--- a/src/placer/withheld_test.go
+++ b/src/placer/withheld_test.go
@@ -22,7 +22,7 @@
 			// The wait differs from upstream to upstream: 1 s at u0, 2 s at u1.
 			w.RecordBackoff(f.now, id, time.Duration(name[1]-'0'+1)*time.Second)
 		case withholder.Leaving:
-			w.RecordLeaving(id)
+			w.RecordLeaving(f.now, id)
 		}
 	}
 	f.Withholder = w
--- a/src/withholder/withholder.go
+++ b/src/withholder/withholder.go
@@ -1,7 +1,9 @@
 package withholder
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,11 @@
 	trialTimeout = time.Second
 	// maxTrials is the number of concurrent trial calls at which an upstream counts as recovered.
 	maxTrials = 32
+	// startTolerance is how much later than its first answers an upstream's stated start may seem:
+	// the clocks of instances differ, and the agreed time is off after instances were suspended.
+	startTolerance = 2 * time.Second
+	// maxBackoffs bounds the back-offs that are kept for one upstream.
+	maxBackoffs = 16
 	// retention is how long the state of an upstream is kept that the entry no longer knows: a
 	// delayed heartbeat may bring back an upstream that had been forgotten.
 	retention = 5 * time.Minute
@@ -60,13 +67,18 @@
 
 	mu        sync.Mutex
 	upstreams map[units.IncarnationID]*upstream
+	// successors holds the next incarnation of those that have been succeeded.
+	successors map[units.IncarnationID]units.IncarnationID
 }
 
 // upstream is what one incarnation of an upstream has asked for.
 type upstream struct {
-	leaving bool
-	// until is when the back-off ends, zero for none.
-	until time.Time
+	// leavingSince is when it first said that it is leaving, zero if it has not.
+	leavingSince time.Time
+	// backoffs are those that it has asked for and that were not over when the last one was
+	// recorded, until is when the last of them ends, zero for none.
+	backoffs []backoff
+	until    time.Time
 	// maxTrials is how many calls may await an answer after the back-off, trials how many do, and
 	// triedAt is when the last one was sent.
 	maxTrials int
@@ -76,6 +88,12 @@
 	missingSince time.Time
 }
 
+// backoff is one back-off that an answer asked for.
+type backoff struct {
+	answeredAt time.Time
+	until      time.Time
+}
+
 // RecordBackoff records that an upstream has refused a call and wants none for the given time, and
 // reports whether that changes when it may receive calls.
 //
@@ -87,8 +105,9 @@
 	until := now.Add(wait + time.Duration(w.random()*float64(spread)))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	u := w.state(id)
+	u := w.state(w.current(id))
 	u.maxTrials, u.trials = 1, 0
+	u.recordBackoff(now, until)
 	if !until.After(u.until) {
 		return false
 	}
@@ -97,15 +116,72 @@
 	return changed
 }
 
+// recordBackoff keeps a back-off with those that are not over, of which there are few: calls that
+// are under way when the first answer arrives.
+func (u *upstream) recordBackoff(now, until time.Time) {
+	u.backoffs = slices.DeleteFunc(u.backoffs, func(b backoff) bool { return !now.Before(b.until) })
+	if len(u.backoffs) == maxBackoffs {
+		u.backoffs = slices.Delete(u.backoffs, 0, 1)
+	}
+	u.backoffs = append(u.backoffs, backoff{
+		answeredAt: now,
+		until:      until,
+	})
+}
+
 // RecordLeaving records that an upstream has said that it is leaving, and reports whether that was
 // not known.
-func (w *Withholder) RecordLeaving(id units.IncarnationID) bool {
+func (w *Withholder) RecordLeaving(now time.Time, id units.IncarnationID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	u := w.state(id)
-	changed := !u.leaving
-	u.leaving = true
-	return changed
+	u := w.state(w.current(id))
+	if !u.leavingSince.IsZero() {
+		return false
+	}
+	u.leavingSince = now
+	return true
+}
+
+// Succeed records that an upstream has started again as another incarnation. An entry learns of it
+// later than the first answers of the new incarnation may arrive: what was recorded for the earlier
+// one since the start, and what will be, comes from the new one. A back-off of the earlier one that
+// is passed on by mistake costs some seconds of an upstream, a notice of leaving all of it.
+func (w *Withholder) Succeed(earlier, later units.IncarnationID, startedAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.successors == nil {
+		w.successors = make(map[units.IncarnationID]units.IncarnationID)
+	}
+	w.successors[earlier] = later
+	before := w.upstreams[earlier]
+	if before == nil {
+		return
+	}
+	if !before.leavingSince.IsZero() && !before.leavingSince.Before(startedAt) {
+		w.state(later).leavingSince = before.leavingSince
+	}
+	for _, b := range before.backoffs {
+		if b.answeredAt.Before(startedAt.Add(-startTolerance)) {
+			continue
+		}
+		after := w.state(later)
+		after.maxTrials = 1
+		after.backoffs = append(after.backoffs, b)
+		if b.until.After(after.until) {
+			after.until = b.until
+		}
+	}
+}
+
+// current returns the newest incarnation under the name of the given one.
+func (w *Withholder) current(id units.IncarnationID) units.IncarnationID {
+	for {
+		later, succeeded := w.successors[id]
+		if !succeeded {
+			return id
+		}
+		id = later
+	}
 }
 
 // RecordAccepted records that an upstream has accepted a call that was sent at a time, and reports
@@ -117,6 +193,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	id = w.current(id)
 	u := w.upstreams[id]
 	if u == nil || u.until.IsZero() || now.Before(u.until) || sentAt.Before(u.until) {
 		return false
@@ -127,7 +204,8 @@
 		return false
 	}
 	u.until = time.Time{}
-	if !u.leaving {
+	u.backoffs = nil
+	if u.leavingSince.IsZero() {
 		delete(w.upstreams, id)
 		w.count.Store(int64(len(w.upstreams)))
 	}
@@ -141,7 +219,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	u := w.upstreams[id]
+	u := w.upstreams[w.current(id)]
 	state := u.stateAt(now)
 	if !state.Withheld() && u != nil && !u.until.IsZero() {
 		if now.Sub(u.triedAt) >= trialTimeout {
@@ -160,7 +238,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.upstreams[id].stateAt(now)
+	return w.upstreams[w.current(id)].stateAt(now)
 }
 
 // BackoffLeft returns how much of an upstream's back-off is left, 0 for none.
@@ -170,7 +248,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if u := w.upstreams[id]; u != nil {
+	if u := w.upstreams[w.current(id)]; u != nil {
 		return max(0, u.until.Sub(now))
 	}
 	return 0
@@ -194,11 +272,9 @@
 
 // Retain drops the state of upstreams that the entry has not known for some time.
 func (w *Withholder) Retain(now time.Time, known func(units.IncarnationID) bool) {
-	if w.count.Load() == 0 {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	maps.DeleteFunc(w.successors, func(_, later units.IncarnationID) bool { return !known(later) })
 	for id, u := range w.upstreams {
 		switch {
 		case known(id):
@@ -232,7 +308,7 @@
 	switch {
 	case u == nil:
 		return Accepting
-	case u.leaving:
+	case !u.leavingSince.IsZero():
 		return Leaving
 	case now.Before(u.until):
 		return BackingOff
--- a/src/withholder/withholder_test.go
+++ b/src/withholder/withholder_test.go
@@ -153,7 +153,7 @@
 // heartbeat may bring it back, and against a state that is kept for ever.
 func TestLeavingUpstreamStaysWithheld(t *testing.T) {
 	w := newWithholder()
-	if !w.RecordLeaving(life) || w.RecordLeaving(life) {
+	if !w.RecordLeaving(startTime, life) || w.RecordLeaving(startTime, life) {
 		t.Error("change: got it not reported at the first notice or reported again, want it reported once")
 	}
 	w.RecordBackoff(startTime, life, time.Second)
@@ -171,7 +171,7 @@
 	if got := w.count.Load(); got != 0 {
 		t.Errorf("states kept after %v: got %d, want none", retention, got)
 	}
-	w.RecordLeaving(life)
+	w.RecordLeaving(startTime, life)
 	w.Retain(startTime, unknown)
 	w.Retain(startTime.Add(time.Second), func(units.IncarnationID) bool { return true })
 	w.Retain(startTime.Add(retention), unknown)
@@ -232,3 +232,40 @@
 		t.Errorf("fractions after all back-offs: got %v, want none", got)
 	}
 }
+
+// Guards against a back-off that is lost, or taken for the earlier incarnation's, because an upstream
+// that has started again answers before control announces it; and against a new incarnation that
+// counts as leaving because the earlier one did.
+func TestAnswersBeforeAnIncarnationIsAnnounced(t *testing.T) {
+	const wait = 10 * time.Second
+	startedAt := startTime.Add(5 * time.Second)
+	announcedAt := startedAt.Add(3 * time.Second)
+	cases := map[string]struct {
+		record func(w *Withholder)
+		want   State
+	}{
+		"nothing":                            {record: func(*Withholder) {}, want: Accepting},
+		"back-off of the earlier one":        {record: func(w *Withholder) { w.RecordBackoff(startTime, life, wait) }, want: Accepting},
+		"back-off of the later one":          {record: func(w *Withholder) { w.RecordBackoff(startedAt.Add(time.Second), life, wait) }, want: BackingOff},
+		"back-off while clocks differ":       {record: func(w *Withholder) { w.RecordBackoff(startedAt.Add(-time.Second), life, wait) }, want: BackingOff},
+		"notice of leaving by the earlier":   {record: func(w *Withholder) { w.RecordLeaving(startTime, life) }, want: Accepting},
+		"notice of leaving by the later one": {record: func(w *Withholder) { w.RecordLeaving(startedAt.Add(time.Second), life) }, want: Leaving},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWithholder()
+			c.record(w)
+			w.Succeed(life, otherLife, startedAt)
+			if got := w.StateOf(announcedAt, otherLife); got != c.want {
+				t.Errorf("state of the later incarnation: got %s, want %s", got, c.want)
+			}
+			if got := w.Admit(announcedAt, life); got != c.want {
+				t.Errorf("attempt that was assigned to the earlier one: got %s, want %s", got, c.want)
+			}
+			w.RecordBackoff(announcedAt, life, wait) // The answer to that attempt.
+			if got := w.StateOf(announcedAt.Add(wait/2), otherLife); got == Accepting {
+				t.Errorf("state after an answer to that attempt: got %s, want it withheld", got)
+			}
+		})
+	}
+}
