Decide by itself whether a version gets all calls

Cause: the same evidence, a false alarm in 3e-5, decided both whether a version is rolled back while it is judged and whether it gets all calls. The calls that the bound allows hold 6.6 failures in the mean at 300 a second, too few for that.

Change: a decision of its own, once, when it is time for all calls: the evidence for 3 more failures in 100 must not exceed what an equally reliable version yields by 1.28 standard errors. The target's upstreams that fail far more than its others are left out.

--- a/src/releaser/aggregate.go
+++ b/src/releaser/aggregate.go
@@ -120,19 +120,25 @@
 func (ag *aggregate) byBadness() []UpstreamHash {
 	badness := make(map[UpstreamHash]float64, len(ag.upstreams))
 	for upstream := range ag.upstreams {
-		all := Sample{}
-		for _, r := range ag.routes {
-			if sample := r.upstreams[upstream]; sample != nil {
-				all.accumulate(sample, 1)
-			}
-		}
-		badness[upstream] = all.badness()
+		total := ag.upstreamTotal(upstream)
+		badness[upstream] = total.badness()
 	}
 	return slices.SortedFunc(maps.Keys(badness), func(a, b UpstreamHash) int {
 		return cmp.Or(cmp.Compare(badness[b], badness[a]), cmp.Compare(a, b))
 	})
 }
 
+// upstreamTotal returns the measurements of one of the target's upstreams over all routes.
+func (ag *aggregate) upstreamTotal(upstream UpstreamHash) Sample {
+	total := Sample{}
+	for _, r := range ag.routes {
+		if sample := r.upstreams[upstream]; sample != nil {
+			total.accumulate(sample, 1)
+		}
+	}
+	return total
+}
+
 // failureWeight makes an upstream that fails a third of its calls rank like one that takes
 // several times as long.
 const failureWeight = 5
--- a/src/releaser/doc.go
+++ b/src/releaser/doc.go
@@ -7,7 +7,7 @@
 //
 // Until shortly before its time limit, a roll-out gets a small share of the calls, at so few of
 // its upstreams that each of them is as busy as it would be with all of the calls. Each route
-// is compared with the other version over the same seconds. Without evidence against it, the
-// target then gets all calls, and the roll-out is completed once the calls at the other version
-// have ended.
+// is compared with the other version over the same seconds. Unless its answers are less reliable,
+// the target then gets all calls, and the roll-out is completed once the calls at the other
+// version have ended.
 package releaser
--- a/src/releaser/judge.go
+++ b/src/releaser/judge.go
@@ -53,17 +53,27 @@
 // logLikelihoodRatios returns, for each excess failure rate, the log-likelihood ratio of the
 // target's failures with it against the baseline without it.
 func logLikelihoodRatios(target, other *Sample) [len(excessFailureRates)]float64 {
-	// The other version's failure rate is uncertain while it has few answers.
-	failureRate := (other.Failures + 1) / (other.Answers + 2)
-	baseline := max(minFailureRate, failureRate+baselineStdErrs*math.Sqrt(failureRate*(1-failureRate)/(other.Answers+2)))
+	baseline := max(minFailureRate, baselineRate(other))
 	var ratios [len(excessFailureRates)]float64
 	for i, excess := range excessFailureRates {
-		alternative := min(baseline+excess, (baseline+1)/2)
+		alternative := alternativeRate(baseline, excess)
 		ratios[i] = target.Failures*math.Log(alternative/baseline) + (target.Answers-target.Failures)*math.Log((1-alternative)/(1-baseline))
 	}
 	return ratios
 }
 
+// baselineRate returns the failure rate that the other version may have at most: its observed
+// one is uncertain while it has few answers.
+func baselineRate(other *Sample) float64 {
+	rate := (other.Failures + 1) / (other.Answers + 2)
+	return rate + baselineStdErrs*math.Sqrt(rate*(1-rate)/(other.Answers+2))
+}
+
+// alternativeRate returns the failure rate of a bad version.
+func alternativeRate(baseline, excess float64) float64 {
+	return min(baseline+excess, (baseline+1)/2)
+}
+
 // isSlower reports whether a version takes at least minRatio times as long as another, by
 // slowStdErrs standard errors.
 func isSlower(target, other Moments, minRatio float64) bool {
--- a/src/releaser/simulation_test.go
+++ b/src/releaser/simulation_test.go
@@ -338,6 +338,64 @@
 	}
 }
 
+// Guards against giving all calls to a version on evidence too weak to roll it back at once.
+func TestDoubtfulVersionsDoNotGetAllCalls(t *testing.T) {
+	cases := map[string]struct {
+		failures  int
+		wantEnd   State
+		wantShare float64
+	}{
+		"no answer failed": {
+			failures:  0,
+			wantEnd:   Running,
+			wantShare: 1,
+		},
+		"three in a hundred did": {
+			failures:  6,
+			wantEnd:   RolledBack,
+			wantShare: 0,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &Monitor{
+				OrderedAt:      time.Unix(1000, 0),
+				Limit:          12 * time.Second,
+				MonitoredSince: time.Unix(1000, 0),
+				Exposure:       testExposure,
+			}
+			figures := []Figures{{
+				Route:  "long",
+				Sample: Sample{Answers: 1800},
+			}}
+			for i := range 10 {
+				sample := Sample{Answers: 20}
+				if i < tc.failures {
+					sample.Failures = 1
+				}
+				figures = append(figures, Figures{
+					UpstreamHash: UpstreamHash(i + 1),
+					Route:        "long",
+					Sample:       sample,
+				})
+			}
+			w.Record(EntryIncarnation{Entry: "e"}, figures)
+			status := FleetStatus{
+				Target:  60,
+				Other:   60,
+				Running: 9,
+			}
+			if d := w.Step(time.Unix(1009, 0), status); d.End != Running {
+				t.Fatalf("while it is judged: got %v (%s), want it running", d.End, d.Reason)
+			}
+			d := w.Step(time.Unix(1010, 0), status)
+			if d.End != tc.wantEnd || d.Share != tc.wantShare {
+				t.Errorf("got %v (%s) with a share of %v, want %v and %v", d.End, d.Reason, d.Share, tc.wantEnd, tc.wantShare)
+			}
+		})
+	}
+}
+
 // Guards against rolling back a good version because of one upstream that is faulty itself.
 func TestGoodVersionsSurviveFaultyUpstreams(t *testing.T) {
 	cases := map[string]version{
@@ -373,6 +431,10 @@
 			if d.End != Running {
 				t.Errorf("end: got %v (%s), want it running", d.End, d.Reason)
 			}
+			d = w.Step(time.Unix(1010, 0), FleetStatus{Target: 60, Other: 60})
+			if d.End != Running || d.Share != 1 {
+				t.Errorf("when it is time for all calls: got %v (%s) with a share of %v, want it running with all of them", d.End, d.Reason, d.Share)
+			}
 		})
 	}
 }
--- a/src/releaser/watch.go
+++ b/src/releaser/watch.go
@@ -144,7 +144,7 @@
 		// The entries' measurements under the previous leader have not been reported yet.
 	case !m.fullShareAt.IsZero():
 		d.Share = 1
-	case now.Sub(m.OrderedAt) >= m.Limit-m.drainTime() && float64(status.Target) >= minTargetFraction*float64(status.Other):
+	case m.mayGetAllCalls(now, status):
 		m.fullShareAt = now
 		d.Share = 1
 	case status.Target > 0:
@@ -153,6 +153,12 @@
 	return d
 }
 
+// mayGetAllCalls reports whether it is time for all calls to go to the target, and whether it has
+// the upstreams for them.
+func (m *Monitor) mayGetAllCalls(now time.Time, status FleetStatus) bool {
+	return now.Sub(m.OrderedAt) >= m.Limit-m.drainTime() && float64(status.Target) >= minTargetFraction*float64(status.Other)
+}
+
 func (m *Monitor) progress(now time.Time, s *aggregate) Progress {
 	targetCalls := s.target.Answers + s.target.Running
 	return Progress{
@@ -181,6 +187,11 @@
 	if reason := m.verdict(now, aggregate); reason != "" {
 		return RolledBack, reason
 	}
+	if m.fullShareAt.IsZero() && m.mayGetAllCalls(now, status) {
+		if reason := aggregate.doubt(); reason != "" {
+			return RolledBack, reason
+		}
+	}
 	late := now.Sub(m.OrderedAt) >= m.Limit-deadlineMargin
 	drained := !m.fullShareAt.IsZero() && now.Sub(m.fullShareAt) >= minDrainTime
 	switch {
