Keep the known part of an upstream's load when a figure is added to it

The adapter took exactly three figures and dropped the whole statement, so that entries placed calls without any stated load. A caller's token counts and prompt prefixes had the same fault.

Cause: decoding by the exact number of figures.

Change: figures beyond the known ones are ignored, the fourth is decoded, and a malformed one leaves the first three known. Heartbeats already kept their known fields when they grew.

Used from here on: the fourth figure has no effect yet.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -237,6 +237,18 @@
 	g.placer.RecordLoad(u, load)
 }
 
+// RecordMalformed counts and logs a header of an upstream's answer that could not be decoded, or
+// only in part.
+func (g *Gateway) RecordMalformed(u *tracker.Upstream, header, value string) {
+	g.trafficStats.malformed(header)
+	g.Log.Warn().
+		Str("upstream", string(u.Name)).
+		Uint64("born", uint64(u.Incarnation)).
+		Str("header", header).
+		Str("value", value).
+		Msg("header-malformed")
+}
+
 func (g *Gateway) logUpstream(m *messages.RegisteredUpstream) {
 	g.Log.Info().
 		Str("upstream", m.GetId()).
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -215,6 +215,11 @@
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_backoffs").Inc(1)
 }
 
+// malformed counts a header of an answer that could not be decoded, or only in part.
+func (t *trafficStats) malformed(header string) {
+	t.scope.Tagged(map[string]string{"header": header}).Counter("malformed_headers").Inc(1)
+}
+
 // upstreamCrashed counts an upstream that has crashed with calls of this entry.
 func (t *trafficStats) upstreamCrashed(u *tracker.Upstream) {
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_ends").Inc(1)
--- a/src/placer/load.go
+++ b/src/placer/load.go
@@ -24,6 +24,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how many times as long as usual work takes at this moment, 0 if the upstream
+	// does not state it.
+	Slowdown float64
 }
 
 func (c *Candidate) hasAnsweredRecently(now time.Time) bool {
