Combine what upstreams state of their slowness, and place calls by it

Cause: upstreams run on machines of different speed (their statements: 0.7, 1 and 1.7, each 2.5 times as much for some tenths of a second), and entries placed by numbers of calls and tokens alone. An entry gets an answer of one upstream every ten seconds and cannot tell a slow machine from a slow moment.

Change: package appraiser. Entries report what upstreams state; the leader keeps a decaying mean by upstream and sends each entry what has changed since the version that it knows.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosecroft/rosecroft/src/aggregator"
 	"github.com/rosecroft/rosecroft/src/allocator"
+	"github.com/rosecroft/rosecroft/src/appraiser"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -68,6 +69,7 @@
 	quarantine   quarantine
 	gate         pacer.Gate
 	withholder   withholder.Withholder
+	slowdowns    appraiser.Collector
 }
 
 // Prepare creates the components; it is called once, before Run and Serve.
@@ -235,6 +237,9 @@
 // RecordLoad records the load that an upstream stated in an answer.
 func (g *Gateway) RecordLoad(u *tracker.Upstream, load placer.ReportedLoad) {
 	g.placer.RecordLoad(u, load)
+	if load.Slowdown > 0 {
+		g.slowdowns.Record(units.NewIncarnationID(u.Name, u.Incarnation), load.Slowdown)
+	}
 }
 
 // RecordMalformed counts and logs a header of an upstream's answer that could not be decoded, or
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -77,6 +77,7 @@
 	sentObservation  quarantiner.Number
 	suspects         uint64
 	limitSync        limitSync
+	slowdownSync     slowdownSync
 	// hasMore reports that the last response did not contain the rest of the table, fleetStale
 	// that the fleet is older than the table.
 	hasMore    bool
@@ -241,6 +242,7 @@
 	for _, id := range g.withholder.BackingOff(now) {
 		poll.BackingOff = append(poll.BackingOff, uint64(id))
 	}
+	p.slowdownSync.report(&g.slowdowns, poll)
 	poll.UnderWay = governor.EncodeLoads(p.report())
 	poll.Number = uint64(p.reportNumber)
 	return poll
@@ -275,6 +277,7 @@
 		p.leadership = r.GetLeadership()
 		p.ackedObservation, p.sentObservation = 0, 0
 		p.limitSync = limitSync{}
+		p.slowdownSync = slowdownSync{}
 	}
 	p.ackedObservation = p.sentObservation
 	if r.GetSuspects() == nil {
@@ -330,6 +333,9 @@
 		p.gateway.placer.Retain(p.snapshot.fleet, p.snapshot.leaving)
 		p.retainWithheld(now)
 	}
+	if r.GetLeads() {
+		p.slowdownSync.handleResponse(p.gateway.placer, r)
+	}
 	updated := p.snapshot
 	p.gateway.snapshot.Store(&updated)
 	if r.GetLeads() && updated.table != nil {
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -258,7 +258,9 @@
 	OthersInFlight      int64 `yaml:"others-in-flight"`
 	OthersPrefillTokens int64 `yaml:"others-unread"`
 	OthersStated        int   `yaml:"stated"`
-	Ejected             bool  `yaml:"ejected"`
+	// Slowdown is how many times as long as usual work is expected to take there.
+	Slowdown float64 `yaml:"slowdown"`
+	Ejected  bool    `yaml:"ejected"`
 	// AnsweredMs is the time since its last answer, -1 for never.
 	AnsweredMs int64 `yaml:"answered-ms"`
 	// Limit is how many calls a second it accepts from all entries together, nil for no limit.
@@ -331,6 +333,7 @@
 		OthersInFlight:      belief.PeerLoad.Calls,
 		OthersPrefillTokens: belief.PeerLoad.PrefillTokens,
 		OthersStated:        belief.ReportedPeerCalls,
+		Slowdown:            belief.Slowdown,
 		Ejected:             belief.Ejected,
 		AnsweredMs:          answered,
 		Limit:               limit,
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -93,6 +93,7 @@
 	quarantines *quarantines
 	rateLimits  *rateLimits
 	backoffs    *backoffs
+	slowdowns   *slowdowns
 	pages       pages
 }
 
@@ -142,6 +143,9 @@
 	c.rateLimits = &rateLimits{
 		coordinator: c,
 	}
+	c.slowdowns = &slowdowns{
+		coordinator: c,
+	}
 	c.backoffs = &backoffs{
 		coordinator: c,
 	}
@@ -261,6 +265,7 @@
 func (c *coordinator) tickLeader(ctx context.Context, now time.Time) error {
 	if c.isLeader(now) {
 		c.rateLimits.tick(now)
+		c.slowdowns.tick(now)
 		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now)); err != nil {
 			return err
 		}
@@ -314,6 +319,7 @@
 		c.quarantines.startLeadership()
 		c.rateLimits.startLeadership()
 		c.backoffs.startLeadership()
+		c.slowdowns.startLeadership()
 	}
 	return true
 }
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -47,6 +47,9 @@
 	PrefillTokens int64 `yaml:"unread"`
 	// Limit is the rate limit that the upstream states, in calls per second, nil for none.
 	Limit *float64 `yaml:"limit,omitempty"`
+	// Slowdown is how many times as long as usual work takes there, by the statements to all
+	// entries; 0 if it has made too few.
+	Slowdown float64 `yaml:"slowdown,omitempty"`
 }
 
 func (c *coordinator) dump() *Dump {
@@ -87,6 +90,7 @@
 			InFlight:       load.Calls,
 			PrefillTokens:  load.PrefillTokens,
 			Limit:          limits[units.NewIncarnationID(e.ID, e.Incarnation)],
+			Slowdown:       c.slowdowns.pool.Reported(units.NewIncarnationID(e.ID, e.Incarnation)),
 		})
 	}
 	return d
--- a/src/governor/ratelimits.go
+++ b/src/governor/ratelimits.go
@@ -87,13 +87,11 @@
 		return
 	}
 	l.prunedAt = now
-	present := make(map[units.IncarnationID]bool)
-	for _, e := range l.coordinator.table.Upstreams() {
-		if e.State != enroller.Gone {
-			present[units.NewIncarnationID(e.ID, e.Incarnation)] = true
-		}
-	}
-	l.allocator.RetainLimits(now, func(id units.IncarnationID) bool { return present[id] })
+	names := l.coordinator.presentUpstreams()
+	l.allocator.RetainLimits(now, func(id units.IncarnationID) bool {
+		_, present := names[id]
+		return present
+	})
 }
 
 // upstreamName returns the name of the upstream with an incarnation, "" where it is unknown.
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -129,6 +129,7 @@
 	c.estimator.Record(now, entry, time.Unix(0, poll.GetWallNs()))
 	c.recordEntry(now, entry, poll)
 	c.rateLimits.report(now, poll, response)
+	c.slowdowns.report(poll, response)
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
@@ -176,6 +177,17 @@
 	response.More = response.TableCursor < c.pages.end
 }
 
+// presentUpstreams returns the upstreams that are not gone, by their incarnations.
+func (c *coordinator) presentUpstreams() map[units.IncarnationID]units.Upstream {
+	names := make(map[units.IncarnationID]units.Upstream)
+	for _, e := range c.table.Upstreams() {
+		if e.State != enroller.Gone {
+			names[units.NewIncarnationID(e.ID, e.Incarnation)] = e.ID
+		}
+	}
+	return names
+}
+
 func (c *coordinator) trueTime(now time.Time) time.Time {
 	return c.estimator.TrueTime(now, time.Now())
 }
@@ -243,6 +255,7 @@
 	c.rollouts.record(entry, units.Incarnation(poll.GetIncarnation()), poll.GetVersions())
 	c.rateLimits.record(now, poll)
 	c.backoffs.record(now, entry, poll)
+	c.slowdowns.record(poll)
 	c.duties.orders.record(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.inFlight.Record(entry, placer.ReportNumber(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/placer/engine_test.go
+++ b/src/placer/engine_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/appraiser"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -116,8 +117,14 @@
 	cached       []uint64
 	sizes        map[uint64]int
 	cachedTokens int
+	// moment is by how much the machine's other work slows all steps at this moment; it is
+	// zero without other work.
+	moment float64
 }
 
+// slowdown returns how many times as long as usual a step takes now.
+func (e *engine) slowdown() float64 { return e.speed * max(1, e.moment) }
+
 // touch marks a prompt prefix as most recently used, and returns how many of its tokens were
 // not cached.
 func (e *engine) touch(prefix uint64, tokens int) int {
@@ -156,7 +163,7 @@
 		took += time.Duration(float64(e.perPair) * float64(part) * float64(j.context) / e.pairUnit)
 		j.context += part
 	}
-	return time.Duration(float64(took) * e.speed)
+	return time.Duration(float64(took) * e.slowdown())
 }
 
 // endStep ends a step: calls whose prompts are done get a token.
@@ -222,12 +229,34 @@
 	slowShare float64
 	slowdown  float64
 	seed      uint64
+	// machines are the speeds of the engines' machines, in turn, and moments is set if other
+	// work slows each of them for moments. statements is how entries learn of both.
+	machines   []float64
+	moments    bool
+	statements statements
 	// uniform gives all upstreams the same position in the common order.
 	uniform bool
 	// place replaces the entry's own choice; it may be nil.
 	place func(r *running, e *replayEntry, call *dispatcher.Call) *tracker.Upstream
 }
 
+// statements is how the entries of a replay learn what engines state of their slowdown.
+type statements int
+
+const (
+	statementsIgnored statements = iota
+	statementsByEntry
+	statementsPooled
+)
+
+// momentFactor is by how much a moment slows all work, momentLength the mean length of a moment
+// and momentInterval the mean time between two.
+const (
+	momentFactor   = 2.5
+	momentLength   = 350 * time.Millisecond
+	momentInterval = 3500 * time.Millisecond
+)
+
 // running is a replay in progress. earned, offered, late, stalled and arrived are by kind of
 // call: value earned and offered, calls beyond their latency target, calls with too long a
 // pause, and calls that arrived.
@@ -247,6 +276,9 @@
 	prefilled int
 	fetched   int
 	refused   int
+	collector appraiser.Collector
+	pool      appraiser.Pool
+	version   appraiser.Version
 }
 
 func (r *running) modelOrDefault() engineModel {
@@ -277,9 +309,15 @@
 			speed:       []float64{1, 1, 1.3}[i%3],
 			sizes:       make(map[uint64]int),
 		}
+		if len(p.machines) > 0 {
+			e.speed = p.machines[i%len(p.machines)]
+		}
 		if float64(i) < p.slowShare*float64(p.engines) {
 			e.speed *= p.slowdown
 		}
+		if p.moments {
+			r.at(0, func() { r.endMoment(e) })
+		}
 		r.engines = append(r.engines, e)
 		r.byName[e.name] = e
 	}
@@ -320,6 +358,14 @@
 	return r
 }
 
+func (r *running) endMoment(e *engine) {
+	e.moment = 1
+	r.at(r.now+time.Duration(r.random.ExpFloat64()*float64(momentInterval)), func() {
+		e.moment = momentFactor
+		r.at(r.now+time.Duration(r.random.ExpFloat64()*float64(momentLength)), func() { r.endMoment(e) })
+	})
+}
+
 func (r *running) arrive(k *kind) {
 	r.at(r.now+time.Duration(r.random.ExpFloat64()/k.rate*float64(time.Second)), func() { r.arrive(k) })
 	e := r.fleet[r.random.IntN(len(r.fleet))]
@@ -419,11 +465,16 @@
 
 func (r *running) first(j *job) {
 	j.upstream.Local.PrefillTokens.Add(-j.countedPrefill)
-	j.entry.RecordLoad(j.upstream, ReportedLoad{
+	load := ReportedLoad{
 		Running: len(j.engine.running),
 		Waiting: len(j.engine.waiting),
 		Slots:   j.engine.slots,
-	})
+	}
+	if r.statements != statementsIgnored {
+		load.Slowdown = j.engine.slowdown()
+		r.collector.Record(units.NewIncarnationID(j.upstream.Name, j.upstream.Incarnation), load.Slowdown)
+	}
+	j.entry.RecordLoad(j.upstream, load)
 }
 
 func (r *running) done(j *job) {
@@ -468,8 +519,18 @@
 			total[hash] = sum
 		}
 	}
+	for id, estimate := range r.collector.Take() {
+		r.pool.Record(id, estimate)
+	}
 	// The load that an entry receives is as old as the other entries' last polls.
 	r.at(r.now+pollInterval/2, func() {
+		if r.statements == statementsPooled {
+			changes, version := r.pool.ChangesAfter(r.version, len(r.engines))
+			for _, e := range r.fleet {
+				e.SetSlowdowns(changes)
+			}
+			r.version = version
+		}
 		for i, e := range r.fleet {
 			e.SetPeerLoads(&PeerLoads{
 				At:    start.Add(r.now),
--- a/src/placer/load.go
+++ b/src/placer/load.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/appraiser"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -17,6 +18,10 @@
 	reportedAt time.Time
 	// answeredAt is when the upstream last answered.
 	answeredAt time.Time
+	// slowdown is made of what the upstream stated to this entry, and reportedSlowdown of what
+	// it stated to all entries; 0 if control has not reported it.
+	slowdown         appraiser.Estimate
+	reportedSlowdown float64
 }
 
 // ReportedLoad is the load that an upstream reports in an answer.
@@ -74,6 +79,34 @@
 	s.peerCalls = max(0, load.Running+load.Waiting-int(u.Local.InFlight.Load()))
 	s.reportedAt = p.Now()
 	s.answeredAt = s.reportedAt
+	if load.Slowdown > 0 {
+		s.slowdown.Record(load.Slowdown, 1)
+	}
+}
+
+// slowdown returns how many times as long as usual work is expected to take at an upstream.
+func (c *Candidate) slowdown() float64 {
+	c.stats.mu.Lock()
+	defer c.stats.mu.Unlock()
+	if c.stats.reportedSlowdown > 0 {
+		return c.stats.reportedSlowdown
+	}
+	return c.stats.slowdown.Factor()
+}
+
+// SetSlowdowns stores what upstreams have stated to all entries.
+func (p *Placer) SetSlowdowns(changes []appraiser.Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, change := range changes {
+		s := p.statsByIncarnation[change.ID]
+		if s == nil {
+			continue
+		}
+		s.mu.Lock()
+		s.reportedSlowdown = change.Slowdown
+		s.mu.Unlock()
+	}
 }
 
 // Observe records how an exchange ended.
@@ -125,6 +158,8 @@
 	AnsweredAt time.Time
 	// Ejected is set while the upstream gets no calls because calls failed there.
 	Ejected bool
+	// Slowdown is how many times as long as usual work is expected to take there.
+	Slowdown float64
 }
 
 // Assess returns this entry's estimate of an upstream's state.
@@ -133,6 +168,7 @@
 	b := Assessment{
 		ReportedPeerCalls: int(c.peerCalls(now)),
 		Ejected:           p.isEjected(now, c.Upstream),
+		Slowdown:          c.slowdown(),
 	}
 	if peers := p.peerLoads.Load(); peers != nil && now.Sub(peers.At) <= peerLoadExpiry {
 		b.PeerLoad = peers.Loads[c.hash]
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -63,6 +64,10 @@
 	// answerTTL is how long after an answer an upstream that control has lost contact with
 	// still counts as reachable from this entry.
 	answerTTL = 1500 * time.Millisecond
+	// slowdownExponent weakens the influence of an upstream's slowdown on its score. With an
+	// exponent of 1, all entries choose the few fastest upstreams by loads that are some tenths of
+	// a second old, and these are overloaded.
+	slowdownExponent = 0.5
 	// defaultSlots is used for upstreams that report no number of slots.
 	defaultSlots = 8
 )
@@ -114,10 +119,11 @@
 
 	peerLoads atomic.Pointer[PeerLoads]
 
-	mu           sync.Mutex
-	statsByKey   map[ejector.Key]*stats
-	ejector      ejector.Ejector
-	ejectedUntil map[ejector.Key]time.Time
+	mu                 sync.Mutex
+	statsByKey         map[ejector.Key]*stats
+	statsByIncarnation map[units.IncarnationID]*stats
+	ejector            ejector.Ejector
+	ejectedUntil       map[ejector.Key]time.Time
 }
 
 // Gate admits calls to upstreams that limit their rate of calls.
@@ -175,11 +181,14 @@
 	defer p.mu.Unlock()
 	if p.statsByKey == nil {
 		p.statsByKey = make(map[ejector.Key]*stats)
+		p.statsByIncarnation = make(map[units.IncarnationID]*stats)
 	}
+	incarnationID := units.NewIncarnationID(u.Name, u.Incarnation)
 	s := p.statsByKey[keyOf(u)]
 	if s == nil {
 		s = &stats{}
 		p.statsByKey[keyOf(u)] = s
+		p.statsByIncarnation[incarnationID] = s
 	}
 	hash := HashOf(u.Name)
 	return &Candidate{
@@ -188,7 +197,7 @@
 		Silent:        silent,
 		stats:         s,
 		hash:          hash,
-		incarnationID: units.NewIncarnationID(u.Name, u.Incarnation),
+		incarnationID: incarnationID,
 		position:      positionOf(hash),
 	}
 }
@@ -208,6 +217,7 @@
 	for key := range p.statsByKey {
 		if !kept[key] {
 			delete(p.statsByKey, key)
+			delete(p.statsByIncarnation, units.NewIncarnationID(key.Upstream, key.Incarnation))
 			delete(p.ejectedUntil, key)
 		}
 	}
@@ -340,7 +350,8 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	score := float64(calls)/float64(slots) + float64(prefill)/fullPrefillTokens + maxJitter*p.random().Float64()
+	utilization := float64(calls)/float64(slots) + float64(prefill)/fullPrefillTokens
+	score := math.Pow(c.slowdown(), slowdownExponent)*utilization + maxJitter*p.random().Float64()
 	if calls >= int64(slots) {
 		score += fullPenalty
 	}
