Divide stated slowness out of what is learnt about prefill, and plan by it

Cause: the time to prefill a token is a low quantile of what entries measure, so on machines of different speed it is that of the fastest ones, and the plan took all upstreams for such. Calls were refused as too late by the same figure.

Change: the slowness that an upstream states in an answer is divided out of what this answer tells about prefill; the plan multiplies by the slowness of the present upstreams together (the mean of what they get done), refusals by that of the upstream that was chosen.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -234,11 +234,15 @@
 	g.usageCounter.Add(timekeeper.Now().Add(snap.trueTimeOffset), call.Account.Name)
 }
 
-// RecordLoad records the load that an upstream stated in an answer.
-func (g *Gateway) RecordLoad(u *tracker.Upstream, load placer.ReportedLoad) {
+// RecordLoad records the load that an upstream stated in the answer to a call.
+func (g *Gateway) RecordLoad(call *dispatcher.Call, u *tracker.Upstream, load placer.ReportedLoad) {
 	g.placer.RecordLoad(u, load)
-	if load.Slowdown > 0 {
-		g.slowdowns.Record(units.NewIncarnationID(u.Name, u.Incarnation), load.Slowdown)
+	if load.Slowdown <= 0 {
+		return
+	}
+	g.slowdowns.Record(units.NewIncarnationID(u.Name, u.Incarnation), load.Slowdown)
+	if t, known := call.Trace.(*callTrace); known {
+		t.slowdown = load.Slowdown
 	}
 }
 
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -265,8 +265,10 @@
 	usageCounted bool
 	// connectionCut reports that a connection to an upstream was cut during the call.
 	connectionCut bool
-	route         string
-	sink          *timedSink
+	// slowdown is what the last upstream stated in its answer, 0 for nothing.
+	slowdown float64
+	route    string
+	sink     *timedSink
 }
 
 // RecordStep records an attempt that has ended.
@@ -351,7 +353,7 @@
 	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && refusal.Status != http.StatusTooManyRequests && call.Account != nil {
 		g.quota.Refund(call.Account.Name, call.LimitCost)
 	}
-	g.trafficStats.served(call, outcome, s.firstByte)
+	g.trafficStats.served(call, outcome, s.firstByte, t.slowdown)
 	event.Str("call", string(call.ID)).
 		Str("route", route.Name).
 		Str("service", string(call.Service)).
@@ -362,6 +364,9 @@
 		Int64("target-ms", route.Target.Milliseconds()).
 		Int64("gap-ms", route.EventGap.Milliseconds()).
 		Int64("took-ms", now.Sub(s.startedAt).Milliseconds())
+	if t.slowdown > 0 {
+		event.Float64("slowdown", t.slowdown)
+	}
 	if t.connectionCut || refusal != nil && refusal.Kind == dispatcher.ProblemQuarantined {
 		event.Stringer("fingerprint", call.Fingerprint)
 	}
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -94,12 +94,15 @@
 
 // served counts the end of one call. Routes come and go with configurations, so the metrics are
 // tagged with outcome and service, not with a route's name.
-func (t *trafficStats) served(call *dispatcher.Call, outcome string, firstByte time.Duration) {
+//
+// The upstream's slowdown at that moment, 0 if it stated none, is divided out of what is learnt
+// about prefill: a service's upstreams differ, and each has slow moments.
+func (t *trafficStats) served(call *dispatcher.Call, outcome string, firstByte time.Duration, slowdown float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(call.Service)
 	s.updateMinWait(firstByte)
-	s.updatePrefill(firstByte, call.UncachedTokens())
+	s.updatePrefill(firstByte, call.UncachedTokens(), slowdown)
 	counter := t.calls[outcome]
 	if counter == nil {
 		counter = t.scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls")
@@ -139,11 +142,14 @@
 )
 
 // updatePrefill moves the estimate of the prefill time per token towards its quantile.
-func (s *serviceStats) updatePrefill(firstByte time.Duration, uncached units.Tokens) {
+func (s *serviceStats) updatePrefill(firstByte time.Duration, uncached units.Tokens, slowdown float64) {
 	if firstByte <= s.minWait || uncached < minMeasuredPrompt {
 		return
 	}
 	prefillPerToken := (firstByte - s.minWait).Seconds() / float64(uncached)
+	if slowdown > 0 {
+		prefillPerToken /= slowdown
+	}
 	s.prefillSamples++
 	step := max(minPrefillStep, firstPrefillStep/math.Sqrt(float64(s.prefillSamples)))
 	switch {
@@ -156,8 +162,8 @@
 	}
 }
 
-// prefillPerToken returns the prefill time per token of a service's upstreams, 0 if it is not
-// known.
+// prefillPerToken returns the prefill time per token of a service's upstreams at their usual
+// speed, 0 if it is not known.
 func (t *trafficStats) prefillPerToken(service units.Service) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/src/gateway/traffic_stats_test.go
+++ b/src/gateway/traffic_stats_test.go
@@ -102,7 +102,7 @@
 	s := &serviceStats{minWait: 10 * time.Millisecond}
 	for n := range 400 {
 		queue := time.Duration(n%4) * 40 * time.Millisecond
-		s.updatePrefill(s.minWait+100*time.Millisecond+queue, 10_000)
+		s.updatePrefill(s.minWait+100*time.Millisecond+queue, 10_000, 0)
 	}
 	if got := s.prefillPerToken; got < 0.8e-5 || got > 1.5e-5 {
 		t.Errorf("seconds for a token: got %.2e, want about 1e-5", got)
@@ -114,10 +114,10 @@
 // longer depend on the first ones.
 func TestFirstPromptsSoonStopCounting(t *testing.T) {
 	s := &serviceStats{minWait: 10 * time.Millisecond}
-	s.updatePrefill(s.minWait+300*time.Millisecond, 10_000)
+	s.updatePrefill(s.minWait+300*time.Millisecond, 10_000, 0)
 	for n := range 15 {
 		queue := time.Duration(n%4) * 40 * time.Millisecond
-		s.updatePrefill(s.minWait+100*time.Millisecond+queue, 10_000)
+		s.updatePrefill(s.minWait+100*time.Millisecond+queue, 10_000, 0)
 	}
 	if got := s.prefillPerToken; got < 0.8e-5 || got > 1.5e-5 {
 		t.Errorf("seconds for a token after 15 prompts: got %.2e, want about 1e-5", got)
@@ -130,9 +130,24 @@
 	m := meter.New()
 	defer func() { _ = m.Close() }()
 	f := newTrafficStats(m)
-	f.served(&dispatcher.Call{Service: "s"}, "answered", 10*time.Millisecond)
-	f.served(&dispatcher.Call{Service: "s", PromptTokens: 10_000}, "answered", 110*time.Millisecond)
+	f.served(&dispatcher.Call{Service: "s"}, "answered", 10*time.Millisecond, 0)
+	f.served(&dispatcher.Call{Service: "s", PromptTokens: 10_000}, "answered", 110*time.Millisecond, 0)
 	if got := f.services["s"].prefillPerToken; got < 0.95e-5 || got > 1.05e-5 {
 		t.Errorf("seconds for a token: got %.3e, want about 1e-5", got)
 	}
 }
+
+// Guards against a slow moment, or a slow machine, that is taken for the prefill speed of the whole
+// service.
+func TestPrefillIsMeasuredWithoutSlowdown(t *testing.T) {
+	s := &serviceStats{minWait: 10 * time.Millisecond}
+	for i := range 200 {
+		slowdown := []float64{0.7, 1, 1.7, 2.5}[i%4]
+		prefill := time.Duration(slowdown * float64(100*time.Millisecond))
+		s.updatePrefill(s.minWait+prefill, 10_000, slowdown)
+	}
+	const want = 10e-6
+	if got := s.prefillPerToken; got < 0.99*want || got > 1.01*want {
+		t.Errorf("seconds per token: got %v, want %v", got, want)
+	}
+}
--- a/src/governor/orders.go
+++ b/src/governor/orders.go
@@ -74,6 +74,7 @@
 		load := loads[service.Name]
 		load.LimitedUpstreams = c.rateLimits.limitedUpstreams(now, service.Name)
 		load.BackedOffUpstreams = c.backoffs.upstreams(now, service.Name)
+		load.Slowdown = c.slowdowns.combined(service.Name)
 		stock := readyUpstreams(c.table, service.Name, c.rollouts.separateRelease(service.Name))
 		o.logLoad(now, duties, service.Name, s.Load(), stock)
 		for _, order := range s.Step(now, service, load, stock) {
@@ -85,6 +86,7 @@
 				Int("have", stock[order.Pool]).
 				Float64("asked", load.Demand).
 				Float64("seconds-each", load.SecondsPerUnit).
+				Float64("slowdown", load.Slowdown).
 				Float64("running", load.Concurrency).
 				Int("limited", load.LimitedUpstreams).
 				Float64("backed-off", load.BackedOffUpstreams).
@@ -113,6 +115,7 @@
 		Str("service", string(service)).
 		Float64("asked", load.Demand).
 		Float64("seconds-each", load.SecondsPerUnit).
+		Float64("slowdown", load.Slowdown).
 		Float64("running", load.Concurrency).
 		Int("upstreams", total).
 		Msg("service-load")
--- a/src/governor/slowdowns.go
+++ b/src/governor/slowdowns.go
@@ -1,9 +1,11 @@
 package governor
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/appraiser"
+	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -69,6 +71,26 @@
 	}
 }
 
+// combined returns how many times as long as usual work takes at a service's ready upstreams
+// together: the mean of what each of them gets done, and not of the time that it takes. It returns
+// 0 if none of them has stated anything.
+func (s *slowdowns) combined(service units.Service) float64 {
+	count, done, known := 0, 0.0, false
+	for _, e := range s.coordinator.table.Upstreams() {
+		if e.Service != service || e.State != enroller.Ready {
+			continue
+		}
+		slowdown := s.pool.Reported(units.NewIncarnationID(e.ID, e.Incarnation))
+		known = known || slowdown > 0
+		count++
+		done += 1 / cmp.Or(slowdown, 1)
+	}
+	if !known {
+		return 0
+	}
+	return float64(count) / done
+}
+
 // tick removes the upstreams that are gone.
 func (s *slowdowns) tick(now time.Time) {
 	if now.Sub(s.prunedAt) < pruneInterval {
--- a/src/governor/slowdowns_test.go
+++ b/src/governor/slowdowns_test.go
@@ -82,3 +82,27 @@
 		t.Errorf("after the upstream has restarted: got %v, want nothing", got)
 	}
 }
+
+// Guards against a plan that adds up times where it should add up what gets done, or that takes
+// upstreams which state nothing for infinitely fast ones.
+func TestCombinedSlowdown(t *testing.T) {
+	c, id := newLeaderWithUpstream(t)
+	if got := c.slowdowns.combined("s"); got != 0 {
+		t.Errorf("without statements: got %v, want 0", got)
+	}
+	c.table.Record(timekeeper.Now(), enroller.Registration{
+		ID:          "u2",
+		Service:     "s",
+		Address:     "y",
+		State:       enroller.Ready,
+		Incarnation: 1,
+		Sequence:    1,
+	}, 0)
+	c.poll(slowdownsPoll(c, "e1", id, 2, 8))
+	if got, want := c.slowdowns.combined("s"), 2/1.5; got != want {
+		t.Errorf("one at half the speed, one unknown: got %v, want %v", got, want)
+	}
+	if got := c.slowdowns.combined("other"); got != 0 {
+		t.Errorf("another service: got %v, want 0", got)
+	}
+}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -105,8 +105,8 @@
 	// Split returns how a service's calls are divided during a roll-out, and false where no
 	// roll-out is running; it may be nil.
 	Split func(service units.Service) (Split, bool)
-	// PrefillTime returns the prefill time of one token at a service's upstreams, 0 where it is
-	// unknown; it may be nil.
+	// PrefillTime returns the prefill time of one token at a service's upstreams at their usual
+	// speed, 0 where it is unknown; it may be nil.
 	PrefillTime func(service units.Service) time.Duration
 	// MaxInFlight returns how many concurrent calls this entry may have at an upstream.
 	MaxInFlight func(upstream *tracker.Upstream) int
@@ -278,7 +278,8 @@
 	for _, c := range withIdleConnection(candidates, offset) {
 		compare(c, call.PromptTokens)
 	}
-	if len(tried) == 0 && isTooLate(call, time.Duration(bestPrefill)*p.prefillTime(call.Service)) {
+	prefillTime := time.Duration(best.slowdown() * float64(p.prefillTime(call.Service)))
+	if len(tried) == 0 && isTooLate(call, time.Duration(bestPrefill)*prefillTime) {
 		return nil
 	}
 	return best
--- a/src/scaler/scaler.go
+++ b/src/scaler/scaler.go
@@ -78,6 +78,9 @@
 	// SecondsPerUnit is how many seconds an upstream takes for one token or call without queueing; 0 if
 	// unknown.
 	SecondsPerUnit float64
+	// Slowdown is how many times as long as SecondsPerUnit a unit takes at the service's present
+	// upstreams together; 0 if unknown.
+	Slowdown float64
 	// Concurrency is the mean number of calls in flight.
 	Concurrency float64
 	// LimitedUpstreams is how many upstreams report that they accept fewer calls than there are for
@@ -166,6 +169,7 @@
 		s.updateConcurrency(now, elapsed)
 	}
 	s.load.SecondsPerUnit = s.secondsPerUnit
+	s.load.Slowdown = load.Slowdown
 	s.load.LimitedUpstreams = load.LimitedUpstreams
 	s.load.BackedOffUpstreams = smooth(s.load.BackedOffUpstreams, load.BackedOffUpstreams, elapsed, smoothingPeriod)
 	s.load.Concurrency = s.load.Demand * s.concurrencyPerUnit
@@ -223,6 +227,9 @@
 // requiredByLoad returns how many upstreams the measured load needs.
 func (s *Scaler) requiredByLoad(service *matcher.Service) int {
 	work := s.load.Demand * s.load.SecondsPerUnit
+	if s.load.Slowdown > 0 {
+		work *= s.load.Slowdown
+	}
 	prefill := work + safetyFactor*math.Sqrt(work)
 	slots := spareUpstreams
 	if service.Engine != nil && service.Engine.Slots > 0 {
