Bound an entry's connections to upstreams by its own descriptors

Found by working out what entries of unequal size share by head: of 62 entries with 64 upstreams of 560 connections, one of ten that are left may open 47 to each, 3,008 in all, while the smallest instance has 3,075 descriptors, 200 of them reserved.

Change: connections to upstreams use at most 0.45 of an instance's descriptors; the one that has been idle for the longest time makes room for a new one.

--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -43,11 +43,16 @@
 type Pool struct {
 	// MaxConnections returns the maximum number of connections of this entry to an upstream.
 	MaxConnections func(upstream *tracker.Upstream) int
+	// MaxTotal is the maximum number of connections of this entry to all upstreams; 0 stands for
+	// no limit.
+	MaxTotal int
 	// OpenedCounter counts the connections that were opened; it may be nil.
 	OpenedCounter interface{ Inc(delta int64) }
 
 	mu    sync.Mutex
 	hosts map[hostKey]*hostConns
+	// open is the number of connections to all upstreams.
+	open int
 	// meanDialTime is the moving average of the time to open a connection.
 	meanDialTime time.Duration
 }
@@ -85,7 +90,7 @@
 
 // Error names the remedy.
 func (e *ConnectionLimitError) Error() string {
-	return "all connections to " + string(e.Upstream) + " are in use; raise its limit or add upstreams"
+	return "all connections to " + string(e.Upstream) + ", or all of this entry, are in use; raise the limit or add upstreams or entries"
 }
 
 // get returns an idle connection that appears to be open, or opens a new one. With fresh
@@ -190,6 +195,7 @@
 }
 
 func (p *Pool) reserve(key hostKey, upstream *tracker.Upstream) error {
+	p.closeLongestIdle()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hosts == nil {
@@ -200,18 +206,50 @@
 		h = &hostConns{}
 		p.hosts[key] = h
 	}
-	if h.open >= p.MaxConnections(upstream) {
+	if h.open >= p.MaxConnections(upstream) || p.MaxTotal > 0 && p.open >= p.MaxTotal {
+		if h.open == 0 {
+			delete(p.hosts, key)
+		}
 		return &ConnectionLimitError{Upstream: upstream.Name}
 	}
 	h.open++
+	p.open++
 	return nil
 }
 
+// closeLongestIdle makes room for a connection if MaxTotal is reached: it closes the one that has
+// been idle for the longest time. An entry's share of each upstream's connections grows as other
+// entries are lost, and those of a hundred upstreams may be more than a small instance can open.
+func (p *Pool) closeLongestIdle() {
+	p.mu.Lock()
+	if p.MaxTotal <= 0 || p.open < p.MaxTotal {
+		p.mu.Unlock()
+		return
+	}
+	var oldest *conn
+	for _, h := range p.hosts {
+		// Connections are put back at the end, so the first has been idle for the longest time.
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleSince.Before(oldest.idleSince)) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest != nil {
+		h := p.hosts[oldest.key]
+		h.idle = h.idle[1:]
+		oldest.live.IdleConnections.Add(-1)
+	}
+	p.mu.Unlock()
+	if oldest != nil {
+		p.drop(oldest)
+	}
+}
+
 func (p *Pool) release(key hostKey) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[key]
 	h.open--
+	p.open--
 	if h.open == 0 {
 		delete(p.hosts, key)
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -35,6 +35,10 @@
 // the entries; the rest covers connections that the upstream has not yet seen closed.
 const sharedConnectionFraction = 0.85
 
+// upstreamDescriptorFraction is the fraction of this instance's file descriptors that connections to
+// upstreams may use; callers need at least as many.
+const upstreamDescriptorFraction = 0.45
+
 // minConnections is how many connections an entry may always have to an upstream.
 const minConnections = 2
 
@@ -102,6 +106,7 @@
 	g.usageCounter = &aggregator.Counter{WindowLength: g.Settings.Usage.Window}
 	g.pool = &exchanger.Pool{
 		MaxConnections: g.connections,
+		MaxTotal:       int(upstreamDescriptorFraction * float64(g.Settings.Descriptors)),
 		OpenedCounter:  g.trafficStats.connections,
 	}
 	g.dispatcher = &dispatcher.Dispatcher{
