Use the seeds of changed settings also while no control instance is known

What callers would see: an entry whose seeds are all gone, and which has reached no control instance since its start, refuses every call for good; settings that name other seeds are read (settings-reloaded) and never used. The same holds once all control instances that it knows have been replaced.

Cause: the poller copied the seeds at its start, and took those of changed settings only together with a response of a control instance.

--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -53,9 +53,11 @@
 	gateway          *Gateway
 	table            *enroller.Table
 	candidateBuilder candidateBuilder
-	controls         []string
-	controlIndex     int
-	leader           string
+	// seeds are those of the settings that controls were made of.
+	seeds        *[]string
+	controls     []string
+	controlIndex int
+	leader       string
 	// controlSessions holds the state of the exchange with each instance, by address.
 	controlSessions map[string]*controlSession
 	// leaderTableID is the id of the table of the last instance that led.
@@ -85,7 +87,6 @@
 }
 
 func (p *poller) run(ctx context.Context) {
-	p.controls = slices.Clone(*p.gateway.seeds.Load())
 	p.controlSessions = make(map[string]*controlSession)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -126,6 +127,11 @@
 // pollRound polls control instances, each at most once, until one that leads has responded.
 func (p *poller) pollRound(ctx context.Context) {
 	p.hasMore = false
+	if seeds := p.gateway.seeds.Load(); seeds != p.seeds {
+		// The known instances may all be gone.
+		p.seeds = seeds
+		p.mergeControls(p.controls)
+	}
 	polled := make(map[string]bool)
 	for range p.instancesPerRound() {
 		address := p.nextControl(polled)
@@ -416,12 +422,16 @@
 	return max(known, reported)
 }
 
-// updateControls stores the control instances, those of the settings first: they may be gone,
-// or they may be the only ones left once the others are gone.
+// updateControls stores the control instances that a response names.
 func (p *poller) updateControls(controls []string) {
-	if len(controls) == 0 {
-		return
+	if len(controls) > 0 {
+		p.mergeControls(controls)
 	}
+}
+
+// mergeControls stores the control instances, those of the settings first: they may be gone, or
+// they may be the only ones left once the others are gone.
+func (p *poller) mergeControls(controls []string) {
 	known := slices.Clone(*p.gateway.seeds.Load())
 	for _, address := range controls {
 		if !slices.Contains(known, address) {
