--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -48,6 +49,9 @@
 	MaxTotal int
 	// OpenedCounter counts the connections that were opened; it may be nil.
 	OpenedCounter interface{ Inc(delta int64) }
+	// OnDialed is called with the outcome of each attempt to open a connection, except those whose
+	// caller left; it may be nil.
+	OnDialed func(upstream *tracker.Upstream, startedAt time.Time, err error)
 
 	mu    sync.Mutex
 	hosts map[hostKey]*hostConns
@@ -115,13 +119,16 @@
 	if err := p.reserve(key, upstream); err != nil {
 		return nil, err
 	}
-	started := time.Now()
+	startedAt := timekeeper.Now()
 	c, err := dial(ctx, upstream.Address, p.dialTimeout())
+	if p.OnDialed != nil && (err == nil || ctx.Err() == nil) {
+		p.OnDialed(upstream, startedAt, err)
+	}
 	if err != nil {
 		p.release(key)
 		return nil, err
 	}
-	p.recordDialTime(time.Since(started))
+	p.recordDialTime(timekeeper.Now().Sub(startedAt))
 	if p.OpenedCounter != nil {
 		p.OpenedCounter.Inc(1)
 	}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/pacer"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
 	"github.com/rosecroft/rosecroft/src/retrier"
@@ -74,6 +75,7 @@
 	gate         pacer.Gate
 	withholder   withholder.Withholder
 	slowdowns    appraiser.Collector
+	pathfinder   pathfinder.Pathfinder
 }
 
 // Prepare creates the components; it is called once, before Run and Serve.
@@ -108,6 +110,7 @@
 		MaxConnections: g.connections,
 		MaxTotal:       int(upstreamDescriptorFraction * float64(g.Settings.Descriptors)),
 		OpenedCounter:  g.trafficStats.connections,
+		OnDialed:       g.recordDial,
 	}
 	g.dispatcher = &dispatcher.Dispatcher{
 		Limiter:  (*accountLimiter)(g),
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -249,6 +249,7 @@
 		poll.BackingOff = append(poll.BackingOff, uint64(id))
 	}
 	p.slowdownSync.report(&g.slowdowns, poll)
+	poll.Unreached = encodeReach(g.pathfinder.Unreached())
 	poll.UnderWay = governor.EncodeLoads(p.report())
 	poll.Number = uint64(p.reportNumber)
 	return poll
@@ -337,6 +338,7 @@
 		p.fleetStale = false
 		p.snapshot.fleet, p.snapshot.leaving = p.candidateBuilder.fleet(now, p.table, p.gateway.placer)
 		p.gateway.placer.Retain(p.snapshot.fleet, p.snapshot.leaving)
+		p.gateway.setPresent(p.snapshot.fleet)
 		p.retainWithheld(now)
 	}
 	if r.GetLeads() {
--- /dev/null
+++ b/src/gateway/reach.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/pathfinder"
+	"github.com/rosecroft/rosecroft/src/placer"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// recordDial records the outcome of an attempt to connect to an upstream.
+func (g *Gateway) recordDial(upstream *tracker.Upstream, startedAt time.Time, err error) {
+	reach, changed := g.pathfinder.RecordDial(pathfinder.Dial{
+		Service:   upstream.Service,
+		Upstream:  units.NewIncarnationID(upstream.Name, upstream.Incarnation),
+		StartedAt: startedAt,
+		Failed:    err != nil,
+	})
+	if err != nil {
+		g.trafficStats.connectFailed(upstream)
+	}
+	if changed {
+		g.logReach(reach)
+	}
+}
+
+// setPresent tells the pathfinder which upstreams are in use.
+func (g *Gateway) setPresent(fleet placer.Fleet) {
+	present := make(map[units.Service][]units.IncarnationID, len(fleet))
+	for service, candidates := range fleet {
+		for _, c := range candidates {
+			present[service] = append(present[service], units.NewIncarnationID(c.Name, c.Incarnation))
+		}
+	}
+	for _, reach := range g.pathfinder.SetPresent(present) {
+		g.logReach(reach)
+	}
+}
+
+// logReach logs that a service is partitioned from this entry, or is no longer.
+func (g *Gateway) logReach(reach pathfinder.Reach) {
+	g.trafficStats.partitioned(reach)
+	if !reach.Partitioned {
+		g.Log.Info().
+			Str("service", string(reach.Service)).
+			Int("unreached", reach.Unreached).
+			Int("present", reach.Present).
+			Msg("service-reached")
+		return
+	}
+	ejected, silent := g.unusable(reach.Service)
+	g.Log.Warn().
+		Str("service", string(reach.Service)).
+		Int("unreached", reach.Unreached).
+		Int("present", reach.Present).
+		Int("ejected", ejected).
+		Int("silent", silent).
+		Int64("since-ms", timekeeper.Now().Sub(reach.Since).Milliseconds()).
+		Msg("service-partitioned")
+}
+
+// unusable returns how many of a service's upstreams are ejected, and how many control receives no
+// heartbeats from.
+func (g *Gateway) unusable(service units.Service) (ejected, silent int) {
+	for _, c := range g.fleet()[service] {
+		if g.placer.Assess(c).Ejected {
+			ejected++
+		}
+		if c.Silent {
+			silent++
+		}
+	}
+	return ejected, silent
+}
+
+func encodeReach(unreached []pathfinder.Reach) []*messages.ServiceReach {
+	var encoded []*messages.ServiceReach
+	for _, reach := range unreached {
+		encoded = append(encoded, &messages.ServiceReach{
+			Service:     string(reach.Service),
+			Partitioned: reach.Partitioned,
+			Unreached:   uint32(reach.Unreached),
+			Present:     uint32(reach.Present),
+		})
+	}
+	return encoded
+}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -32,12 +32,14 @@
 	Key string
 	// CallerTimeout is how long the caller will wait, 0 if it did not say.
 	CallerTimeout time.Duration
-	// Arrived is when the request was read, on the clock that counts suspension.
-	Arrived   time.Time
-	Model     units.Model
-	Prefixes  []dispatcher.PromptPrefix
-	Prompt    units.Tokens
-	MaxOutput units.Tokens
+	// Arrived is when the request was read, ConnectedAt when the caller's connection was accepted,
+	// on the clock that counts suspension.
+	Arrived     time.Time
+	ConnectedAt time.Time
+	Model       units.Model
+	Prefixes    []dispatcher.PromptPrefix
+	Prompt      units.Tokens
+	MaxOutput   units.Tokens
 	// ResumeOffset is the stream offset from which the caller resumes, 0 for the beginning.
 	ResumeOffset units.Tokens
 }
@@ -78,6 +80,7 @@
 	}
 	call.Trace = t
 	err = g.dispatcher.Do(ctx, call, timedSink)
+	t.connectionAge = r.Arrived.Sub(r.ConnectedAt)
 	g.finishCall(snap, call, route, t, timedSink, err)
 	return err
 }
@@ -267,8 +270,10 @@
 	connectionCut bool
 	// slowdown is what the last upstream stated in its answer, 0 for nothing.
 	slowdown float64
-	route    string
-	sink     *timedSink
+	// connectionAge is how long the caller's connection had been open when the request arrived.
+	connectionAge time.Duration
+	route         string
+	sink          *timedSink
 }
 
 // RecordStep records an attempt that has ended.
@@ -363,7 +368,8 @@
 		Int64("pause-ms", s.longestPause.Milliseconds()).
 		Int64("target-ms", route.Target.Milliseconds()).
 		Int64("gap-ms", route.EventGap.Milliseconds()).
-		Int64("took-ms", now.Sub(s.startedAt).Milliseconds())
+		Int64("took-ms", now.Sub(s.startedAt).Milliseconds()).
+		Int64("connection-ms", t.connectionAge.Milliseconds())
 	if t.slowdown > 0 {
 		event.Float64("slowdown", t.slowdown)
 	}
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -11,6 +11,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -226,6 +227,20 @@
 	t.scope.Tagged(map[string]string{"header": header}).Counter("malformed_headers").Inc(1)
 }
 
+// connectFailed counts an attempt to connect to an upstream that failed.
+func (t *trafficStats) connectFailed(u *tracker.Upstream) {
+	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_connect_failures").Inc(1)
+}
+
+// partitioned records whether a service is partitioned from this entry.
+func (t *trafficStats) partitioned(reach pathfinder.Reach) {
+	value := 0.0
+	if reach.Partitioned {
+		value = 1
+	}
+	t.scope.Tagged(serviceTag(reach.Service)).Gauge("service_partitioned").Update(value)
+}
+
 // upstreamCrashed counts an upstream that has crashed with calls of this entry.
 func (t *trafficStats) upstreamCrashed(u *tracker.Upstream) {
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_ends").Inc(1)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -94,6 +94,7 @@
 	rateLimits  *rateLimits
 	backoffs    *backoffs
 	slowdowns   *slowdowns
+	reaches     *reaches
 	pages       pages
 }
 
@@ -149,6 +150,9 @@
 	c.backoffs = &backoffs{
 		coordinator: c,
 	}
+	c.reaches = &reaches{
+		coordinator: c,
+	}
 	if err := c.restore(stored.Snapshot); err != nil {
 		return nil, err
 	}
@@ -320,6 +324,7 @@
 		c.rateLimits.startLeadership()
 		c.backoffs.startLeadership()
 		c.slowdowns.startLeadership()
+		c.reaches.startLeadership()
 	}
 	return true
 }
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -256,6 +256,7 @@
 	c.rateLimits.record(now, poll)
 	c.backoffs.record(now, entry, poll)
 	c.slowdowns.record(poll)
+	c.reaches.record(now, entry, poll)
 	c.duties.orders.record(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.inFlight.Record(entry, placer.ReportNumber(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- /dev/null
+++ b/src/pathfinder/pathfinder_test.go
@@ -0,0 +1,85 @@
+package pathfinder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const llm units.Service = "ember-llm"
+
+// step is one attempt to connect, ms milliseconds after the start of a test.
+type step struct {
+	ms       int
+	upstream units.IncarnationID
+	failed   bool
+}
+
+// Guards against an entry that takes failing upstreams for a partition, or a partition for
+// failing upstreams.
+func TestPartitionIsToldFromFailingUpstreams(t *testing.T) {
+	cases := map[string]struct {
+		present       int
+		steps         []step
+		want          bool
+		wantUnreached int
+	}{
+		"none tried":        {present: 5},
+		"two of five fail":  {present: 5, steps: []step{{1, 1, true}, {2, 2, true}}, wantUnreached: 2},
+		"three of five":     {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}}, want: true, wantUnreached: 3},
+		"one, three times":  {present: 5, steps: []step{{1, 1, true}, {2, 1, true}, {3, 1, true}}, wantUnreached: 1},
+		"all of two":        {present: 2, steps: []step{{1, 1, true}, {2, 2, true}}, want: true, wantUnreached: 2},
+		"the only one":      {present: 1, steps: []step{{1, 1, true}}, want: true, wantUnreached: 1},
+		"one is reached":    {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 4, false}, {4, 3, true}}, want: true, wantUnreached: 3},
+		"half are reached":  {present: 6, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 4, false}, {10, 5, false}, {11, 6, false}}, wantUnreached: 3},
+		"one is back":       {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 1, false}}, wantUnreached: 2},
+		"again after that":  {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 1, false}, {10, 1, true}, {11, 2, true}, {12, 3, true}}, want: true, wantUnreached: 3},
+		"reached before it": {present: 5, steps: []step{{2, 1, true}, {3, 2, true}, {4, 3, true}, {1, 4, false}}, want: true, wantUnreached: 3},
+		"late failure":      {present: 5, steps: []step{{5, 1, false}, {4, 1, true}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := &Pathfinder{}
+			present := make([]units.IncarnationID, c.present)
+			for i := range present {
+				present[i] = units.IncarnationID(i + 1)
+			}
+			p.SetPresent(map[units.Service][]units.IncarnationID{llm: present})
+			var got Reach
+			for _, s := range c.steps {
+				got, _ = p.RecordDial(Dial{
+					Service:   llm,
+					Upstream:  s.upstream,
+					StartedAt: time.UnixMilli(int64(s.ms)),
+					Failed:    s.failed,
+				})
+			}
+			if got.Partitioned != c.want || got.Unreached != c.wantUnreached {
+				t.Errorf("reach: got partitioned %t and %d unreached, want %t and %d", got.Partitioned, got.Unreached, c.want, c.wantUnreached)
+			}
+			if got.Partitioned && got.Since.IsZero() {
+				t.Error("start of the partition: got none, want that of the first failed attempt")
+			}
+		})
+	}
+}
+
+// Guards against a partition that outlives the upstreams by which it was seen.
+func TestPartitionEndsWithItsUpstreams(t *testing.T) {
+	p := &Pathfinder{}
+	p.SetPresent(map[units.Service][]units.IncarnationID{llm: {1, 2}})
+	for id := units.IncarnationID(1); id <= 2; id++ {
+		p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: time.UnixMilli(int64(id)), Failed: true})
+	}
+	if got := p.Unreached(); len(got) != 1 || !got[0].Partitioned {
+		t.Fatalf("reach: got %+v, want one partitioned service", got)
+	}
+	ended := p.SetPresent(map[units.Service][]units.IncarnationID{llm: {3, 4}})
+	if len(ended) != 1 || ended[0].Partitioned {
+		t.Errorf("ended partitions: got %+v, want one", ended)
+	}
+	if got := p.Unreached(); len(got) != 0 {
+		t.Errorf("reach: got %+v, want nothing unreached", got)
+	}
+}
