--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -40,8 +40,15 @@
 	sweepInterval = time.Second
 )
 
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool holds connections to upstreams; its exported fields are set before use.
 type Pool struct {
+	// Dialer opens the connections; nil opens them over TCP.
+	Dialer Dialer
 	// MaxConnections returns the maximum number of connections of this entry to an upstream.
 	MaxConnections func(upstream *tracker.Upstream) int
 	// MaxTotal is the maximum number of connections of this entry to all upstreams; 0 stands for
@@ -120,7 +127,7 @@
 		return nil, err
 	}
 	startedAt := timekeeper.Now()
-	c, err := dial(ctx, upstream.Address, p.dialTimeout())
+	c, err := p.dial(ctx, upstream.Address)
 	if p.OnDialed != nil && (err == nil || ctx.Err() == nil) {
 		p.OnDialed(upstream, startedAt, err)
 	}
@@ -347,23 +354,28 @@
 	return err == nil && noData
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
 	defer cancel()
-	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     2 * time.Second,
-			Interval: 500 * time.Millisecond,
-			Count:    3,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-			})
-			return errors.Join(err, optionErr)
-		},
+	if p.Dialer != nil {
+		return p.Dialer.DialContext(ctx, "tcp", address)
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	return tcpDialer.DialContext(ctx, "tcp", address)
+}
+
+// tcpDialer opens connections that notice when the other end is gone.
+var tcpDialer = &net.Dialer{
+	KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     2 * time.Second,
+		Interval: 500 * time.Millisecond,
+		Count:    3,
+	},
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		})
+		return errors.Join(err, optionErr)
+	},
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -52,6 +52,8 @@
 	Decode func(document []byte) (*matcher.Configuration, error)
 	// Dialect is the protocol of the upstreams.
 	Dialect exchanger.Dialect
+	// UpstreamDialer opens connections to upstreams; nil opens them over TCP.
+	UpstreamDialer exchanger.Dialer
 	// Metrics listens on the address given in the settings; nil serves no metrics.
 	Metrics net.Listener
 	Client  *connector.Client
@@ -107,6 +109,7 @@
 	}
 	g.usageCounter = &aggregator.Counter{WindowLength: g.Settings.Usage.Window}
 	g.pool = &exchanger.Pool{
+		Dialer:         g.UpstreamDialer,
 		MaxConnections: g.connections,
 		MaxTotal:       int(upstreamDescriptorFraction * float64(g.Settings.Descriptors)),
 		OpenedCounter:  g.trafficStats.connections,
