--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -34,8 +34,30 @@
 	Identity certifier.Identity
 	// Secured reports whether the connection uses TLS.
 	Secured bool
+
+	conn   *jsonrpc2.Conn
+	stream *stream
+}
+
+// Notify sends a message to the peer, which receives it before the response to its current call if
+// it has made that call on a session.
+func (p Peer) Notify(ctx context.Context, method Method, message proto.Message) error {
+	content, err := encode(message)
+	if err != nil {
+		return err
+	}
+	if err := p.conn.Notify(ctx, string(method), p.stream.attach(content), withProtocolVersion); err != nil {
+		return fmt.Errorf("notify %s: %w", method, err)
+	}
+	return nil
 }
 
+// Gone is closed once the connection to the peer has ended.
+func (p Peer) Gone() <-chan struct{} { return p.conn.DisconnectNotify() }
+
+// Disconnect closes the connection to the peer.
+func (p Peer) Disconnect() { _ = p.conn.Close() }
+
 // RequireRole returns an error unless the peer has the role; without TLS every peer is accepted.
 func (p Peer) RequireRole(role certifier.Role) error {
 	if !p.Secured {
@@ -145,8 +167,10 @@
 		return
 	}
 	objects := newStream(secured)
-	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
-		return s.answer(ctx, peer, objects, request)
+	handler := jsonrpc2.HandlerWithError(func(ctx context.Context, rpc *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+		caller := peer
+		caller.conn, caller.stream = rpc, objects
+		return s.answer(ctx, caller, request)
 	})
 	rpc := jsonrpc2.NewConn(ctx, objects, jsonrpc2.AsyncHandler(handler.SuppressErrClosed()), discardLogs)
 	s.addConn(rpc)
@@ -192,8 +216,8 @@
 
 var defaultRoles = []certifier.Role{certifier.Control, certifier.Entry}
 
-func (s *Server) answer(ctx context.Context, peer Peer, objects *stream, request *jsonrpc2.Request) (any, error) {
-	content, attachmentError := objects.takeReceived(request.Params)
+func (s *Server) answer(ctx context.Context, peer Peer, request *jsonrpc2.Request) (any, error) {
+	content, attachmentError := peer.stream.takeReceived(request.Params)
 	handle, known := s.handlers[Method(request.Method)]
 	if !known {
 		return nil, &jsonrpc2.Error{
@@ -218,7 +242,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return objects.attach(answer), nil
+	return peer.stream.attach(answer), nil
 }
 
 func (s *Server) addConn(conn *jsonrpc2.Conn) {
--- /dev/null
+++ b/src/connector/session_test.go
@@ -0,0 +1,95 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/messages"
+)
+
+const methodNote Method = "test/note"
+
+// openSession starts a server whose method sends notes before it returns, and opens a session.
+func openSession(t *testing.T, handle func(ctx context.Context, peer Peer) error) *Session {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &Server{Listener: listener}
+	Handle(server, testMethod, func(ctx context.Context, peer Peer, m *messages.Submission) (*messages.Submission, error) {
+		return m, handle(ctx, peer)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Run(ctx) }()
+	client := &Client{}
+	s, err := client.OpenSession(t.Context(), listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Guards against messages that are lost, swapped, or arrive after the response to their call.
+func TestSessionPassesMessagesOnInOrder(t *testing.T) {
+	const count = 200
+	s := openSession(t, func(ctx context.Context, peer Peer) error {
+		for n := range count {
+			if err := peer.Notify(ctx, methodNote, &messages.Submission{Version: uint64(n)}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	for range 3 {
+		next := uint64(0)
+		err := s.Call(t.Context(), testMethod, &messages.Submission{}, &messages.Submission{}, func(method Method, decode func(proto.Message) error) {
+			note := &messages.Submission{}
+			if err := decode(note); err != nil || method != methodNote || note.GetVersion() != next {
+				t.Errorf("message %d: got %s %d (%v)", next, method, note.GetVersion(), err)
+			}
+			next++
+		})
+		if err != nil || next != count {
+			t.Fatalf("messages before the response: got %d (%v), want %d", next, err, count)
+		}
+	}
+}
+
+// Guards against a receiver that runs after its call has returned, and a server that goes on working
+// for a client that has left.
+func TestSessionThatIsGivenUpEnds(t *testing.T) {
+	gone := make(chan struct{})
+	s := openSession(t, func(ctx context.Context, peer Peer) error {
+		if err := peer.Notify(ctx, methodNote, &messages.Submission{}); err != nil {
+			return err
+		}
+		<-peer.Gone()
+		close(gone)
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	returned := false
+	err := s.Call(ctx, testMethod, &messages.Submission{}, &messages.Submission{}, func(Method, func(proto.Message) error) {
+		time.Sleep(300 * time.Millisecond) // A receiver that is slower than its call.
+		if returned {
+			t.Error("receiver: still running after its call has returned")
+		}
+	})
+	returned = true
+	if err == nil || s.IsOpen() {
+		t.Errorf("call that exceeds its deadline: got error %v and an open session %t, want an error and a closed one", err, s.IsOpen())
+	}
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Error("server: not told within a second that its client has left")
+	}
+}
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -51,6 +51,10 @@
 	// Unsent is set where no byte of the call was sent, so that the upstream cannot have
 	// received it.
 	Unsent bool
+	// NoPath is set where the entry has no way to any upstream of the service.
+	NoPath bool
+	// Through is the entry that carried the attempt, "" for this one.
+	Through units.Instance
 	// RetryAfter is the wait that the refusing upstream requested.
 	RetryAfter time.Duration
 	// MoveTarget is the upstream where a moved stream resumes, nil for any.
@@ -188,10 +192,7 @@
 		defer stop()
 		runCtx = detached
 	}
-	answer, err := run(runCtx, call, &Stream{
-		Sink:   sink,
-		offset: call.ResumeOffset,
-	})
+	answer, err := run(runCtx, call, NewStream(sink, call.ResumeOffset))
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -218,6 +219,9 @@
 	// lastUnsent says that the last attempt was never sent and brought no events; the
 	// next attempt then takes over its charge to the budget.
 	lastUnsent bool
+	// noPath says that the last attempt found no way to any upstream, for a caller that has nothing of
+	// the answer; another attempt would end alike.
+	noPath bool
 	// possibleRuns counts the attempts that may have run the call.
 	possibleRuns int
 	// upstreamFailure is an error response from an upstream. It is returned instead of a
@@ -230,9 +234,12 @@
 // has part of the answer.
 const maxResumes = 3
 
-// exhausted reports whether the call has reached its maximum number of attempts;
-// attempts that provably did not run do not count.
+// exhausted reports whether the call must not make another attempt: it has no path, or has reached
+// its maximum number of attempts. Attempts that provably did not run do not count.
 func (a *attemptState) exhausted(call *Call, stream *Stream) bool {
+	if a.noPath {
+		return true
+	}
 	limit := call.MaxAttempts
 	if stream.Offset() > call.ResumeOffset {
 		limit = max(limit, 1+maxResumes)
@@ -267,13 +274,7 @@
 		if err := state.recordResult(ctx, call, upstream, result); err != nil {
 			return nil, err
 		}
-		state.failures++
-		// An attempt that brought events was sent, even if its last connection was not
-		// made.
-		state.lastUnsent = result.Unsent && stream.Offset() == offsetBefore
-		if stream.Offset() > offsetBefore || result.Kind == Moved {
-			state.failures = 0
-		}
+		state.recordProgress(call, stream, offsetBefore, result)
 	}
 	if state.upstreamFailure != nil && stream.Offset() == 0 {
 		return state.upstreamFailure, nil
@@ -319,6 +320,18 @@
 	return a.contextError(ctx)
 }
 
+// recordProgress records what the caller got of a failed attempt, before which it had the stream up
+// to an offset.
+func (a *attemptState) recordProgress(call *Call, stream *Stream, offsetBefore units.Tokens, result Result) {
+	a.failures++
+	// An attempt that brought events was sent, even if its last connection was not made.
+	a.lastUnsent = result.Unsent && stream.Offset() == offsetBefore
+	if stream.Offset() > offsetBefore || result.Kind == Moved {
+		a.failures = 0
+	}
+	a.noPath = result.NoPath && stream.Offset() == call.ResumeOffset
+}
+
 // correctRefusal adjusts a refusal of the current attempt where earlier attempts may have
 // run the call: the refusing component knows only of the current attempt.
 func (a *attemptState) correctRefusal(err error) error {
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -32,6 +32,14 @@
 	incarnation units.Incarnation
 }
 
+// NewStream returns a stream whose caller has received its events up to an offset.
+func NewStream(sink Sink, offset units.Tokens) *Stream {
+	return &Stream{
+		Sink:   sink,
+		offset: offset,
+	}
+}
+
 // Offset returns how many tokens the caller has received.
 func (s *Stream) Offset() units.Tokens { return s.offset }
 
--- a/src/dispatcher/trace.go
+++ b/src/dispatcher/trace.go
@@ -58,6 +58,9 @@
 		return
 	}
 	detail := result.Kind.String()
+	if result.Through != "" {
+		detail += " through " + string(result.Through)
+	}
 	if result.Err != nil {
 		detail += ": " + result.Err.Error()
 	}
--- a/src/ejector/ejector.go
+++ b/src/ejector/ejector.go
@@ -45,8 +45,21 @@
 	Total int
 }
 
+// UpstreamReached reports that a connection to an upstream was made.
+type UpstreamReached struct {
+	Key Key
+}
+
+// EntryPartitioned reports that this entry can connect to most upstreams of a service no more, so
+// that failures to connect say nothing about them.
+type EntryPartitioned struct {
+	Service units.Service
+}
+
 func (ExchangeSucceeded) event() {}
 func (ExchangeFailed) event()    {}
+func (UpstreamReached) event()   {}
+func (EntryPartitioned) event()  {}
 
 // Action is an effect that the caller of Step must carry out.
 type Action interface{ action() }
@@ -57,7 +70,13 @@
 	Until time.Time
 }
 
-func (Eject) action() {}
+// Readmit requires that an ejected upstream get calls again.
+type Readmit struct {
+	Key Key
+}
+
+func (Eject) action()   {}
+func (Readmit) action() {}
 
 // Ejector counts failures of upstreams; it is a state machine without a clock.
 type Ejector struct {
@@ -69,7 +88,9 @@
 	// ejections counts ejections without a success in between.
 	ejections    int
 	ejectedUntil time.Time
-	failedAt     time.Time
+	// unreached is set where the ejection is for a connection that could not be made.
+	unreached bool
+	failedAt  time.Time
 }
 
 // Step takes one event and returns the actions to carry out.
@@ -82,10 +103,31 @@
 		x.recordSuccess(now, e.Key)
 	case ExchangeFailed:
 		return x.recordFailure(now, e)
+	case UpstreamReached:
+		return x.readmit(now, e.Key)
+	case EntryPartitioned:
+		var actions []Action
+		for key := range x.upstreams {
+			if key.Service == e.Service {
+				actions = append(actions, x.readmit(now, key)...)
+			}
+		}
+		return actions
 	}
 	return nil
 }
 
+// readmit ends the ejection of an upstream that was ejected because no connection to it could be
+// made.
+func (x *Ejector) readmit(now time.Time, key Key) []Action {
+	s := x.upstreams[key]
+	if s == nil || !s.unreached || !now.Before(s.ejectedUntil) {
+		return nil
+	}
+	s.ejectedUntil = now
+	return []Action{Readmit{Key: key}}
+}
+
 // recordSuccess clears an upstream's failures. A late answer to a call from before an ejection
 // does not end the ejection.
 func (x *Ejector) recordSuccess(now time.Time, key Key) {
@@ -114,6 +156,7 @@
 		return nil
 	}
 	s.failures = 0
+	s.unreached = e.Unreached
 	s.ejectedUntil = now.Add(min(maxEjection, baseEjection<<min(s.ejections, 10)))
 	s.ejections++
 	return []Action{Eject{
--- a/src/ejector/ejector_test.go
+++ b/src/ejector/ejector_test.go
@@ -95,3 +95,43 @@
 		failed.Unreached = false
 	}
 }
+
+// Guards against ejections that outlive what caused them: an upstream that was silent for a moment, or
+// an entry's own partition.
+func TestUnreachedUpstreamsAreReadmitted(t *testing.T) {
+	key := Key{Service: "ember-llm", Upstream: "u"}
+	failed := ExchangeFailed{Key: key, Total: 6}
+	unreached := ExchangeFailed{Key: key, Unreached: true, Total: 6}
+	cases := map[string]struct {
+		events []Event
+		want   bool
+	}{
+		"connection made":                  {events: []Event{unreached, UpstreamReached{Key: key}}, want: true},
+		"entry partitioned":                {events: []Event{unreached, EntryPartitioned{Service: "ember-llm"}}, want: true},
+		"another service":                  {events: []Event{unreached, EntryPartitioned{Service: "diary-app"}}},
+		"another upstream":                 {events: []Event{unreached, UpstreamReached{Key: Key{Service: "ember-llm", Upstream: "v"}}}},
+		"failing calls, connection made":   {events: []Event{failed, failed, failed, UpstreamReached{Key: key}}},
+		"failing calls, entry partitioned": {events: []Event{failed, failed, failed, EntryPartitioned{Service: "ember-llm"}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := &Ejector{}
+			now := time.Unix(1000, 0)
+			var ejected, readmitted bool
+			for _, event := range c.events {
+				now = now.Add(time.Millisecond)
+				for _, action := range x.Step(now, event) {
+					switch action.(type) {
+					case Eject:
+						ejected = true
+					case Readmit:
+						readmitted = true
+					}
+				}
+			}
+			if !ejected || readmitted != c.want {
+				t.Errorf("got ejected %t and readmitted %t, want true and %t", ejected, readmitted, c.want)
+			}
+		})
+	}
+}
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -56,6 +56,9 @@
 	MaxTotal int
 	// OpenedCounter counts the connections that were opened; it may be nil.
 	OpenedCounter interface{ Inc(delta int64) }
+	// UsableSince returns the time before which an idle connection to an upstream must not have been
+	// used last, zero where all are usable; it may be nil.
+	UsableSince func(upstream *tracker.Upstream) time.Time
 	// OnDialed is called with the outcome of each attempt to open a connection, except those whose
 	// caller left; it may be nil.
 	OnDialed func(upstream *tracker.Upstream, startedAt time.Time, err error)
@@ -88,7 +91,8 @@
 	key    hostKey
 	live   *tracker.LocalState
 	// reused is set where the connection has served an earlier call.
-	reused      bool
+	reused bool
+	// idleSince is on the clock that counts suspension.
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -112,12 +116,13 @@
 		name:        upstream.Name,
 		incarnation: upstream.Incarnation,
 	}
+	usableSince := p.usableSince(upstream)
 	for !fresh {
 		c := p.pop(key)
 		if c == nil {
 			break
 		}
-		if c.isUsable() {
+		if !c.idleSince.Before(usableSince) && c.isUsable() {
 			c.reused = true
 			return c, nil
 		}
@@ -148,6 +153,13 @@
 	}, nil
 }
 
+func (p *Pool) usableSince(upstream *tracker.Upstream) time.Time {
+	if p.UsableSince == nil {
+		return time.Time{}
+	}
+	return p.UsableSince(upstream)
+}
+
 // Probe opens a connection to an upstream, which is kept for the next call, or returns why
 // it could not. An upstream to which the maximum number of connections is open counts as
 // reachable.
@@ -271,7 +283,7 @@
 
 // put returns a connection to the pool for the next call.
 func (p *Pool) put(c *conn) {
-	c.idleSince = time.Now()
+	c.idleSince = timekeeper.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[c.key]
@@ -322,8 +334,9 @@
 	return stale
 }
 
-// HasIdle reports whether the pool holds an idle connection to the upstream.
+// HasIdle reports whether the pool holds an idle connection to the upstream that may be used.
 func (p *Pool) HasIdle(upstream *tracker.Upstream) bool {
+	usableSince := p.usableSince(upstream)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[hostKey{
@@ -331,13 +344,13 @@
 		name:        upstream.Name,
 		incarnation: upstream.Incarnation,
 	}]
-	return h != nil && len(h.idle) > 0
+	return h != nil && len(h.idle) > 0 && !h.idle[len(h.idle)-1].idleSince.Before(usableSince)
 }
 
 // isUsable reports whether a connection has not been idle for too long, is open, and has
 // no unrequested bytes waiting, which would be read as the next call's answer.
 func (c *conn) isUsable() bool {
-	if time.Since(c.idleSince) > time.Duration(float64(c.idleTimeout)*idleTimeoutFraction) || c.reader.Buffered() > 0 {
+	if timekeeper.Now().Sub(c.idleSince) > time.Duration(float64(c.idleTimeout)*idleTimeoutFraction) || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
+	"github.com/rosecroft/rosecroft/src/relayer"
 	"github.com/rosecroft/rosecroft/src/retrier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -56,7 +57,9 @@
 	UpstreamDialer exchanger.Dialer
 	// Metrics listens on the address given in the settings; nil serves no metrics.
 	Metrics net.Listener
-	Client  *connector.Client
+	// Relays listens for calls of other entries; nil carries none.
+	Relays net.Listener
+	Client *connector.Client
 
 	incarnation    units.Incarnation
 	snapshot       atomic.Pointer[snapshot]
@@ -78,6 +81,8 @@
 	withholder   withholder.Withholder
 	slowdowns    appraiser.Collector
 	pathfinder   pathfinder.Pathfinder
+	sender       *relayer.Sender
+	carrier      *relayer.Carrier
 }
 
 // Prepare creates the components; it is called once, before Run and Serve.
@@ -99,6 +104,7 @@
 		MaxInFlight: g.connections,
 		Gate:        &g.gate,
 		Withholder:  &g.withholder,
+		IsRelayed:   g.isRelayed,
 	}
 	g.quota = &allocator.LocalLimiter{Window: allocator.NewWindow(g.Settings.Quota)}
 	g.retryBudget = &retrier.Budget{
@@ -114,20 +120,28 @@
 		MaxTotal:       int(upstreamDescriptorFraction * float64(g.Settings.Descriptors)),
 		OpenedCounter:  g.trafficStats.connections,
 		OnDialed:       g.recordDial,
+		UsableSince: func(u *tracker.Upstream) time.Time {
+			return g.pathfinder.DoubtfulSince(u.Service, units.NewIncarnationID(u.Name, u.Incarnation))
+		},
+	}
+	direct := &exchanger.Exchanger{
+		Pool:      g.pool,
+		Dialect:   g.Dialect,
+		Guard:     (*attemptGuard)(g),
+		Donor:     g.placer.Donor,
+		OnStarted: g.countCall,
+		OnAnswer:  g.recordAnswer,
 	}
+	g.prepareRelays(direct)
 	g.dispatcher = &dispatcher.Dispatcher{
 		Limiter:  (*accountLimiter)(g),
 		Recorder: (*attemptRecorder)(g),
 		Router:   g.placer,
 		Exchanger: &lossDetector{
 			Exchanger: &measuredExchanger{
-				Exchanger: &exchanger.Exchanger{
-					Pool:      g.pool,
-					Dialect:   g.Dialect,
-					Guard:     (*attemptGuard)(g),
-					Donor:     g.placer.Donor,
-					OnStarted: g.countCall,
-					OnAnswer:  g.recordAnswer,
+				Exchanger: &pathExchanger{
+					gateway: g,
+					direct:  direct,
 				},
 				gateway: g,
 			},
@@ -158,6 +172,11 @@
 		g.pool.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		g.runProbes(ctx)
+		return nil
+	})
+	group.Go(func() error { return g.runRelays(ctx) })
 	if g.Metrics != nil {
 		group.Go(func() error {
 			return (&inspector.Inspector{
@@ -234,8 +253,12 @@
 }
 
 // countCall counts a call that has started to run in its account's usage, once however many
-// upstreams it runs at.
+// upstreams it runs at. The entry that took it from its caller counts a relayed one.
 func (g *Gateway) countCall(call *dispatcher.Call, _ *tracker.Upstream) {
+	if relayed, known := call.Trace.(*relayer.Trace); known {
+		relayed.Started = true
+		return
+	}
 	t, known := call.Trace.(*callTrace)
 	if call.Account == nil || !known || t.usageCounted {
 		return
--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -104,13 +104,14 @@
 // with it.
 //
 // Connections break for many reasons and upstreams lose answers; only an upstream that accepts
-// no new connection has crashed.
+// no new connection, from other entries either, has crashed.
 func (l *lossDetector) checkUpstream(ctx context.Context, upstream *tracker.Upstream, id units.IncarnationID) {
 	time.Sleep(checkDelay)
 	err := l.gateway.pool.Probe(ctx, upstream)
+	crashed := err != nil && l.gateway.crashed(ctx, upstream)
 	// Calls that were lost during the check have the same cause.
 	for calls := l.takePending(id); len(calls) > 0; calls = l.takePending(id) {
-		if err != nil {
+		if crashed {
 			l.gateway.reportCrash(upstream, calls, err)
 		}
 	}
--- a/src/gateway/loss_detector_test.go
+++ b/src/gateway/loss_detector_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -29,12 +30,15 @@
 		leaving bool
 		// saidItLeaves is set where the upstream has said so in an answer.
 		saidItLeaves bool
-		want         int
+		// partitioned is set where the entry can connect to no upstream of the service.
+		partitioned bool
+		want        int
 	}{
 		"upstream that crashed":        {result: cut, crashed: true, want: 1},
 		"lost answer":                  {result: cut},
 		"leaving upstream":             {result: cut, crashed: true, leaving: true},
 		"upstream that said it leaves": {result: cut, crashed: true, saidItLeaves: true},
+		"partitioned entry":            {result: cut, crashed: true, partitioned: true},
 		"caller who left":              {result: dispatcher.Result{Kind: dispatcher.CallerGone}, crashed: true},
 		"call that had run for long":   {result: dispatcher.Result{Kind: dispatcher.Unresumable, ConnectionLost: true, AnswerDuration: minRunTime}, crashed: true},
 		"stream that had just started": {result: dispatcher.Result{Kind: dispatcher.Unresumable, ConnectionLost: true, AnswerDuration: minRunTime / 2}, crashed: true, want: 1},
@@ -65,6 +69,9 @@
 				snap.fleet = placer.Fleet{"s": {{Upstream: upstream}}}
 			}
 			g.snapshot.Store(&snap)
+			if c.partitioned {
+				g.pathfinder.RecordDial(pathfinder.Dial{Service: "s", Upstream: 1, StartedAt: timekeeper.Now(), Failed: true})
+			}
 			if c.saidItLeaves {
 				g.recordAnswer(upstream, exchanger.Verdict{Leaving: true}, timekeeper.Now())
 			}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -12,6 +12,7 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
+	"github.com/rosecroft/rosecroft/src/relayer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -80,6 +81,8 @@
 	suspects         uint64
 	limitSync        limitSync
 	slowdownSync     slowdownSync
+	// peersVersion is that of the entries that carry calls of this one.
+	peersVersion uint64
 	// hasMore reports that the last response did not contain the rest of the table, fleetStale
 	// that the fleet is older than the table.
 	hasMore    bool
@@ -250,6 +253,8 @@
 	}
 	p.slowdownSync.report(&g.slowdowns, poll)
 	poll.Unreached = encodeReach(g.pathfinder.Unreached())
+	poll.RelayAddress = g.Settings.RelayAddress()
+	poll.PeersVersion = p.peersVersion
 	poll.UnderWay = governor.EncodeLoads(p.report())
 	poll.Number = uint64(p.reportNumber)
 	return poll
@@ -395,6 +400,7 @@
 	p.updateSuspects(now, r)
 	p.snapshot.entries = entryCount(p.snapshot.entries, r)
 	p.gateway.retryBudget.SetEntries(p.snapshot.entries)
+	p.applyPeers(r.GetPeers())
 	p.limitSync.handleResponse(now, sentAt, &p.gateway.gate, r, p.snapshot.entries)
 	p.gateway.placer.SetPeerLoads(&placer.PeerLoads{
 		At:    now,
@@ -411,6 +417,26 @@
 	}
 }
 
+// applyPeers stores the entries that carry calls of this one, if they have changed.
+func (p *poller) applyPeers(m *messages.RelayPeers) {
+	if m == nil {
+		return
+	}
+	p.peersVersion = m.GetVersion()
+	peers := make([]relayer.Peer, 0, len(m.GetPeers()))
+	for _, peer := range m.GetPeers() {
+		decoded := relayer.Peer{
+			Name:    units.Instance(peer.GetEntry()),
+			Address: peer.GetAddress(),
+		}
+		for _, service := range peer.GetPartitioned() {
+			decoded.Partitioned = append(decoded.Partitioned, units.Service(service))
+		}
+		peers = append(peers, decoded)
+	}
+	p.gateway.sender.SetPeers(peers)
+}
+
 // entryCount returns the number of entries.
 //
 // A new leader receives the polls of the entries one after another. If each entry used its
--- a/src/gateway/quarantine.go
+++ b/src/gateway/quarantine.go
@@ -85,12 +85,7 @@
 
 // checkQuarantine returns the refusal of a call whose request is quarantined, or nil.
 func (g *Gateway) checkQuarantine(call *dispatcher.Call) error {
-	now := timekeeper.Now()
-	trueNow := now
-	if snap := g.snapshot.Load(); snap != nil {
-		trueNow = now.Add(snap.trueTimeOffset)
-	}
-	if !g.quarantine.isQuarantined(now, trueNow, call.Fingerprint) {
+	if !g.quarantine.isQuarantined(timekeeper.Now(), g.trueNow(), call.Fingerprint) {
 		return nil
 	}
 	return newRefusal(http.StatusServiceUnavailable, dispatcher.ProblemQuarantined,
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -21,10 +21,16 @@
 	})
 	if err != nil {
 		g.trafficStats.connectFailed(upstream)
+	} else {
+		g.placer.RecordReached(upstream)
 	}
-	if changed {
-		g.logReach(reach)
+	if !changed {
+		return
+	}
+	if reach.Partitioned {
+		g.placer.RecordPartition(reach.Service)
 	}
+	g.logReach(reach)
 }
 
 // setPresent tells the pathfinder which upstreams are in use.
--- a/src/gateway/rollout_stats.go
+++ b/src/gateway/rollout_stats.go
@@ -86,7 +86,7 @@
 
 // measuredExchanger measures the first attempts of calls to services that are being rolled out.
 type measuredExchanger struct {
-	*exchanger.Exchanger
+	dispatcher.Exchanger
 	gateway *Gateway
 }
 
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -266,6 +266,8 @@
 	text strings.Builder
 	// usageCounted reports that the call is counted in its account's usage.
 	usageCounted bool
+	// relayed reports that an attempt went through another entry.
+	relayed bool
 	// connectionCut reports that a connection to an upstream was cut during the call.
 	connectionCut bool
 	// slowdown is what the last upstream stated in its answer, 0 for nothing.
@@ -358,7 +360,7 @@
 	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && refusal.Status != http.StatusTooManyRequests && call.Account != nil {
 		g.quota.Refund(call.Account.Name, call.LimitCost)
 	}
-	g.trafficStats.served(call, outcome, s.firstByte, t.slowdown)
+	g.trafficStats.served(call, outcome, s.firstByte, t)
 	event.Str("call", string(call.ID)).
 		Str("route", route.Name).
 		Str("service", string(call.Service)).
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -97,13 +98,16 @@
 // tagged with outcome and service, not with a route's name.
 //
 // The upstream's slowdown at that moment, 0 if it stated none, is divided out of what is learnt
-// about prefill: a service's upstreams differ, and each has slow moments.
-func (t *trafficStats) served(call *dispatcher.Call, outcome string, firstByte time.Duration, slowdown float64) {
+// about prefill: a service's upstreams differ, and each has slow moments. Relayed calls say nothing
+// about the upstreams' speed.
+func (t *trafficStats) served(call *dispatcher.Call, outcome string, firstByte time.Duration, trace *callTrace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(call.Service)
-	s.updateMinWait(firstByte)
-	s.updatePrefill(firstByte, call.UncachedTokens(), slowdown)
+	if !trace.relayed {
+		s.updateMinWait(firstByte)
+		s.updatePrefill(firstByte, call.UncachedTokens(), trace.slowdown)
+	}
 	counter := t.calls[outcome]
 	if counter == nil {
 		counter = t.scope.Tagged(map[string]string{"outcome": outcome}).Counter("calls")
@@ -227,6 +231,16 @@
 	t.scope.Tagged(map[string]string{"header": header}).Counter("malformed_headers").Inc(1)
 }
 
+// offered counts an offer of a call to another entry.
+func (t *trafficStats) offered(accepted bool) {
+	t.scope.Tagged(map[string]string{"accepted": strconv.FormatBool(accepted)}).Counter("relay_offers").Inc(1)
+}
+
+// carried counts a call of another entry by its result.
+func (t *trafficStats) carried(result dispatcher.Result) {
+	t.scope.Tagged(map[string]string{"end": result.Kind.String()}).Counter("relayed_calls").Inc(1)
+}
+
 // connectFailed counts an attempt to connect to an upstream that failed.
 func (t *trafficStats) connectFailed(u *tracker.Upstream) {
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_connect_failures").Inc(1)
--- a/src/gateway/traffic_stats_test.go
+++ b/src/gateway/traffic_stats_test.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/allocator"
+	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/relayer"
 	"github.com/rosecroft/rosecroft/src/retrier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 )
@@ -59,6 +61,7 @@
 		trafficStats: newTrafficStats(m),
 		quota:        &allocator.LocalLimiter{Window: allocator.Window{Length: 8 * time.Second}},
 		retryBudget:  &retrier.Budget{Window: time.Second, Now: timekeeper.Now},
+		sender:       &relayer.Sender{Client: &connector.Client{}},
 	}
 	g.snapshot.Store(&snapshot{
 		lease: timekeeper.Now().Add(lease),
@@ -130,8 +133,8 @@
 	m := meter.New()
 	defer func() { _ = m.Close() }()
 	f := newTrafficStats(m)
-	f.served(&dispatcher.Call{Service: "s"}, "answered", 10*time.Millisecond, 0)
-	f.served(&dispatcher.Call{Service: "s", PromptTokens: 10_000}, "answered", 110*time.Millisecond, 0)
+	f.served(&dispatcher.Call{Service: "s"}, "answered", 10*time.Millisecond, &callTrace{})
+	f.served(&dispatcher.Call{Service: "s", PromptTokens: 10_000}, "answered", 110*time.Millisecond, &callTrace{})
 	if got := f.services["s"].prefillPerToken; got < 0.95e-5 || got > 1.05e-5 {
 		t.Errorf("seconds for a token: got %.3e, want about 1e-5", got)
 	}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -130,6 +130,7 @@
 	c.recordEntry(now, entry, poll)
 	c.rateLimits.report(now, poll, response)
 	c.slowdowns.report(poll, response)
+	c.reaches.report(now, entry, poll, response)
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
--- a/src/parser/deployment.go
+++ b/src/parser/deployment.go
@@ -183,6 +183,11 @@
 // OwnPeerAddress returns the address at which this process serves other processes.
 func (s *PlatformSettings) OwnPeerAddress() string { return s.PeerAddress(s.Address) }
 
+// RelayAddress returns the address at which this process carries calls of other entries.
+func (s *PlatformSettings) RelayAddress() string {
+	return fmt.Sprintf("%s:%d", s.Address, s.PeerPorts[0]+1)
+}
+
 // MetricsAddress returns the address at which this process serves its metrics and its dump.
 func (s *PlatformSettings) MetricsAddress() string {
 	return fmt.Sprintf("%s:%d", s.Address, s.PeerPorts[0]+2)
--- a/src/pathfinder/pathfinder_test.go
+++ b/src/pathfinder/pathfinder_test.go
@@ -83,3 +83,103 @@
 		t.Errorf("reach: got %+v, want nothing unreached", got)
 	}
 }
+
+// newPartition returns a pathfinder of a service with count upstreams, of which the first failed
+// were found unreached at the given time.
+func newPartition(at time.Time, count, failed int) *Pathfinder {
+	p := &Pathfinder{Random: func() float64 { return 0 }}
+	present := make([]units.IncarnationID, count)
+	for i := range present {
+		present[i] = units.IncarnationID(i + 1)
+	}
+	p.SetPresent(map[units.Service][]units.IncarnationID{llm: present})
+	for _, id := range present[:failed] {
+		p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: at, Failed: true})
+	}
+	return p
+}
+
+// Guards against calls that wait for a connection that cannot be made, and against upstreams that are
+// reached but not used.
+func TestDoubtIsLimitedToUnreachedUpstreams(t *testing.T) {
+	at := time.Unix(1000, 0)
+	cases := map[string]struct {
+		failed   int
+		then     []Dial
+		upstream units.IncarnationID
+		want     bool
+	}{
+		"nothing failed":             {upstream: 1},
+		"unreached upstream":         {failed: 1, upstream: 1, want: true},
+		"another one":                {failed: 1, upstream: 2},
+		"another one in a partition": {failed: 3, upstream: 5, want: true},
+		"reached in a partition":     {failed: 3, then: []Dial{{Service: llm, Upstream: 5, StartedAt: at.Add(time.Second)}}, upstream: 5},
+		"reached again":              {failed: 3, then: []Dial{{Service: llm, Upstream: 1, StartedAt: at.Add(time.Second)}}, upstream: 1},
+		"unknown service":            {failed: 3, then: nil, upstream: 9, want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPartition(at, 8, c.failed)
+			for _, d := range c.then {
+				p.RecordDial(d)
+			}
+			if got := !p.DoubtfulSince(llm, c.upstream).IsZero(); got != c.want {
+				t.Errorf("doubtful: got %t, want %t", got, c.want)
+			}
+			if !p.DoubtfulSince("other", c.upstream).IsZero() {
+				t.Error("upstream of another service: got a doubt, want none")
+			}
+		})
+	}
+}
+
+// Guards against upstreams that stay unreached after a partition has healed, and against probes
+// without a pause while it lasts.
+func TestProbesFindTheEndOfAPartition(t *testing.T) {
+	const count = 20
+	now := time.Unix(1000, 0)
+	p := newPartition(now, count, 3)
+	heals := now.Add(5 * time.Second)
+	probes := 0
+	for now.Before(heals.Add(time.Second)) {
+		for {
+			id, due := p.DueProbe(now, llm)
+			if !due {
+				break
+			}
+			probes++
+			failed := now.Before(heals)
+			p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: now, Failed: failed})
+			now = now.Add(2 * time.Millisecond)
+		}
+		if now.Before(heals) && !p.IsPartitioned(llm) {
+			t.Fatalf("%v before its end: got no partition", heals.Sub(now))
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if most := int(5*time.Second/minProbeDelay) + count; probes > most {
+		t.Errorf("probes: got %d, want at most %d", probes, most)
+	}
+	if got := p.Unreached(); len(got) > 0 {
+		t.Errorf("a second after its end: got %+v, want nothing unreached", got)
+	}
+}
+
+// Guards against a partition that is seen where some upstreams have crashed: the first probes of
+// others end it.
+func TestCrashedUpstreamsAreNoPartition(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPartition(now, 20, 4)
+	for step := 0; p.IsPartitioned(llm); step++ {
+		id, due := p.DueProbe(now, llm)
+		// Four others must be reached, with an unreached one tried after each.
+		if !due || step > 8 {
+			t.Fatalf("after %d probes: got a partition that is not probed at once", step)
+		}
+		now = now.Add(time.Millisecond)
+		p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: now, Failed: id <= 4})
+	}
+	if got := p.Unreached(); len(got) != 1 || got[0].Unreached != 4 {
+		t.Errorf("unreached: got %+v, want the four that crashed", got)
+	}
+}
--- a/src/placer/load.go
+++ b/src/placer/load.go
@@ -8,6 +8,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // stats is what this entry knows of one incarnation of an upstream from its own calls.
@@ -133,20 +134,42 @@
 		}
 	case dispatcher.OutcomeUnknown, dispatcher.Unresumable, dispatcher.Failed:
 	}
-	for _, action := range p.ejector.Step(now, ejector.ExchangeFailed{
+	p.stepEjector(now, ejector.ExchangeFailed{
 		Key:       key,
 		Unreached: result.ConnectFailed,
 		Total:     len(p.Fleet()[u.Service]),
-	}) {
-		if eject, ok := action.(ejector.Eject); ok {
+	})
+}
+
+// stepEjector passes an event to the ejector and carries out its actions.
+func (p *Placer) stepEjector(now time.Time, event ejector.Event) {
+	for _, action := range p.ejector.Step(now, event) {
+		switch a := action.(type) {
+		case ejector.Eject:
 			if p.ejectedUntil == nil {
 				p.ejectedUntil = make(map[ejector.Key]time.Time)
 			}
-			p.ejectedUntil[eject.Key] = eject.Until
+			p.ejectedUntil[a.Key] = a.Until
+		case ejector.Readmit:
+			delete(p.ejectedUntil, a.Key)
 		}
 	}
 }
 
+// RecordReached records that a connection to an upstream was made.
+func (p *Placer) RecordReached(u *tracker.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stepEjector(p.Now(), ejector.UpstreamReached{Key: keyOf(u)})
+}
+
+// RecordPartition records that this entry is partitioned from a service.
+func (p *Placer) RecordPartition(service units.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stepEjector(p.Now(), ejector.EntryPartitioned{Service: service})
+}
+
 // Assessment is this entry's estimate of an upstream's state.
 type Assessment struct {
 	// PeerLoad is the load of the other entries there, by their last polls.
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -58,6 +58,8 @@
 	// fullPenalty is added to the score of an upstream without a free slot: a call there
 	// waits for another one to end.
 	fullPenalty = 1.0
+	// relayPenalty is added to the score of an upstream that calls reach only through another entry.
+	relayPenalty = 0.1
 	// maxJitter bounds the random part of a score, which spreads calls that arrive together
 	// over upstreams with nearly equal scores.
 	maxJitter = 0.04
@@ -114,6 +116,8 @@
 	Gate Gate
 	// Withholder tells which upstreams have asked this entry for no calls; it may be nil.
 	Withholder Withholder
+	// IsRelayed reports whether calls to an upstream go through another entry; it may be nil.
+	IsRelayed func(upstream *tracker.Upstream, id units.IncarnationID) bool
 	// Random is the source of randomness; nil selects the process's own source.
 	Random Random
 
@@ -362,7 +366,10 @@
 	if c.Cold {
 		score += coldPenalty
 	}
-	if c.Local.IdleConnections.Load() <= 0 {
+	switch {
+	case p.IsRelayed != nil && p.IsRelayed(c.Upstream, c.incarnationID):
+		score += relayPenalty
+	case c.Local.IdleConnections.Load() <= 0:
 		score += connectPenalty
 	}
 	return score
--- /dev/null
+++ b/src/relayer/relayer_test.go
@@ -0,0 +1,510 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/parser"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// fakeUpstreams is a carrier's side of the upstreams.
+type fakeUpstreams struct {
+	refusal  messages.RelayRefusal
+	stated   Stated
+	probeErr error
+	run      func(ctx context.Context, call *dispatcher.Call, stream *dispatcher.Stream) dispatcher.Result
+
+	mu    sync.Mutex
+	calls []*dispatcher.Call
+}
+
+func (f *fakeUpstreams) Admit(offer *messages.RelayOffer) (*tracker.Upstream, *RefusedError) {
+	if f.refusal != messages.RelayRefusal_RELAY_REFUSAL_UNSPECIFIED {
+		return nil, &RefusedError{Peer: "carrier", Refusal: f.refusal, BackoffLeft: f.stated.RetryAfter}
+	}
+	return &tracker.Upstream{Name: units.Upstream(offer.GetUpstream()), Service: units.Service(offer.GetService()), Local: &tracker.LocalState{}}, nil
+}
+
+func (f *fakeUpstreams) Exchange(ctx context.Context, call *dispatcher.Call, _ units.Attempt, _ *tracker.Upstream, stream *dispatcher.Stream) dispatcher.Result {
+	f.mu.Lock()
+	f.calls = append(f.calls, call)
+	f.mu.Unlock()
+	return f.run(ctx, call, stream)
+}
+
+func (f *fakeUpstreams) Stated(*tracker.Upstream) Stated { return f.stated }
+
+func (f *fakeUpstreams) Probe(context.Context, *tracker.Upstream) error { return f.probeErr }
+
+func (f *fakeUpstreams) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+// carrierProcess is an entry that carries calls.
+type carrierProcess struct {
+	*Carrier
+	address string
+	stop    context.CancelFunc
+}
+
+func startCarrier(t *testing.T, upstreams Upstreams) *carrierProcess {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &carrierProcess{
+		Carrier: &Carrier{Upstreams: upstreams, TrueNow: time.Now},
+		address: listener.Addr().String(),
+	}
+	server := &connector.Server{Listener: listener}
+	p.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	t.Cleanup(cancel)
+	go func() { _ = server.Run(ctx) }()
+	return p
+}
+
+// fakeGuard lets calls pass with the given time left.
+type fakeGuard struct {
+	left time.Duration
+	err  error
+}
+
+func (g *fakeGuard) Check(*dispatcher.Call, *tracker.Upstream) (time.Duration, error) {
+	return g.left, g.err
+}
+
+// senderProcess is an entry that sends calls through peers.
+type senderProcess struct {
+	*Sender
+	guard *fakeGuard
+
+	mu       sync.Mutex
+	started  int
+	verdicts []exchanger.Verdict
+}
+
+func newSender(carriers ...*carrierProcess) *senderProcess {
+	p := &senderProcess{guard: &fakeGuard{left: 2 * time.Second}}
+	p.Sender = &Sender{
+		Name:    "sender",
+		Client:  &connector.Client{},
+		Guard:   p.guard,
+		TrueNow: time.Now,
+		OnStarted: func(*dispatcher.Call, *tracker.Upstream) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.started++
+		},
+		OnAnswer: func(_ *tracker.Upstream, verdict exchanger.Verdict, _ time.Time) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.verdicts = append(p.verdicts, verdict)
+		},
+	}
+	var peers []Peer
+	for i, c := range carriers {
+		peers = append(peers, Peer{Name: units.Instance(rune('a' + i)), Address: c.address})
+	}
+	p.SetPeers(peers)
+	return p
+}
+
+// recordingSink records what the caller gets.
+type recordingSink struct {
+	header http.Header
+	events []string
+	ended  bool
+	err    error
+}
+
+func (s *recordingSink) Answer(*dispatcher.Answer) error { return nil }
+
+func (s *recordingSink) Begin(header http.Header) error {
+	s.header = header
+	return s.err
+}
+
+func (s *recordingSink) Event(_ units.Tokens, data []byte) error {
+	s.events = append(s.events, string(data))
+	return s.err
+}
+
+func (s *recordingSink) End() error {
+	s.ended = true
+	return nil
+}
+
+var (
+	testUpstream = &tracker.Upstream{Name: "u", Service: "s", Incarnation: 3, Local: &tracker.LocalState{}}
+	errLost      = errors.New("connection reset")
+)
+
+func newCall(repeatable, stream bool) *dispatcher.Call {
+	return &dispatcher.Call{
+		ID:         "c1",
+		Service:    "s",
+		Method:     http.MethodPost,
+		Host:       "h.example",
+		Path:       "/p?q=1",
+		Header:     http.Header{"X-A": {"1", "2"}},
+		Body:       []byte("body"),
+		Account:    &parser.ClientAccount{Name: "acme"},
+		Credential: "key",
+		Rank:       3,
+		Prefixes:   []dispatcher.PromptPrefix{{ID: 1 << 63, Tokens: 7}},
+		Repeatable: repeatable,
+		Stream:     stream,
+	}
+}
+
+func stream(from int, count int, result dispatcher.Result) func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+	return func(_ context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
+		call.Trace.(*Trace).Started = true
+		if _, err := s.Begin(http.Header{"X-Proof": {"p"}}, testUpstream, "v1"); err != nil {
+			return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
+		}
+		for n := from; n < from+count; n++ {
+			if err := s.Event(units.Tokens(n+1), []byte{byte('a' + n)}, nil); err != nil {
+				return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
+			}
+		}
+		return result
+	}
+}
+
+func answered(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+	return dispatcher.Result{Kind: dispatcher.Answered, Answer: &dispatcher.Answer{Status: http.StatusOK, Header: http.Header{"X-Proof": {"p"}}, Body: []byte("done")}}
+}
+
+// Guards against a relayed attempt that ends otherwise for the caller than the same attempt without
+// the hop.
+func TestResultsPassTheHop(t *testing.T) {
+	cases := map[string]struct {
+		run         func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result
+		stated      Stated
+		streamed    bool
+		once        bool
+		offset      units.Tokens
+		want        dispatcher.Result
+		wantEvents  string
+		wantStarted int
+		wantVerdict *exchanger.Verdict
+	}{
+		"answer": {run: answered, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdict: &exchanger.Verdict{}},
+		"refusal with a back-off": {
+			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+				return dispatcher.Result{Kind: dispatcher.NotRun, Err: errLost}
+			},
+			stated:      Stated{RetryAfter: 3 * time.Second},
+			want:        dispatcher.Result{Kind: dispatcher.NotRun, RetryAfter: 3 * time.Second, Err: errLost},
+			wantVerdict: &exchanger.Verdict{NotRun: true, RetryAfter: 3 * time.Second},
+		},
+		"notice of leaving": {run: answered, stated: Stated{Leaving: true}, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdict: &exchanger.Verdict{Leaving: true}},
+		"no connection": {
+			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+				return dispatcher.Result{Kind: dispatcher.NotRun, ConnectFailed: true, Unsent: true, Err: errLost}
+			},
+			want: dispatcher.Result{Kind: dispatcher.NotRun, ConnectFailed: true, Unsent: true, Err: errLost},
+		},
+		"lost": {
+			run: func(_ context.Context, call *dispatcher.Call, _ *dispatcher.Stream) dispatcher.Result {
+				call.Trace.(*Trace).Started = true
+				return dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}
+			},
+			want:        dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost},
+			wantStarted: 1,
+		},
+		"failure": {
+			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+				return dispatcher.Result{Kind: dispatcher.Failed, Answer: &dispatcher.Answer{Status: 500}}
+			},
+			want:        dispatcher.Result{Kind: dispatcher.Failed},
+			wantVerdict: &exchanger.Verdict{},
+		},
+		"stream":              {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdict: &exchanger.Verdict{}},
+		"resumed stream":      {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdict: &exchanger.Verdict{}},
+		"stream cut":          {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}), streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1},
+		"stream cut for good": {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}), streamed: true, once: true, want: dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}, wantEvents: "ab", wantStarted: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			upstreams := &fakeUpstreams{run: c.run, stated: c.stated}
+			s := newSender(startCarrier(t, upstreams))
+			sink := &recordingSink{}
+			call := newCall(!c.once, c.streamed)
+			got := s.Exchange(t.Context(), call, 2, testUpstream, dispatcher.NewStream(sink, c.offset))
+			if got.Kind != c.want.Kind || got.Unsent != c.want.Unsent || got.ConnectFailed != c.want.ConnectFailed || got.RetryAfter != c.want.RetryAfter || got.ConnectionLost || got.NoPath {
+				t.Errorf("result: got %+v, want %+v", got, c.want)
+			}
+			if got.Through != "a" || (got.Err != nil) != (c.want.Err != nil) || got.Err != nil && !strings.Contains(got.Err.Error(), c.want.Err.Error()) {
+				t.Errorf("through %q with error %v, want through a with error %v", got.Through, got.Err, c.want.Err)
+			}
+			if events := strings.Join(sink.events, ""); events != c.wantEvents || c.streamed && sink.ended != (c.want.Kind == dispatcher.Answered) {
+				t.Errorf("events: got %q with the end %t, want %q", events, sink.ended, c.wantEvents)
+			}
+			if s.started != c.wantStarted {
+				t.Errorf("starts counted: got %d, want %d", s.started, c.wantStarted)
+			}
+			if c.wantVerdict != nil && !slices.Equal(s.verdicts, []exchanger.Verdict{*c.wantVerdict}) || c.wantVerdict == nil && len(s.verdicts) > 0 {
+				t.Errorf("statements: got %+v, want %+v", s.verdicts, c.wantVerdict)
+			}
+			checkCarriedCall(t, upstreams.calls, call)
+		})
+	}
+}
+
+func checkCarriedCall(t *testing.T, carried []*dispatcher.Call, call *dispatcher.Call) {
+	t.Helper()
+	if len(carried) != 1 {
+		t.Fatalf("calls at the carrier: got %d, want 1", len(carried))
+	}
+	got := carried[0]
+	if got.ID != call.ID || got.Method != call.Method || got.Host != call.Host || got.Path != call.Path || string(got.Body) != string(call.Body) ||
+		got.Account.Name != call.Account.Name || got.Credential != call.Credential || got.Rank != call.Rank || got.Repeatable != call.Repeatable ||
+		!slices.Equal(got.Prefixes, call.Prefixes) || !slices.Equal(got.Header["X-A"], call.Header["X-A"]) {
+		t.Errorf("call at the carrier: got %+v, want %+v", got, call)
+	}
+}
+
+// Guards against a call that is refused or lost although another peer would carry it, and against
+// one that runs twice.
+func TestNextPeerCarriesTheCall(t *testing.T) {
+	cases := map[string]struct {
+		refusal messages.RelayRefusal
+		dead    bool
+		// wantNext is set where another peer is asked.
+		wantNext bool
+	}{
+		"busy":             {refusal: messages.RelayRefusal_RELAY_REFUSAL_BUSY, wantNext: true},
+		"stopping":         {refusal: messages.RelayRefusal_RELAY_REFUSAL_STOPPING, wantNext: true},
+		"partitioned":      {refusal: messages.RelayRefusal_RELAY_REFUSAL_PARTITIONED, wantNext: true},
+		"dead":             {dead: true, wantNext: true},
+		"unreached":        {refusal: messages.RelayRefusal_RELAY_REFUSAL_UNREACHED},
+		"unknown upstream": {refusal: messages.RelayRefusal_RELAY_REFUSAL_UNKNOWN_UPSTREAM},
+		"backing off":      {refusal: messages.RelayRefusal_RELAY_REFUSAL_BACKING_OFF},
+		"leaving":          {refusal: messages.RelayRefusal_RELAY_REFUSAL_LEAVING},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			unable, able := &fakeUpstreams{refusal: c.refusal, run: answered}, &fakeUpstreams{run: answered}
+			first, second := startCarrier(t, unable), startCarrier(t, able)
+			if c.dead {
+				first.stop()
+			}
+			s := newSender(first, second)
+			// The first peer has fewer calls, so that it is asked first.
+			s.state("b").inFlight = 1
+			got := s.Exchange(t.Context(), newCall(false, false), 1, testUpstream, dispatcher.NewStream(&recordingSink{}, 0))
+			if wantKind := map[bool]dispatcher.ResultKind{true: dispatcher.Answered, false: dispatcher.NotRun}[c.wantNext]; got.Kind != wantKind || got.NoPath {
+				t.Errorf("result: got %+v, want kind %v", got, wantKind)
+			}
+			if ran, want := able.count()+unable.count(), map[bool]int{true: 1}[c.wantNext]; ran != want {
+				t.Errorf("runs: got %d, want %d", ran, want)
+			}
+			if got.ConnectFailed != (name == "unreached") {
+				t.Errorf("connection failed: got %t", got.ConnectFailed)
+			}
+		})
+	}
+}
+
+// Guards against a call that waits for its deadline although no peer can carry it.
+func TestCallWithoutPeersIsRefusedAtOnce(t *testing.T) {
+	partitioned := &fakeUpstreams{refusal: messages.RelayRefusal_RELAY_REFUSAL_PARTITIONED}
+	for name, s := range map[string]*senderProcess{
+		"no peers":         newSender(),
+		"partitioned ones": newSender(startCarrier(t, partitioned), startCarrier(t, partitioned)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			startedAt := time.Now()
+			got := s.Exchange(t.Context(), newCall(true, false), 1, testUpstream, dispatcher.NewStream(&recordingSink{}, 0))
+			if got.Kind != dispatcher.NotRun || !got.NoPath || !got.Unsent {
+				t.Errorf("result: got %+v, want one without a path", got)
+			}
+			if took := time.Since(startedAt); took > offerTimeout {
+				t.Errorf("refused after %v, want at most %v", took, offerTimeout)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that goes on working for a caller who has left, and against a carrier
+// that keeps a call whose sender is gone.
+func TestCallerWhoLeavesEndsTheCarriedCall(t *testing.T) {
+	ended := make(chan error, 1)
+	upstreams := &fakeUpstreams{run: func(ctx context.Context, _ *dispatcher.Call, _ *dispatcher.Stream) dispatcher.Result {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return dispatcher.Result{Kind: dispatcher.CallerGone, Err: ctx.Err()}
+	}}
+	c := startCarrier(t, upstreams)
+	s := newSender(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	got := s.Exchange(ctx, newCall(true, false), 1, testUpstream, dispatcher.NewStream(&recordingSink{}, 0))
+	if got.Kind != dispatcher.CallerGone {
+		t.Errorf("result: got %+v, want the caller gone", got)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("carried call: got %v, want it canceled", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("carried call: still running a second after its caller has left")
+	}
+}
+
+// Guards against a run that is reported as not run, or taken for complete, because the peer was
+// lost.
+func TestLostPeerLeavesTheOutcomeUnknown(t *testing.T) {
+	cases := map[string]struct {
+		streamed bool
+		once     bool
+		want     dispatcher.ResultKind
+	}{
+		"before the answer":       {want: dispatcher.OutcomeUnknown},
+		"in a stream":             {streamed: true, want: dispatcher.OutcomeUnknown},
+		"in a stream to run once": {streamed: true, once: true, want: dispatcher.Unresumable},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var carrier *carrierProcess
+			upstreams := &fakeUpstreams{run: func(ctx context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
+				if c.streamed {
+					stream(0, 2, dispatcher.Result{})(ctx, call, s)
+				}
+				carrier.stop()
+				<-ctx.Done()
+				return dispatcher.Result{Kind: dispatcher.CallerGone}
+			}}
+			carrier = startCarrier(t, upstreams)
+			s := newSender(carrier)
+			sink := &recordingSink{}
+			got := s.Exchange(t.Context(), newCall(!c.once, c.streamed), 1, testUpstream, dispatcher.NewStream(sink, 0))
+			if got.Kind != c.want || got.ConnectionLost {
+				t.Errorf("result: got %+v, want kind %v and no lost connection to the upstream", got, c.want)
+			}
+			if sink.ended || s.started != 1 {
+				t.Errorf("got the end of the stream %t and %d starts, want none and 1", sink.ended, s.started)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that gets more time than its caller has left, where the carrier was
+// suspended or the call was delayed on its way.
+func TestCarriedCallsKeepTheirDeadline(t *testing.T) {
+	cases := map[string]struct {
+		left, untilDeadline time.Duration
+		want                time.Duration
+	}{
+		"in time":           {left: time.Second, untilDeadline: time.Second, want: time.Second},
+		"clock ahead":       {left: time.Second, untilDeadline: time.Second - deadlineTolerance, want: time.Second},
+		"delayed":           {left: 2 * time.Second, untilDeadline: time.Second, want: time.Second + deadlineTolerance},
+		"past its deadline": {left: 2 * time.Second, untilDeadline: -time.Second, want: deadlineTolerance - time.Second},
+	}
+	now := time.Unix(1000, 0)
+	c := &Carrier{TrueNow: func() time.Time { return now }}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := c.timeLeft(&messages.RelayedCall{LeftNs: int64(test.left), DeadlineNs: now.Add(test.untilDeadline).UnixNano()})
+			if got != test.want {
+				t.Errorf("time left: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against one peer that gets all calls while others carry none.
+func TestCallsAreSpreadOverPeers(t *testing.T) {
+	release := make(chan struct{})
+	wait := func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+		<-release
+		return answered(context.Background(), nil, nil)
+	}
+	upstreams := []*fakeUpstreams{{run: wait}, {run: wait}, {run: wait}}
+	s := newSender(startCarrier(t, upstreams[0]), startCarrier(t, upstreams[1]), startCarrier(t, upstreams[2]))
+	var calls sync.WaitGroup
+	for range 12 {
+		calls.Go(func() {
+			s.Exchange(t.Context(), newCall(true, false), 1, testUpstream, dispatcher.NewStream(&recordingSink{}, 0))
+		})
+	}
+	for deadline := time.Now().Add(2 * time.Second); upstreams[0].count()+upstreams[1].count()+upstreams[2].count() < 12 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond) // The interval between two checks.
+	}
+	close(release)
+	calls.Wait()
+	for i, u := range upstreams {
+		if got := u.count(); got != 4 {
+			t.Errorf("calls at peer %d: got %d, want 4", i, got)
+		}
+	}
+}
+
+// Guards against a carrier whose memory or descriptors are used up by other entries' calls.
+func TestCarrierBoundsItsCalls(t *testing.T) {
+	cases := map[string]struct {
+		calls, bytes int64
+		maxCalls     int64
+		maxBytes     int64
+		want         bool
+	}{
+		"no limits":      {calls: 1000, bytes: 1 << 30, want: true},
+		"below":          {calls: 1, bytes: 10, maxCalls: 2, maxBytes: 20, want: true},
+		"too many":       {calls: 2, maxCalls: 2},
+		"too many bytes": {bytes: 17, maxBytes: 20},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := &Carrier{Upstreams: &fakeUpstreams{}, MaxCalls: test.maxCalls, MaxBytes: test.maxBytes}
+			c.calls.Store(test.calls)
+			c.bytes.Store(test.bytes)
+			response, err := c.onOffer(t.Context(), connector.Peer{}, &messages.RelayOffer{BodyBytes: 4})
+			if err != nil || response.GetAccepted() != test.want {
+				t.Errorf("accepted: got %t (%v), want %t", response.GetAccepted(), err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that is taken for crashed because one entry cannot connect to it.
+func TestProbesByPeers(t *testing.T) {
+	cases := map[string]struct {
+		upstreams   *fakeUpstreams
+		wantReached bool
+		wantKnown   bool
+	}{
+		"reached":               {upstreams: &fakeUpstreams{}, wantReached: true, wantKnown: true},
+		"not reached":           {upstreams: &fakeUpstreams{probeErr: errLost}, wantKnown: true},
+		"known to be unreached": {upstreams: &fakeUpstreams{refusal: messages.RelayRefusal_RELAY_REFUSAL_UNREACHED}, wantKnown: true},
+		"partitioned peer":      {upstreams: &fakeUpstreams{refusal: messages.RelayRefusal_RELAY_REFUSAL_PARTITIONED}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			reached, known := newSender(startCarrier(t, c.upstreams)).Probe(t.Context(), testUpstream)
+			if reached != c.wantReached || known != c.wantKnown {
+				t.Errorf("got reached %t and known %t, want %t and %t", reached, known, c.wantReached, c.wantKnown)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/src/relayer/sender.go
@@ -0,0 +1,399 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/connector"
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	// offerTimeout is how long a peer may take to accept an offer, including the connection to it: a
+	// busy peer answers within some tens of milliseconds, and callers wait meanwhile.
+	offerTimeout = 300 * time.Millisecond
+	// maxOffers is how many peers are asked to carry one attempt.
+	maxOffers = 3
+)
+
+// Sender sends attempts through peers; its exported fields are set before use.
+type Sender struct {
+	// Name is this entry's name.
+	Name   units.Instance
+	Client *connector.Client
+	// Guard is checked right before an attempt is sent to the peer.
+	Guard exchanger.Guard
+	// TrueNow returns the time of day that the fleet has agreed on.
+	TrueNow func() time.Time
+	// OnStarted is called once a call has started to run or may have.
+	OnStarted func(call *dispatcher.Call, upstream *tracker.Upstream)
+	// OnAnswer is called with what an upstream states of itself to the peer, or has stated before,
+	// and the time at which the attempt was sent.
+	OnAnswer func(upstream *tracker.Upstream, verdict exchanger.Verdict, sentAt time.Time)
+	// OnOffer is called with how an offer ended, nil if the peer has accepted it; it may be nil.
+	OnOffer func(peer Peer, call *dispatcher.Call, err error)
+
+	mu     sync.Mutex
+	peers  []Peer
+	states map[units.Instance]*peerState
+}
+
+// NoPeerError is the error where no peer can carry a call.
+type NoPeerError struct {
+	Service units.Service
+}
+
+// Error names the remedy.
+func (e *NoPeerError) Error() string {
+	return fmt.Sprintf("no other entry can send a call to service %s; check the network between entries and upstreams", e.Service)
+}
+
+// PeerError is the error of an attempt at a peer.
+type PeerError struct {
+	Peer   units.Instance
+	Reason string
+}
+
+// Error names the peer.
+func (e *PeerError) Error() string { return fmt.Sprintf("through %s: %s", e.Peer, e.Reason) }
+
+// RefusedError is the error where a peer does not carry a call.
+type RefusedError struct {
+	Peer    units.Instance
+	Refusal messages.RelayRefusal
+	// BackoffLeft is the rest of the upstream's back-off that the peer keeps, 0 for none.
+	BackoffLeft time.Duration
+}
+
+// Error names the peer and its reason.
+func (e *RefusedError) Error() string { return fmt.Sprintf("%s refused: %s", e.Peer, e.Refusal) }
+
+// Exchange runs one attempt through a peer.
+func (s *Sender) Exchange(ctx context.Context, call *dispatcher.Call, attempt units.Attempt, upstream *tracker.Upstream,
+	stream *dispatcher.Stream,
+) dispatcher.Result {
+	var tried []units.Instance
+	result := dispatcher.Result{
+		Kind:   dispatcher.NotRun,
+		Unsent: true,
+		NoPath: true,
+		Err:    &NoPeerError{Service: call.Service},
+	}
+	for range maxOffers {
+		peer, found := s.choose(timekeeper.Now(), call.Service, tried)
+		if !found {
+			break
+		}
+		tried = append(tried, peer.Name)
+		session, err := s.offerTo(ctx, peer, call, upstream)
+		if err == nil {
+			result = s.send(ctx, peer, session, call, attempt, upstream, stream)
+			s.release(peer)
+			return result
+		}
+		s.release(peer)
+		result.Err = err
+		if ctx.Err() != nil {
+			break
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) && s.isAboutUpstream(upstream, refused) {
+			result.NoPath = false
+			result.ConnectFailed = refused.Refusal == messages.RelayRefusal_RELAY_REFUSAL_UNREACHED
+			break
+		}
+	}
+	return result
+}
+
+// isAboutUpstream reports whether a peer refused because of the upstream, so that another peer would
+// refuse as well, and records what the upstream has stated to the peer.
+func (s *Sender) isAboutUpstream(upstream *tracker.Upstream, refused *RefusedError) bool {
+	switch refused.Refusal {
+	case messages.RelayRefusal_RELAY_REFUSAL_UNREACHED, messages.RelayRefusal_RELAY_REFUSAL_UNKNOWN_UPSTREAM:
+		return true
+	case messages.RelayRefusal_RELAY_REFUSAL_BACKING_OFF, messages.RelayRefusal_RELAY_REFUSAL_LEAVING:
+		s.OnAnswer(upstream, exchanger.Verdict{
+			NotRun:     true,
+			RetryAfter: refused.BackoffLeft,
+			Leaving:    refused.Refusal == messages.RelayRefusal_RELAY_REFUSAL_LEAVING,
+		}, timekeeper.Now())
+		return true
+	}
+	return false
+}
+
+// offerTo offers an attempt to a peer, and returns the session on which the peer awaits it.
+func (s *Sender) offerTo(ctx context.Context, peer Peer, call *dispatcher.Call, upstream *tracker.Upstream) (*connector.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	request := s.offer(call, upstream)
+	response := &messages.RelayOfferResponse{}
+	session := s.takeIdle(peer)
+	err := errNoSession
+	if session != nil {
+		err = session.Call(ctx, MethodOffer, request, response, nil)
+	}
+	if err != nil && ctx.Err() == nil {
+		// The peer may have closed the idle session.
+		if session, err = s.Client.OpenSession(ctx, peer.Address); err == nil {
+			err = session.Call(ctx, MethodOffer, request, response, nil)
+		}
+	}
+	if err == nil && !response.GetAccepted() {
+		s.putIdle(peer, session)
+		err = &RefusedError{
+			Peer:        peer.Name,
+			Refusal:     response.GetRefusal(),
+			BackoffLeft: time.Duration(response.GetBackoffNs()),
+		}
+	}
+	s.judge(peer, err)
+	if s.OnOffer != nil {
+		s.OnOffer(peer, call, err)
+	}
+	return session, err
+}
+
+// errNoSession is the error where no idle session with a peer exists.
+var errNoSession = errors.New("no session")
+
+// judge keeps offers from a peer that has not accepted one, unless the upstream is the reason.
+func (s *Sender) judge(peer Peer, err error) {
+	var refused *RefusedError
+	switch {
+	case err == nil:
+	case !errors.As(err, &refused):
+		s.avoid(timekeeper.Now(), peer, peerRetryDelay)
+	case refused.Refusal == messages.RelayRefusal_RELAY_REFUSAL_BUSY:
+		s.avoid(timekeeper.Now(), peer, busyRetryDelay)
+	case refused.Refusal == messages.RelayRefusal_RELAY_REFUSAL_STOPPING, refused.Refusal == messages.RelayRefusal_RELAY_REFUSAL_PARTITIONED:
+		s.avoid(timekeeper.Now(), peer, peerRetryDelay)
+	}
+}
+
+// send sends an attempt to a peer that has accepted it.
+func (s *Sender) send(ctx context.Context, peer Peer, session *connector.Session, call *dispatcher.Call, attempt units.Attempt,
+	upstream *tracker.Upstream, stream *dispatcher.Stream,
+) dispatcher.Result {
+	left, err := s.Guard.Check(call, upstream)
+	if err != nil {
+		s.putIdle(peer, session)
+		var withheld *exchanger.WithheldError
+		return dispatcher.Result{
+			Kind:   dispatcher.NotRun,
+			Unsent: errors.As(err, &withheld),
+			Err:    err,
+		}
+	}
+	e := &exchange{
+		sender:   s,
+		peer:     peer,
+		session:  session,
+		call:     call,
+		upstream: upstream,
+		stream:   stream,
+		sentAt:   timekeeper.Now(),
+	}
+	message := encodeCall(s.offer(call, upstream), call, attempt, stream.Offset(), left, s.TrueNow().Add(left))
+	end := &messages.RelayEnd{}
+	err = session.Call(ctx, MethodSend, message, end, e.receive)
+	result := e.result(ctx, end, err)
+	result.Through = peer.Name
+	if err == nil && e.err == nil {
+		s.putIdle(peer, session)
+	} else {
+		session.Close()
+	}
+	return result
+}
+
+// exchange is one attempt that a peer has accepted.
+type exchange struct {
+	sender   *Sender
+	peer     Peer
+	session  *connector.Session
+	call     *dispatcher.Call
+	upstream *tracker.Upstream
+	stream   *dispatcher.Stream
+	sentAt   time.Time
+	// startReported is set once OnStarted was called.
+	startReported bool
+	// firstEventAt is when the first event arrived, zero if none has.
+	firstEventAt time.Time
+	// err is why the stream could not be passed on, and kind how the attempt ends then.
+	err  error
+	kind dispatcher.ResultKind
+}
+
+// receive handles a message that arrives before the end of the attempt.
+func (e *exchange) receive(method connector.Method, decode func(proto.Message) error) {
+	if e.err != nil {
+		return
+	}
+	switch method {
+	case methodHead:
+		head := &messages.RelayedHead{}
+		if e.fail(dispatcher.OutcomeUnknown, decode(head)) {
+			return
+		}
+		e.begin(head)
+	case methodEvent:
+		event := &messages.RelayedEvent{}
+		if e.fail(dispatcher.OutcomeUnknown, decode(event)) {
+			return
+		}
+		e.forward(event)
+	}
+}
+
+// fail ends the attempt if there is an error.
+func (e *exchange) fail(kind dispatcher.ResultKind, err error) bool {
+	if err == nil {
+		return false
+	}
+	e.kind, e.err = kind, err
+	e.session.Close()
+	return true
+}
+
+func (e *exchange) begin(head *messages.RelayedHead) {
+	e.reportStart()
+	joins, err := e.stream.Begin(decodeHeader(head.GetHeader()), e.upstream, units.ModelVersion(head.GetModelVersion()))
+	if e.fail(dispatcher.CallerGone, err) {
+		return
+	}
+	if !joins {
+		e.fail(dispatcher.Unresumable, &exchanger.InvalidAnswerError{
+			Upstream: e.upstream.Name,
+			Reason:   "its weights have another version than the stream began with",
+		})
+	}
+}
+
+func (e *exchange) forward(event *messages.RelayedEvent) {
+	if e.firstEventAt.IsZero() {
+		e.firstEventAt = time.Now()
+	}
+	offset := units.Tokens(event.GetOffset())
+	if offset > e.stream.Offset() {
+		e.fail(dispatcher.CallerGone, e.stream.Event(offset, event.GetData(), nil))
+		return
+	}
+	// The carrier sends no event twice, so this one has no position of its own.
+	e.fail(dispatcher.CallerGone, e.stream.EventWithoutOffset(event.GetData()))
+}
+
+func (e *exchange) reportStart() {
+	if !e.startReported {
+		e.startReported = true
+		e.sender.OnStarted(e.call, e.upstream)
+	}
+}
+
+// result returns how the attempt has ended; err is set where the peer's response did not arrive.
+func (e *exchange) result(ctx context.Context, end *messages.RelayEnd, err error) dispatcher.Result {
+	result := dispatcher.Result{
+		Kind: e.kind,
+		Err:  e.err,
+	}
+	var rpcError *jsonrpc2.Error
+	switch {
+	case e.err != nil:
+	case err == nil:
+		result = decodeResult(e.peer, end)
+		e.reportAnswer(result.Kind, end)
+	case errors.Is(ctx.Err(), context.Canceled):
+		result.Kind, result.Err = dispatcher.CallerGone, ctx.Err()
+	case errors.As(err, &rpcError):
+		// The peer refuses requests that it cannot read before it sends anything.
+		result.Kind, result.Unsent, result.Err = dispatcher.NotRun, true, err
+	default:
+		result.Kind, result.Err = dispatcher.OutcomeUnknown, err
+		if ctx.Err() == nil {
+			e.reportStart()
+		}
+	}
+	if result.Kind == dispatcher.Answered && e.call.Stream && result.Answer == nil {
+		if err := e.stream.Sink.End(); err != nil {
+			result.Kind, result.Err = dispatcher.CallerGone, err
+		}
+	}
+	if result.Kind == dispatcher.OutcomeUnknown && !e.firstEventAt.IsZero() && !e.call.Repeatable {
+		result.Kind = dispatcher.Unresumable
+	}
+	if !e.firstEventAt.IsZero() {
+		result.AnswerDuration = time.Since(e.firstEventAt)
+	}
+	return result
+}
+
+// reportAnswer reports what the upstream has stated in the answer, as far as it concerns this entry
+// too.
+func (e *exchange) reportAnswer(kind dispatcher.ResultKind, end *messages.RelayEnd) {
+	// A carrier that is being ended does not know the result.
+	if end.GetStarted() || end.GetResult() == messages.RelayResult_RELAY_RESULT_UNSPECIFIED {
+		e.reportStart()
+	}
+	refused := kind == dispatcher.NotRun && !end.GetUnsent()
+	if kind != dispatcher.Answered && kind != dispatcher.Failed && !refused && !end.GetLeaving() {
+		return
+	}
+	e.sender.OnAnswer(e.upstream, exchanger.Verdict{
+		NotRun:     kind == dispatcher.NotRun,
+		RetryAfter: time.Duration(end.GetRetryAfterNs()),
+		Leaving:    end.GetLeaving(),
+	}, e.sentAt)
+}
+
+// Probe reports whether a peer can connect to an upstream; false in known where no peer can tell.
+func (s *Sender) Probe(ctx context.Context, upstream *tracker.Upstream) (reached, known bool) {
+	var tried []units.Instance
+	for range maxOffers {
+		peer, found := s.choose(timekeeper.Now(), upstream.Service, tried)
+		if !found {
+			return false, false
+		}
+		tried = append(tried, peer.Name)
+		response, err := s.probe(ctx, peer, upstream)
+		s.release(peer)
+		if err == nil && response.GetRefusal() == messages.RelayRefusal_RELAY_REFUSAL_UNSPECIFIED {
+			return response.GetReached(), true
+		}
+	}
+	return false, false
+}
+
+// probeTimeout is how long a peer may take to connect to an upstream and respond.
+const probeTimeout = time.Second
+
+func (s *Sender) probe(ctx context.Context, peer Peer, upstream *tracker.Upstream) (*messages.RelayProbeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	response := &messages.RelayProbeResponse{}
+	session := s.takeIdle(peer)
+	if session == nil {
+		var err error
+		if session, err = s.Client.OpenSession(ctx, peer.Address); err != nil {
+			s.judge(peer, err)
+			return nil, err
+		}
+	}
+	err := session.Call(ctx, MethodProbe, &messages.RelayProbe{Offer: s.offer(&dispatcher.Call{}, upstream)}, response, nil)
+	s.judge(peer, err)
+	if err == nil {
+		s.putIdle(peer, session)
+	}
+	return response, err
+}
