--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -198,26 +198,26 @@
 // the hop.
 func TestResultsPassTheHop(t *testing.T) {
 	cases := map[string]struct {
-		run         func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result
-		stated      Stated
-		streamed    bool
-		once        bool
-		offset      units.Tokens
-		want        dispatcher.Result
-		wantEvents  string
-		wantStarted int
-		wantVerdict *exchanger.Verdict
+		run          func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result
+		stated       Stated
+		streamed     bool
+		once         bool
+		offset       units.Tokens
+		want         dispatcher.Result
+		wantEvents   string
+		wantStarted  int
+		wantVerdicts []exchanger.Verdict
 	}{
-		"answer": {run: answered, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdict: &exchanger.Verdict{}},
+		"answer": {run: answered, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdicts: []exchanger.Verdict{{}}},
 		"refusal with a back-off": {
 			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
 				return dispatcher.Result{Kind: dispatcher.NotRun, Err: errLost}
 			},
-			stated:      Stated{RetryAfter: 3 * time.Second},
-			want:        dispatcher.Result{Kind: dispatcher.NotRun, RetryAfter: 3 * time.Second, Err: errLost},
-			wantVerdict: &exchanger.Verdict{NotRun: true, RetryAfter: 3 * time.Second},
+			stated:       Stated{RetryAfter: 3 * time.Second},
+			want:         dispatcher.Result{Kind: dispatcher.NotRun, RetryAfter: 3 * time.Second, Err: errLost},
+			wantVerdicts: []exchanger.Verdict{{NotRun: true, RetryAfter: 3 * time.Second}},
 		},
-		"notice of leaving": {run: answered, stated: Stated{Leaving: true}, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdict: &exchanger.Verdict{Leaving: true}},
+		"notice of leaving": {run: answered, stated: Stated{Leaving: true}, want: dispatcher.Result{Kind: dispatcher.Answered}, wantVerdicts: []exchanger.Verdict{{Leaving: true}}},
 		"no connection": {
 			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
 				return dispatcher.Result{Kind: dispatcher.NotRun, ConnectFailed: true, Unsent: true, Err: errLost}
@@ -236,11 +236,11 @@
 			run: func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
 				return dispatcher.Result{Kind: dispatcher.Failed, Answer: &dispatcher.Answer{Status: 500}}
 			},
-			want:        dispatcher.Result{Kind: dispatcher.Failed},
-			wantVerdict: &exchanger.Verdict{},
+			want:         dispatcher.Result{Kind: dispatcher.Failed},
+			wantVerdicts: []exchanger.Verdict{{}},
 		},
-		"stream":              {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdict: &exchanger.Verdict{}},
-		"resumed stream":      {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdict: &exchanger.Verdict{}},
+		"stream":              {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
+		"resumed stream":      {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
 		"stream cut":          {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}), streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1},
 		"stream cut for good": {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}), streamed: true, once: true, want: dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}, wantEvents: "ab", wantStarted: 1},
 	}
@@ -251,26 +251,31 @@
 			sink := &recordingSink{}
 			call := newCall(!c.once, c.streamed)
 			got := s.Exchange(t.Context(), call, 2, testUpstream, dispatcher.NewStream(sink, c.offset))
-			if got.Kind != c.want.Kind || got.Unsent != c.want.Unsent || got.ConnectFailed != c.want.ConnectFailed || got.RetryAfter != c.want.RetryAfter || got.ConnectionLost || got.NoPath {
-				t.Errorf("result: got %+v, want %+v", got, c.want)
-			}
-			if got.Through != "a" || (got.Err != nil) != (c.want.Err != nil) || got.Err != nil && !strings.Contains(got.Err.Error(), c.want.Err.Error()) {
-				t.Errorf("through %q with error %v, want through a with error %v", got.Through, got.Err, c.want.Err)
-			}
+			checkResult(t, got, c.want)
 			if events := strings.Join(sink.events, ""); events != c.wantEvents || c.streamed && sink.ended != (c.want.Kind == dispatcher.Answered) {
 				t.Errorf("events: got %q with the end %t, want %q", events, sink.ended, c.wantEvents)
 			}
 			if s.started != c.wantStarted {
 				t.Errorf("starts counted: got %d, want %d", s.started, c.wantStarted)
 			}
-			if c.wantVerdict != nil && !slices.Equal(s.verdicts, []exchanger.Verdict{*c.wantVerdict}) || c.wantVerdict == nil && len(s.verdicts) > 0 {
-				t.Errorf("statements: got %+v, want %+v", s.verdicts, c.wantVerdict)
+			if !slices.Equal(s.verdicts, c.wantVerdicts) {
+				t.Errorf("statements: got %+v, want %+v", s.verdicts, c.wantVerdicts)
 			}
 			checkCarriedCall(t, upstreams.calls, call)
 		})
 	}
 }
 
+func checkResult(t *testing.T, got, want dispatcher.Result) {
+	t.Helper()
+	if got.Kind != want.Kind || got.Unsent != want.Unsent || got.ConnectFailed != want.ConnectFailed || got.RetryAfter != want.RetryAfter || got.ConnectionLost || got.NoPath {
+		t.Errorf("result: got %+v, want %+v", got, want)
+	}
+	if got.Through != "a" || (got.Err != nil) != (want.Err != nil) || got.Err != nil && !strings.Contains(got.Err.Error(), want.Err.Error()) {
+		t.Errorf("through %q with error %v, want through a with error %v", got.Through, got.Err, want.Err)
+	}
+}
+
 func checkCarriedCall(t *testing.T, carried []*dispatcher.Call, call *dispatcher.Call) {
 	t.Helper()
 	if len(carried) != 1 {
@@ -437,9 +442,9 @@
 // Guards against one peer that gets all calls while others carry none.
 func TestCallsAreSpreadOverPeers(t *testing.T) {
 	release := make(chan struct{})
-	wait := func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
+	wait := func(ctx context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
 		<-release
-		return answered(context.Background(), nil, nil)
+		return answered(ctx, call, s)
 	}
 	upstreams := []*fakeUpstreams{{run: wait}, {run: wait}, {run: wait}}
 	s := newSender(startCarrier(t, upstreams[0]), startCarrier(t, upstreams[1]), startCarrier(t, upstreams[2]))
