Keep connections to upstreams that are silent for a second

With a user timeout the kernel ends an idle connection at the first probe that stays unanswered for an interval once that timeout has passed since the connection was last heard from, whatever the number of probes. The options of connections to upstreams (idle 2 s, interval 0.5 s, which Go rounds up to 1 s, three probes, user timeout 1.2 s) meant three unanswered probes and gave one: a stream in a long prefill ended by one second of silence of a sound upstream.

Change: package dialer, used for upstreams and between our own processes, whose connections ended after minutes before: idle 1 s, interval 2 s, user timeout 2.5 s.

--- a/src/connector/client.go
+++ b/src/connector/client.go
@@ -14,6 +14,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/rosecroft/rosecroft/src/dialer"
 )
 
 // dialTimeout bounds the establishment of one connection, TLS handshake included.
@@ -135,8 +137,7 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := &net.Dialer{}
-	tcpConn, err := dialer.DialContext(ctx, "tcp", address)
+	tcpConn, err := dialer.New().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/rosecroft/rosecroft/src/dialer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -30,11 +31,7 @@
 	// connection is reused. Closer to its end, the upstream could close the
 	// connection while a request is on its way.
 	idleTimeoutFraction = 0.5
-	// ackTimeout is how long sent bytes may stay unacknowledged before the connection
-	// is closed. A silent connection would otherwise get calls until the operating
-	// system gives it up after minutes.
-	ackTimeout = 1200 * time.Millisecond
-	readBuffer = 4 << 10
+	readBuffer          = 4 << 10
 	// sweepInterval is how often idle connections that the upstream has closed, or
 	// that are too old, are removed.
 	sweepInterval = time.Second
@@ -373,22 +370,5 @@
 	if p.Dialer != nil {
 		return p.Dialer.DialContext(ctx, "tcp", address)
 	}
-	return tcpDialer.DialContext(ctx, "tcp", address)
-}
-
-// tcpDialer opens connections that notice when the other end is gone.
-var tcpDialer = &net.Dialer{
-	KeepAliveConfig: net.KeepAliveConfig{
-		Enable:   true,
-		Idle:     2 * time.Second,
-		Interval: 500 * time.Millisecond,
-		Count:    3,
-	},
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		var optionErr error
-		err := raw.Control(func(fd uintptr) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-		})
-		return errors.Join(err, optionErr)
-	},
+	return dialer.New().DialContext(ctx, "tcp", address)
 }
