--- a/src/pathfinder/probe.go
+++ b/src/pathfinder/probe.go
@@ -13,7 +13,7 @@
 	// must not return to the upstreams together.
 	minProbeDelay  = 250 * time.Millisecond
 	maxProbeDelay  = time.Second
-	probeGrowth    = 1.25
+	probeGrowth    = 1.1
 	probeExtension = 1.0 / 3
 )
 
