Ration calls to upstreams that fall over when they reject them

What callers would see: engines that state Server-Brittle fall over once they have to reject more than that many calls in a second for want of room, and the calls of each then fall on the others.

Cause: an entry sends to an upstream by loads that are some tenths of a second old, and leaves it to the upstream to reject what does not fit; entries that see the same free slot all use it.

Change: package rationer. The leader gives each entry a share of a brittle service, as an interval of a line over which the slots of every upstream are spread, by the calls that the entry has: each slot has one owner without a message a call. Where there are fewer than two slots for each entry, entries send only the part of their calls that keeps the upstreams at a load at which, by Erlang's loss formula, few are rejected. What one entry finds full, all leave alone until their polls show its load, and the number of calls that an upstream had when it rejected one counts as its slots. A rejected call is not sent to another brittle upstream; what has no slot is refused at once.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -114,6 +114,9 @@
 	Observer Observer
 	// Budget may be nil; retries are then not limited by a budget.
 	Budget Budget
+	// MayRetryRefused reports whether a call that an upstream has refused may be sent to another one;
+	// nil allows it.
+	MayRetryRefused func(call *Call) bool
 	// BackoffLeft returns how long no upstream accepts the call because all of them have asked for
 	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
 	// that an upstream asked for.
@@ -219,6 +222,8 @@
 	// lastUnsent says that the last attempt was never sent and brought no events; the
 	// next attempt then takes over its charge to the budget.
 	lastUnsent bool
+	// refused says that the last attempt was sent and refused.
+	refused bool
 	// noPath says that the last attempt found no way to any upstream, for a caller that has nothing of
 	// the answer; another attempt would end alike.
 	noPath bool
@@ -253,7 +258,7 @@
 		refusalWait: retryAfter,
 	}
 	for attempt := units.Attempt(1); state.failures < maxFailures; attempt++ {
-		if state.exhausted(call, stream) || !d.awaitRetry(ctx, call, stream, state) {
+		if state.exhausted(call, stream) || !d.mayRetry(call, state) || !d.awaitRetry(ctx, call, stream, state) {
 			break
 		}
 		upstream, err := d.chooseUpstream(ctx, call, stream, state)
@@ -282,6 +287,11 @@
 	return nil, noUpstreamRefusal(state.executed, d.refusalWait(call, state))
 }
 
+// mayRetry reports whether the outcome of the last attempt allows another one.
+func (d *Dispatcher) mayRetry(call *Call, state *attemptState) bool {
+	return !state.refused || d.MayRetryRefused == nil || d.MayRetryRefused(call)
+}
+
 // refusalWait returns when the caller of a refused call should send it again.
 func (d *Dispatcher) refusalWait(call *Call, state *attemptState) time.Duration {
 	if d.BackoffLeft == nil {
@@ -329,6 +339,7 @@
 	if stream.Offset() > offsetBefore || result.Kind == Moved {
 		a.failures = 0
 	}
+	a.refused = result.Kind == NotRun && !result.Unsent
 	a.noPath = result.NoPath && stream.Offset() == call.ResumeOffset
 }
 
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/rationer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -43,6 +44,11 @@
 	RetryAfter time.Duration
 	// Leaving is set where the upstream states that it is leaving.
 	Leaving bool
+	// Full is set where the upstream rejects the call for want of room, and asks for no back-off.
+	Full bool
+	// Brittle is what the upstream states about falling over, nil if the answer is not from that
+	// upstream or its statement is not known.
+	Brittle *rationer.Statement
 	// Limit is the call rate limit that the upstream states, nil if the answer is not
 	// from that upstream or its limit cannot be read.
 	Limit *Limit
--- a/src/gateway/answer.go
+++ b/src/gateway/answer.go
@@ -16,6 +16,7 @@
 	}
 	now := timekeeper.Now()
 	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+	g.recordBrittleness(now, sentAt, upstream, verdict)
 	switch {
 	case verdict.RetryAfter > 0:
 		g.trafficStats.backoffRequested(upstream)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
+	"github.com/rosecroft/rosecroft/src/rationer"
 	"github.com/rosecroft/rosecroft/src/relayer"
 	"github.com/rosecroft/rosecroft/src/retrier"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -81,6 +82,7 @@
 	withholder   withholder.Withholder
 	slowdowns    appraiser.Collector
 	pathfinder   pathfinder.Pathfinder
+	rationer     rationer.Rationer
 	sender       *relayer.Sender
 	carrier      *relayer.Carrier
 }
@@ -104,6 +106,9 @@
 		MaxInFlight: g.connections,
 		Gate:        &g.gate,
 		Withholder:  &g.withholder,
+		Rationer:    &g.rationer,
+		CallTime:    g.trafficStats.callTime,
+		Entries:     g.entryCount,
 		IsRelayed:   g.isRelayed,
 	}
 	g.quota = &allocator.LocalLimiter{Window: allocator.NewWindow(g.Settings.Quota)}
@@ -149,6 +154,10 @@
 		},
 		Observer: (*observer)(g),
 		Budget:   g.retryBudget,
+		MayRetryRefused: func(call *dispatcher.Call) bool {
+			_, brittle := g.rationer.Brittle(timekeeper.Now(), call.Service)
+			return !brittle
+		},
 		BackoffLeft: func(call *dispatcher.Call) time.Duration {
 			return spreadWait(g.placer.BackoffLeft(call))
 		},
@@ -237,6 +246,13 @@
 	return nil
 }
 
+func (g *Gateway) entryCount() int {
+	if snap := g.snapshot.Load(); snap != nil {
+		return max(1, snap.entries)
+	}
+	return 1
+}
+
 // connections returns how many connections this entry may have to an upstream, whose limit
 // applies to all entries together.
 func (g *Gateway) connections(u *tracker.Upstream) int {
@@ -271,6 +287,7 @@
 // RecordLoad records the load that an upstream stated in the answer to a call.
 func (g *Gateway) RecordLoad(call *dispatcher.Call, u *tracker.Upstream, load placer.ReportedLoad) {
 	g.placer.RecordLoad(u, load)
+	g.rationer.RecordLoad(timekeeper.Now(), u.Service, units.NewIncarnationID(u.Name, u.Incarnation), load.Running+load.Waiting, load.Waiting)
 	if load.Slowdown <= 0 {
 		return
 	}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -252,6 +252,7 @@
 		poll.BackingOff = append(poll.BackingOff, uint64(id))
 	}
 	p.slowdownSync.report(&g.slowdowns, poll)
+	reportBrittleness(now, &g.rationer, poll)
 	poll.Unreached = encodeReach(g.pathfinder.Unreached())
 	poll.RelayAddress = g.Settings.RelayAddress()
 	poll.PeersVersion = p.peersVersion
@@ -401,6 +402,7 @@
 	p.snapshot.entries = entryCount(p.snapshot.entries, r)
 	p.gateway.retryBudget.SetEntries(p.snapshot.entries)
 	p.applyPeers(r.GetPeers())
+	applyBrittleness(now, &p.gateway.rationer, r)
 	p.limitSync.handleResponse(now, sentAt, &p.gateway.gate, r, p.snapshot.entries)
 	p.gateway.placer.SetPeerLoads(&placer.PeerLoads{
 		At:    now,
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -103,7 +103,11 @@
 ) dispatcher.Result {
 	g := p.gateway
 	if !g.isRelayed(upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
+		startedAt := timekeeper.Now()
 		result := p.direct.Exchange(ctx, call, attempt, upstream, stream)
+		if result.Kind == dispatcher.Answered {
+			g.trafficStats.exchangeAnswered(call.Service, timekeeper.Now().Sub(startedAt))
+		}
 		if !result.ConnectFailed || !g.pathfinder.IsPartitioned(upstream.Service) {
 			return result
 		}
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -45,6 +45,8 @@
 	// estimated from prefillSamples prompts.
 	prefillPerToken float64
 	prefillSamples  int
+	// answerTime is the moving average of how long answered calls took at upstreams, 0 for none.
+	answerTime time.Duration
 	// minWait is the shortest recent wait for a first byte, which additional upstreams would
 	// not shorten.
 	minWait time.Duration
@@ -196,6 +198,31 @@
 	return s
 }
 
+// answerTimeGain is the weight of the latest call in the moving average of answer times.
+const answerTimeGain = 0.1
+
+// exchangeAnswered records how long a call took at an upstream that answered it.
+func (t *trafficStats) exchangeAnswered(service units.Service, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(service)
+	if s.answerTime == 0 {
+		s.answerTime = took
+		return
+	}
+	s.answerTime += time.Duration(answerTimeGain * float64(took-s.answerTime))
+}
+
+// callTime returns how long answered calls of a service take at its upstreams, 0 if unknown.
+func (t *trafficStats) callTime(service units.Service) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.services[service]; s != nil {
+		return s.answerTime
+	}
+	return 0
+}
+
 // exchangeEnded counts an exchange by its result.
 func (t *trafficStats) exchangeEnded(u *tracker.Upstream, result dispatcher.Result) {
 	t.mu.Lock()
@@ -226,6 +253,11 @@
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_backoffs").Inc(1)
 }
 
+// rejected counts a call that an upstream rejected for want of room.
+func (t *trafficStats) rejected(u *tracker.Upstream) {
+	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_rejections").Inc(1)
+}
+
 // malformed counts a header of an answer that could not be decoded, or only in part.
 func (t *trafficStats) malformed(header string) {
 	t.scope.Tagged(map[string]string{"header": header}).Counter("malformed_headers").Inc(1)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -95,6 +95,7 @@
 	backoffs    *backoffs
 	slowdowns   *slowdowns
 	reaches     *reaches
+	brittleness *brittleness
 	pages       pages
 }
 
@@ -153,6 +154,9 @@
 	c.reaches = &reaches{
 		coordinator: c,
 	}
+	c.brittleness = &brittleness{
+		coordinator: c,
+	}
 	if err := c.restore(stored.Snapshot); err != nil {
 		return nil, err
 	}
@@ -270,6 +274,7 @@
 	if c.isLeader(now) {
 		c.rateLimits.tick(now)
 		c.slowdowns.tick(now)
+		c.brittleness.tick(now)
 		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now)); err != nil {
 			return err
 		}
@@ -325,6 +330,7 @@
 		c.backoffs.startLeadership()
 		c.slowdowns.startLeadership()
 		c.reaches.startLeadership()
+		c.brittleness.startLeadership()
 	}
 	return true
 }
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -131,6 +131,7 @@
 	c.rateLimits.report(now, poll, response)
 	c.slowdowns.report(poll, response)
 	c.reaches.report(now, entry, poll, response)
+	c.brittleness.report(now, entry, response)
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
@@ -258,6 +259,7 @@
 	c.backoffs.record(now, entry, poll)
 	c.slowdowns.record(poll)
 	c.reaches.record(now, entry, poll)
+	c.brittleness.record(now, entry, poll)
 	c.duties.orders.record(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.inFlight.Record(entry, placer.ReportNumber(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/ejector"
+	"github.com/rosecroft/rosecroft/src/rationer"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 	"github.com/rosecroft/rosecroft/src/withholder"
@@ -48,6 +50,9 @@
 	// maxWaitFactor is how many times its latency target a call may be expected to wait for
 	// its first byte before it is refused: the estimate of the wait is rough.
 	maxWaitFactor = 1.6
+	// minLoadAge is the age of other entries' loads right after a response with them: about the time
+	// between two polls.
+	minLoadAge = 100 * time.Millisecond
 	// peerLoadExpiry is how long the polled load of other entries counts: several polls.
 	peerLoadExpiry = time.Second
 	// longPromptRatio is the fraction of a stream's longest allowed pause above which the
@@ -116,6 +121,12 @@
 	Gate Gate
 	// Withholder tells which upstreams have asked this entry for no calls; it may be nil.
 	Withholder Withholder
+	// Rationer spreads calls over upstreams that fall over when they reject calls; it may be nil.
+	// CallTime then returns how long a call of a service takes, 0 if unknown, and Entries the number
+	// of entries.
+	Rationer Rationer
+	CallTime func(service units.Service) time.Duration
+	Entries  func() int
 	// IsRelayed reports whether calls to an upstream go through another entry; it may be nil.
 	IsRelayed func(upstream *tracker.Upstream, id units.IncarnationID) bool
 	// Random is the source of randomness; nil selects the process's own source.
@@ -148,6 +159,14 @@
 	BackoffLeft(now time.Time, id units.IncarnationID) time.Duration
 }
 
+// Rationer spreads calls over the upstreams of brittle services.
+type Rationer interface {
+	// Brittle reports whether a service's upstreams fall over when they reject calls.
+	Brittle(now time.Time, service units.Service) (maxRejections float64, brittle bool)
+	// Select returns the indices of the upstreams that a call may go to now.
+	Select(now time.Time, service units.Service, upstreams []rationer.Upstream, load rationer.Load) []int
+}
+
 // Random is the placer's source of randomness; it must be safe for concurrent use.
 type Random interface {
 	Float64() float64
@@ -248,6 +267,7 @@
 	if len(candidates) == 0 {
 		candidates = p.eligible(now, fallback, tried)
 	}
+	candidates = p.ration(now, call.Service, candidates)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -289,6 +309,46 @@
 	return best
 }
 
+// ration returns the candidates of a brittle service that a call may go to now.
+func (p *Placer) ration(now time.Time, service units.Service, candidates []*Candidate) []*Candidate {
+	if p.Rationer == nil {
+		return candidates
+	}
+	if _, brittle := p.Rationer.Brittle(now, service); !brittle {
+		return candidates
+	}
+	peers := p.peerLoads.Load()
+	upstreams := make([]rationer.Upstream, 0, len(candidates))
+	for _, c := range candidates {
+		calls, _ := c.estimatedLoad(now, peers)
+		upstreams = append(upstreams, rationer.Upstream{
+			ID:    c.incarnationID,
+			Slots: cmp.Or(c.Slots, defaultSlots),
+			Own:   c.Local.InFlight.Load(),
+			Calls: calls,
+		})
+	}
+	load := rationer.Load{
+		Age:      p.loadAge(now, peers),
+		CallTime: p.CallTime(service),
+		Entries:  p.Entries(),
+	}
+	var selected []*Candidate
+	for _, i := range p.Rationer.Select(now, service, upstreams, load) {
+		selected = append(selected, candidates[i])
+	}
+	return selected
+}
+
+// loadAge returns how old the loads of other entries may be: these were polled before the leader's
+// response, and may have been polled as long before that as the time since it.
+func (p *Placer) loadAge(now time.Time, peers *PeerLoads) time.Duration {
+	if peers == nil {
+		return peerLoadExpiry
+	}
+	return min(peerLoadExpiry, 2*max(now.Sub(peers.At), minLoadAge))
+}
+
 func (p *Placer) prefillTime(service units.Service) time.Duration {
 	if p.PrefillTime != nil {
 		if prefillTime := p.PrefillTime(service); prefillTime > 0 {
