Acknowledge configurations once the log has all its voters

What operators saw: a configuration that was acknowledged in the first 0.4 s of a new system is gone, and control never comes back, if power is lost then and as many disks as are tolerated with it.

Cause: the seeds create the log alone, so that it begins with three voters. A majority of them, two, held the configuration when it was acknowledged, and both disks may be among those that are lost; what is left has no majority.

Change: acknowledgements wait until a committed membership has had all voters, at most 2.5 s after the start of the process, where there are fewer instances. The configuration itself is committed and reaches entries as before.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -96,6 +96,7 @@
 	slowdowns   *slowdowns
 	reaches     *reaches
 	brittleness *brittleness
+	durability  *durability
 	pages       pages
 }
 
@@ -167,6 +168,11 @@
 		Base:     stored.Base,
 		Records:  stored.Records,
 	})
+	c.durability = &durability{
+		node:      c.node,
+		voters:    c.settings.Voters(),
+		startedAt: timekeeper.Now(),
+	}
 	return c, nil
 }
 
@@ -256,6 +262,7 @@
 		return err
 	}
 	now := timekeeper.Now()
+	c.durability.tick(now)
 	if c.node.LeaderID() != "" {
 		c.leaderSeenAt = now
 	}
@@ -377,7 +384,7 @@
 		return nil
 	}
 	if e.declaration.GetVersion() <= c.state.configuration.GetVersion() {
-		e.reply <- declareReply{accepted: true}
+		c.durability.accept(timekeeper.Now(), e.reply)
 		return nil
 	}
 	c.nextToken++
--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -204,3 +204,39 @@
 		})
 	}
 }
+
+// Guards against a configuration that is acknowledged while too few disks hold it to survive the loss of
+// as many as are tolerated.
+func TestAcknowledgementsWaitForAllVoters(t *testing.T) {
+	cases := map[string]struct {
+		voters int
+		after  time.Duration
+		want   bool
+	}{
+		"all voters":          {voters: 1, want: true},
+		"too few voters":      {voters: 5},
+		"too few, much later": {voters: 5, after: foundingTimeout, want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, leader := newLeader(t)
+			leader.durability.voters = c.voters
+			leader.decode = func([]byte) (*matcher.Configuration, error) { return &matcher.Configuration{}, nil }
+			reply := make(chan declareReply, 1)
+			if err := leader.handleDeclare(declareRequested{declaration: &messages.Declaration{Version: 7}, reply: reply}); err != nil {
+				t.Fatal(err)
+			}
+			leader.durability.tick(leader.durability.startedAt.Add(c.after))
+			select {
+			case got := <-reply:
+				if !c.want || !got.accepted {
+					t.Errorf("reply: got accepted %t, want a reply %t", got.accepted, c.want)
+				}
+			default:
+				if c.want {
+					t.Error("reply: got none, want the configuration accepted")
+				}
+			}
+		})
+	}
+}
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -87,6 +87,7 @@
 		proposal.reply <- declareReply{leader: string(a.Leader)}
 		delete(c.proposalsByIndex, index)
 	}
+	c.durability.release(string(a.Leader))
 }
 
 func (c *coordinator) apply(records []*messages.LogRecord) {
@@ -106,7 +107,11 @@
 			continue
 		}
 		delete(c.proposalsByIndex, index)
-		proposal.reply <- declareReply{accepted: proposal.term == units.Term(record.GetTerm())}
+		if proposal.term != units.Term(record.GetTerm()) {
+			proposal.reply <- declareReply{}
+			continue
+		}
+		c.durability.accept(timekeeper.Now(), proposal.reply)
 	}
 }
 
--- a/src/replicator/node.go
+++ b/src/replicator/node.go
@@ -225,6 +225,14 @@
 // Membership returns the voters and learners in effect, nil without a log.
 func (n *Node) Membership() *messages.Membership { return n.membership }
 
+// CommittedVoters returns the number of voters of the last committed membership, 0 without a log.
+func (n *Node) CommittedVoters() int {
+	if len(n.memberships) == 0 {
+		return 0
+	}
+	return len(votersOf(n.memberships.at(n.commit)))
+}
+
 // SnapshotIndex returns the index of the last record that the snapshot covers.
 func (n *Node) SnapshotIndex() units.Index { return units.Index(n.snapshot.GetIndex()) }
 
