Close sessions of requests that fail

A session between two entries stayed open when the other end answered a request with an error: the caller of Call dropped it, so that one descriptor was held at each end until the other end closed it. Offers and probes that a peer cannot read or does not allow end this way, e.g. while two versions run side by side.

Any error now closes the session. TestSessionOfAFailedRequestIsClosed failed before ("an open session true, want an error and a closed one").

--- a/src/connector/session.go
+++ b/src/connector/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 
@@ -43,7 +42,7 @@
 
 // Call sends a request and fills response with the answer. Messages that arrive before it are passed
 // to receive, which may be nil, one after another; none is passed on after Call has returned. A call
-// that does not end with a response closes the session.
+// that ends with an error closes the session.
 func (s *Session) Call(ctx context.Context, method Method, request, response proto.Message, receive Receiver) error {
 	content, err := encode(request)
 	if err != nil {
@@ -53,17 +52,18 @@
 	defer s.setReceiver(nil)
 	var result json.RawMessage
 	if err := s.conn.Call(ctx, string(method), s.stream.attach(content), &result, withProtocolVersion); err != nil {
-		var rpcError *jsonrpc2.Error
-		if !errors.As(err, &rpcError) {
-			s.Close()
-		}
+		s.Close()
 		return fmt.Errorf("call %s at %s: %w", method, s.address, err)
 	}
 	answer, err := s.stream.takeReceived(&result)
+	if err == nil {
+		err = decode(answer, response)
+	}
 	if err != nil {
+		s.Close()
 		return fmt.Errorf("call %s at %s: %w", method, s.address, err)
 	}
-	return decode(answer, response)
+	return nil
 }
 
 // setReceiver waits until the last message has been handled.
--- a/src/connector/session_test.go
+++ b/src/connector/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -62,6 +63,15 @@
 	}
 }
 
+// Guards against sessions that stay open because nobody uses them again after an error.
+func TestSessionOfAFailedRequestIsClosed(t *testing.T) {
+	s := openSession(t, func(context.Context, Peer) error { return errors.New("refused") })
+	err := s.Call(t.Context(), testMethod, &messages.Submission{}, &messages.Submission{}, nil)
+	if err == nil || s.IsOpen() {
+		t.Errorf("request that fails: got error %v and an open session %t, want an error and a closed one", err, s.IsOpen())
+	}
+}
+
 // Guards against a receiver that runs after its call has returned, and a server that goes on working
 // for a client that has left.
 func TestSessionThatIsGivenUpEnds(t *testing.T) {
