--- a/src/connector/server.go
+++ b/src/connector/server.go
@@ -52,9 +52,6 @@
 	return nil
 }
 
-// Gone is closed once the connection to the peer has ended.
-func (p Peer) Gone() <-chan struct{} { return p.conn.DisconnectNotify() }
-
 // Disconnect closes the connection to the peer.
 func (p Peer) Disconnect() { _ = p.conn.Close() }
 
--- a/src/connector/session_test.go
+++ b/src/connector/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,20 +81,21 @@
 		if err := peer.Notify(ctx, methodNote, &messages.Submission{}); err != nil {
 			return err
 		}
-		<-peer.Gone()
+		<-ctx.Done()
 		close(gone)
 		return nil
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	returned := false
+	var running atomic.Bool
 	err := s.Call(ctx, testMethod, &messages.Submission{}, &messages.Submission{}, func(Method, func(proto.Message) error) {
+		running.Store(true)
 		time.Sleep(300 * time.Millisecond) // A receiver that is slower than its call.
-		if returned {
-			t.Error("receiver: still running after its call has returned")
-		}
+		running.Store(false)
 	})
-	returned = true
+	if running.Load() {
+		t.Error("receiver: still running after its call has returned")
+	}
 	if err == nil || s.IsOpen() {
 		t.Errorf("call that exceeds its deadline: got error %v and an open session %t, want an error and a closed one", err, s.IsOpen())
 	}
--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -211,11 +211,15 @@
 	cases := map[string]struct {
 		voters int
 		after  time.Duration
-		want   bool
+		// deposed is set where another instance leads before the reply is due.
+		deposed      bool
+		want         bool
+		wantAccepted bool
 	}{
-		"all voters":          {voters: 1, want: true},
+		"all voters":          {voters: 1, want: true, wantAccepted: true},
 		"too few voters":      {voters: 5},
-		"too few, much later": {voters: 5, after: foundingTimeout, want: true},
+		"too few, much later": {voters: 5, after: foundingTimeout, want: true, wantAccepted: true},
+		"leadership lost":     {voters: 5, deposed: true, want: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -226,11 +230,14 @@
 			if err := leader.handleDeclare(declareRequested{declaration: &messages.Declaration{Version: 7}, reply: reply}); err != nil {
 				t.Fatal(err)
 			}
+			if c.deposed {
+				leader.durability.release("c2")
+			}
 			leader.durability.tick(leader.durability.startedAt.Add(c.after))
 			select {
 			case got := <-reply:
-				if !c.want || !got.accepted {
-					t.Errorf("reply: got accepted %t, want a reply %t", got.accepted, c.want)
+				if !c.want || got.accepted != c.wantAccepted {
+					t.Errorf("reply: got accepted %t, want a reply %t that says %t", got.accepted, c.want, c.wantAccepted)
 				}
 			default:
 				if c.want {
--- a/src/pathfinder/pathfinder_test.go
+++ b/src/pathfinder/pathfinder_test.go
@@ -35,7 +35,7 @@
 		"half are reached":  {present: 6, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 4, false}, {10, 5, false}, {11, 6, false}}, wantUnreached: 3},
 		"one is back":       {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 1, false}}, wantUnreached: 2},
 		"again after that":  {present: 5, steps: []step{{1, 1, true}, {2, 2, true}, {3, 3, true}, {9, 1, false}, {10, 1, true}, {11, 2, true}, {12, 3, true}}, want: true, wantUnreached: 3},
-		"reached before it": {present: 5, steps: []step{{2, 1, true}, {3, 2, true}, {4, 3, true}, {1, 4, false}}, want: true, wantUnreached: 3},
+		"reached before it": {present: 6, steps: []step{{1, 4, false}, {1, 5, false}, {1, 6, false}, {2, 1, true}, {3, 2, true}, {4, 3, true}}, want: true, wantUnreached: 3},
 		"late failure":      {present: 5, steps: []step{{5, 1, false}, {4, 1, true}}},
 	}
 	for name, c := range cases {
@@ -165,6 +165,25 @@
 	}
 }
 
+// Guards against entries that were partitioned together and connect again at the same instants.
+func TestProbesOfEntriesAreSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	nextProbe := func(random float64) time.Duration {
+		p := newPartition(now, 5, 3)
+		p.Random = func() float64 { return random }
+		p.DueProbe(now, llm)
+		for at := now; ; at = at.Add(time.Millisecond) {
+			if _, due := p.DueProbe(at, llm); due {
+				return at.Sub(now)
+			}
+		}
+	}
+	first, last := nextProbe(0), nextProbe(0.99)
+	if first < minProbeDelay || last < first*5/4 || last > 2*first {
+		t.Errorf("second probes of two entries: got %v and %v, want them from %v on, a quarter to once that apart", first, last, minProbeDelay)
+	}
+}
+
 // Guards against a partition that is seen where some upstreams have crashed: the first probes of
 // others end it.
 func TestCrashedUpstreamsAreNoPartition(t *testing.T) {
--- a/src/rationer/rationer_test.go
+++ b/src/rationer/rationer_test.go
@@ -280,6 +280,9 @@
 		if got := services[0].Share.To - services[0].Share.From; math.Abs(got-want) > 1e-9 {
 			t.Errorf("share of %s: got %.3f, want %.3f", name, got, want)
 		}
+		if share := services[0].Share; share.isEmpty() {
+			t.Errorf("share of %s: got none", name)
+		}
 		if got := services[0].CallRate; got != 120 {
 			t.Errorf("calls of all entries: got %v a second, want 120", got)
 		}
--- a/src/relayer/carrier.go
+++ b/src/relayer/carrier.go
@@ -97,7 +97,7 @@
 	return c.MaxCalls > 0 && c.calls.Load() >= c.MaxCalls || c.MaxBytes > 0 && c.bytes.Load()+bodyBytes > c.MaxBytes
 }
 
-// onSend carries one attempt, and returns once it has ended.
+// onSend carries one attempt, and returns once it has ended. ctx ends with the connection to the sender.
 func (c *Carrier) onSend(ctx context.Context, peer connector.Peer, m *messages.RelayedCall) (*messages.RelayEnd, error) {
 	if err := peer.RequireName(certifier.Entry, m.GetOffer().GetEntry()); err != nil {
 		return nil, err
@@ -114,13 +114,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-peer.Gone():
-			cancel()
-		}
-	}()
 	// A sender that reads nothing would keep the call here.
 	disconnect := time.AfterFunc(left+responseTime, peer.Disconnect)
 	defer disconnect.Stop()
--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -58,8 +59,32 @@
 // carrierProcess is an entry that carries calls.
 type carrierProcess struct {
 	*Carrier
+	net.Listener
 	address string
 	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept keeps the connections for cut.
+func (p *carrierProcess) Accept() (net.Conn, error) {
+	conn, err := p.Listener.Accept()
+	if err == nil {
+		p.mu.Lock()
+		p.conns = append(p.conns, conn)
+		p.mu.Unlock()
+	}
+	return conn, err
+}
+
+// cut ends all connections without a response.
+func (p *carrierProcess) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
 }
 
 func startCarrier(t *testing.T, upstreams Upstreams) *carrierProcess {
@@ -69,10 +94,11 @@
 		t.Fatal(err)
 	}
 	p := &carrierProcess{
-		Carrier: &Carrier{Upstreams: upstreams, TrueNow: time.Now},
-		address: listener.Addr().String(),
+		Carrier:  &Carrier{Upstreams: upstreams, TrueNow: time.Now},
+		Listener: listener,
+		address:  listener.Addr().String(),
 	}
-	server := &connector.Server{Listener: listener}
+	server := &connector.Server{Listener: p}
 	p.Register(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -178,6 +204,9 @@
 func stream(from int, count int, result dispatcher.Result) func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
 	return func(_ context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
 		call.Trace.(*Trace).Started = true
+		if s.Offset() != units.Tokens(from) {
+			return dispatcher.Result{Kind: dispatcher.Failed, Err: fmt.Errorf("stream begins at %d", s.Offset())}
+		}
 		if _, err := s.Begin(http.Header{"X-Proof": {"p"}}, testUpstream, "v1"); err != nil {
 			return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
 		}
@@ -239,9 +268,16 @@
 			want:         dispatcher.Result{Kind: dispatcher.Failed},
 			wantVerdicts: []exchanger.Verdict{{}},
 		},
-		"stream":              {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
-		"resumed stream":      {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
-		"stream cut":          {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}), streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1},
+		"stream":         {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
+		"resumed stream": {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
+		"stream cut":     {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}), streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1},
+		"events kept back": {
+			run: func(ctx context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
+				s.Sink.(dispatcher.Batcher).SetBuffering(true)
+				return stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost})(ctx, call, s)
+			},
+			streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1,
+		},
 		"stream cut for good": {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}), streamed: true, once: true, want: dispatcher.Result{Kind: dispatcher.Unresumable, Err: errLost}, wantEvents: "ab", wantStarted: 1},
 	}
 	for name, c := range cases {
@@ -296,7 +332,8 @@
 		refusal messages.RelayRefusal
 		dead    bool
 		// wantNext is set where another peer is asked.
-		wantNext bool
+		wantNext     bool
+		wantVerdicts []exchanger.Verdict
 	}{
 		"busy":             {refusal: messages.RelayRefusal_RELAY_REFUSAL_BUSY, wantNext: true},
 		"stopping":         {refusal: messages.RelayRefusal_RELAY_REFUSAL_STOPPING, wantNext: true},
@@ -304,12 +341,12 @@
 		"dead":             {dead: true, wantNext: true},
 		"unreached":        {refusal: messages.RelayRefusal_RELAY_REFUSAL_UNREACHED},
 		"unknown upstream": {refusal: messages.RelayRefusal_RELAY_REFUSAL_UNKNOWN_UPSTREAM},
-		"backing off":      {refusal: messages.RelayRefusal_RELAY_REFUSAL_BACKING_OFF},
-		"leaving":          {refusal: messages.RelayRefusal_RELAY_REFUSAL_LEAVING},
+		"backing off":      {refusal: messages.RelayRefusal_RELAY_REFUSAL_BACKING_OFF, wantVerdicts: []exchanger.Verdict{{NotRun: true, RetryAfter: time.Second}}},
+		"leaving":          {refusal: messages.RelayRefusal_RELAY_REFUSAL_LEAVING, wantVerdicts: []exchanger.Verdict{{NotRun: true, RetryAfter: time.Second, Leaving: true}}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			unable, able := &fakeUpstreams{refusal: c.refusal, run: answered}, &fakeUpstreams{run: answered}
+			unable, able := &fakeUpstreams{refusal: c.refusal, stated: Stated{RetryAfter: time.Second}, run: answered}, &fakeUpstreams{run: answered}
 			first, second := startCarrier(t, unable), startCarrier(t, able)
 			if c.dead {
 				first.stop()
@@ -324,6 +361,9 @@
 			if ran, want := able.count()+unable.count(), map[bool]int{true: 1}[c.wantNext]; ran != want {
 				t.Errorf("runs: got %d, want %d", ran, want)
 			}
+			if !c.wantNext && !slices.Equal(s.verdicts, c.wantVerdicts) {
+				t.Errorf("statements of the upstream: got %+v, want %+v", s.verdicts, c.wantVerdicts)
+			}
 			if got.ConnectFailed != (name == "unreached") {
 				t.Errorf("connection failed: got %t", got.ConnectFailed)
 			}
@@ -382,13 +422,18 @@
 // lost.
 func TestLostPeerLeavesTheOutcomeUnknown(t *testing.T) {
 	cases := map[string]struct {
+		// cut is set where the connection ends without a response.
+		cut      bool
 		streamed bool
 		once     bool
 		want     dispatcher.ResultKind
 	}{
-		"before the answer":       {want: dispatcher.OutcomeUnknown},
-		"in a stream":             {streamed: true, want: dispatcher.OutcomeUnknown},
-		"in a stream to run once": {streamed: true, once: true, want: dispatcher.Unresumable},
+		"stopped before the answer":       {want: dispatcher.OutcomeUnknown},
+		"stopped in a stream":             {streamed: true, want: dispatcher.OutcomeUnknown},
+		"stopped in a stream to run once": {streamed: true, once: true, want: dispatcher.Unresumable},
+		"gone before the answer":          {cut: true, want: dispatcher.OutcomeUnknown},
+		"gone in a stream":                {cut: true, streamed: true, want: dispatcher.OutcomeUnknown},
+		"gone in a stream to run once":    {cut: true, streamed: true, once: true, want: dispatcher.Unresumable},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -397,7 +442,11 @@
 				if c.streamed {
 					stream(0, 2, dispatcher.Result{})(ctx, call, s)
 				}
-				carrier.stop()
+				if c.cut {
+					carrier.cut()
+				} else {
+					carrier.stop()
+				}
 				<-ctx.Done()
 				return dispatcher.Result{Kind: dispatcher.CallerGone}
 			}}
--- a/src/relayer/ring_test.go
+++ b/src/relayer/ring_test.go
@@ -9,13 +9,17 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
+func ringEntry(i, dataCentres int) units.Instance {
+	return units.Instance(fmt.Sprintf("dc-%d-e-%d", i%dataCentres, i))
+}
+
 // newRing returns a ring of entries that have just reported; each data centre is one in every
 // dataCentres of them, and those of data centre 0 are partitioned if the test says so.
 func newRing(now time.Time, entries, dataCentres int, partitioned bool) *Ring {
 	r := &Ring{}
 	for i := range entries {
 		peer := Peer{
-			Name:    units.Instance(fmt.Sprintf("e-%d", i)),
+			Name:    ringEntry(i, dataCentres),
 			Address: fmt.Sprintf("10.0.0.%d:1", i),
 		}
 		if partitioned && i%dataCentres == 0 {
@@ -36,7 +40,7 @@
 			r := newRing(now, entries, dataCentres, true)
 			assigned := make(map[units.Instance]int)
 			for i := 0; i < entries; i += dataCentres {
-				name := units.Instance(fmt.Sprintf("e-%d", i))
+				name := ringEntry(i, dataCentres)
 				peers := r.PeersOf(now, name)
 				whole := 0
 				for _, p := range peers {
@@ -67,26 +71,26 @@
 // Guards against offers to entries that have stopped or have not been heard of.
 func TestPeersThatAreGoneAreNotAssigned(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newRing(now, 4, 4, false)
+	r := newRing(now, 4, 1, false)
 	names := func(now time.Time) []units.Instance {
 		var found []units.Instance
-		for _, p := range r.PeersOf(now, "e-0") {
+		for _, p := range r.PeersOf(now, "dc-0-e-0") {
 			found = append(found, p.Name)
 		}
 		slices.Sort(found)
 		return found
 	}
-	r.Remove("e-1")
-	if got, want := names(now), []units.Instance{"e-2", "e-3"}; !slices.Equal(got, want) {
+	r.Remove("dc-0-e-1")
+	if got, want := names(now), []units.Instance{"dc-0-e-2", "dc-0-e-3"}; !slices.Equal(got, want) {
 		t.Errorf("after one has stopped: got %v, want %v", got, want)
 	}
 	later := now.Add(memberExpiry + time.Millisecond)
-	r.Record(later, Peer{Name: "e-0"})
-	r.Record(later, Peer{Name: "e-3"})
-	if got, want := names(later), []units.Instance{"e-3"}; !slices.Equal(got, want) {
+	r.Record(later, Peer{Name: "dc-0-e-0"})
+	r.Record(later, Peer{Name: "dc-0-e-3"})
+	if got, want := names(later), []units.Instance{"dc-0-e-3"}; !slices.Equal(got, want) {
 		t.Errorf("after one reports nothing: got %v, want %v", got, want)
 	}
-	r.Record(now.Add(memberRetention+2*memberExpiry), Peer{Name: "e-0"})
+	r.Record(now.Add(memberRetention+2*memberExpiry), Peer{Name: "dc-0-e-0"})
 	if got := len(r.members); got != 1 {
 		t.Errorf("members that are kept: got %d, want 1", got)
 	}
@@ -96,15 +100,15 @@
 // are not.
 func TestVersionChangesWithThePeers(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := newRing(now, 10, 10, false)
-	before := VersionOf(r.PeersOf(now, "e-0"))
-	if got := VersionOf(r.PeersOf(now, "e-0")); got != before {
+	r := newRing(now, 2, 1, false)
+	before := VersionOf(r.PeersOf(now, "dc-0-e-0"))
+	if got := VersionOf(r.PeersOf(now, "dc-0-e-0")); got != before {
 		t.Errorf("without a change: got version %d, want %d", got, before)
 	}
-	changed := r.PeersOf(now, "e-0")[0]
+	changed := r.PeersOf(now, "dc-0-e-0")[0]
 	changed.Partitioned = []units.Service{"s"}
 	r.Record(now, changed)
-	if got := VersionOf(r.PeersOf(now, "e-0")); got == before {
+	if got := VersionOf(r.PeersOf(now, "dc-0-e-0")); got == before {
 		t.Errorf("after a peer was partitioned: got version %d again, want another", got)
 	}
 }
