Keep rations of brittle upstreams while control is silent

Two causes, of one class: what protects an upstream ended by time alone. An entry dropped its share 5 s after the leader's last response, and chose by chance with loads that nobody had reported. And a statement ended 3 s after it was heard, also where no call was answered meanwhile: entries without a lease send none, so that the first calls afterwards took the service for sound.

A share now holds until the next one; shares of all entries do not overlap, whoever last computed them. A statement ends once answers of the service have gone on for 3 s without another one, by the entries' and the leader's latest answers, or after 30 s without any answer. Polls and responses say when the service last answered. An idle entry with an old statement does not keep the others to their rations.

--- a/src/gateway/ration.go
+++ b/src/gateway/ration.go
@@ -40,11 +40,7 @@
 func reportBrittleness(now time.Time, r *rationer.Rationer, poll *messages.EntryPoll) {
 	services, full := r.Report(now)
 	for _, s := range services {
-		poll.Brittle = append(poll.Brittle, &messages.BrittleService{
-			Service:       string(s.Name),
-			MaxRejections: s.MaxRejections,
-			AgeNs:         int64(now.Sub(s.StatedAt)),
-		})
+		poll.Brittle = append(poll.Brittle, governor.EncodeBrittle(now, s))
 	}
 	poll.Full = governor.EncodeFull(now, full)
 }
@@ -53,16 +49,7 @@
 func applyBrittleness(now time.Time, r *rationer.Rationer, response *messages.EntryPollResponse) {
 	services := make([]rationer.Service, 0, len(response.GetBrittle()))
 	for _, m := range response.GetBrittle() {
-		services = append(services, rationer.Service{
-			Name:          units.Service(m.GetService()),
-			MaxRejections: m.GetMaxRejections(),
-			StatedAt:      now.Add(-time.Duration(m.GetAgeNs())),
-			CallRate:      units.CallRate(m.GetCallsPerSecond()),
-			Share: rationer.Share{
-				From: m.GetShareFrom(),
-				To:   m.GetShareTo(),
-			},
-		})
+		services = append(services, governor.DecodeBrittle(now, m))
 	}
 	r.ApplyFleet(now, services, governor.DecodeFull(now, response.GetFull()))
 }
--- a/src/governor/brittleness.go
+++ b/src/governor/brittleness.go
@@ -22,11 +22,7 @@
 func (b *brittleness) record(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
 	services := make([]rationer.Service, 0, len(poll.GetBrittle()))
 	for _, m := range poll.GetBrittle() {
-		services = append(services, rationer.Service{
-			Name:          units.Service(m.GetService()),
-			MaxRejections: m.GetMaxRejections(),
-			StatedAt:      now.Add(-time.Duration(m.GetAgeNs())),
-		})
+		services = append(services, DecodeBrittle(now, m))
 	}
 	for _, service := range b.summary.RecordReport(now, services, DecodeFull(now, poll.GetFull())) {
 		b.log(service, true)
@@ -42,19 +38,48 @@
 // report adds the brittle services and the full upstreams to a response.
 func (b *brittleness) report(now time.Time, entry units.Instance, response *messages.EntryPollResponse) {
 	for _, s := range b.summary.ServicesFor(entry) {
-		response.Brittle = append(response.Brittle, &messages.BrittleService{
-			Service:        string(s.Name),
-			MaxRejections:  s.MaxRejections,
-			AgeNs:          int64(now.Sub(s.StatedAt)),
-			CallsPerSecond: float64(s.CallRate),
-			ShareFrom:      s.Share.From,
-			ShareTo:        s.Share.To,
-		})
+		response.Brittle = append(response.Brittle, EncodeBrittle(now, s))
 	}
 	full := b.summary.Full()
 	response.Full = EncodeFull(now, full[:min(len(full), maxFull)])
 }
 
+// maxBrittleAge is what an age is sent as that is unknown or longer.
+const maxBrittleAge = time.Hour
+
+// EncodeBrittle encodes what is known of a brittle service.
+func EncodeBrittle(now time.Time, s rationer.Service) *messages.BrittleService {
+	return &messages.BrittleService{
+		Service:        string(s.Name),
+		MaxRejections:  s.MaxRejections,
+		AgeNs:          int64(min(maxBrittleAge, now.Sub(s.StatedAt))),
+		AnsweredAgeNs:  int64(min(maxBrittleAge, now.Sub(s.AnsweredAt))),
+		CallsPerSecond: float64(s.CallRate),
+		ShareFrom:      s.Share.From,
+		ShareTo:        s.Share.To,
+	}
+}
+
+// DecodeBrittle decodes what is known of a brittle service.
+func DecodeBrittle(now time.Time, m *messages.BrittleService) rationer.Service {
+	s := rationer.Service{
+		Name:          units.Service(m.GetService()),
+		MaxRejections: m.GetMaxRejections(),
+		CallRate:      units.CallRate(m.GetCallsPerSecond()),
+		Share: rationer.Share{
+			From: m.GetShareFrom(),
+			To:   m.GetShareTo(),
+		},
+	}
+	if age := time.Duration(m.GetAgeNs()); age < maxBrittleAge {
+		s.StatedAt = now.Add(-age)
+	}
+	if age := time.Duration(m.GetAnsweredAgeNs()); age < maxBrittleAge {
+		s.AnsweredAt = now.Add(-age)
+	}
+	return s
+}
+
 // EncodeFull encodes upstreams that were found full.
 func EncodeFull(now time.Time, full []rationer.Full) []*messages.FullUpstream {
 	encoded := make([]*messages.FullUpstream, 0, len(full))
--- a/src/rationer/rationer.go
+++ b/src/rationer/rationer.go
@@ -12,12 +12,11 @@
 )
 
 const (
-	// statementTTL is how long after its last statement an upstream counts as brittle. One that gets
-	// calls states it several times a second, and one that rejects a call states it again.
+	// statementTTL is how long after the last statement answers of the service must go on without
+	// another one until it is no longer brittle. Without answers it may still be.
 	statementTTL = 3 * time.Second
-	// shareTTL is how long a share is used without another one from the leader: until one is elected
-	// and has measured the calls of all entries.
-	shareTTL = 5 * time.Second
+	// maxStatementAge is how long a service without answers counts as brittle.
+	maxStatementAge = 30 * time.Second
 	// fullTTL is how long an upstream gets no calls after it rejected one or had some waiting: until
 	// the polls of all entries show its load.
 	fullTTL = 300 * time.Millisecond
@@ -65,7 +64,10 @@
 type Service struct {
 	Name          units.Service
 	MaxRejections float64
-	StatedAt      time.Time
+	// StatedAt is when an upstream has last stated that it is brittle, and AnsweredAt when any of the
+	// service has last answered.
+	StatedAt   time.Time
+	AnsweredAt time.Time
 	// CallRate is the rate of the calls of all entries, 0 if unknown.
 	CallRate units.CallRate
 	// Share is the entry's part of the service, empty if it has none yet.
@@ -102,13 +104,16 @@
 
 // service is what this entry knows of one service.
 type service struct {
-	// stated holds the statements of upstreams to this entry.
-	stated map[units.IncarnationID]stated
-	// fleet is what the leader said last, share the last share of this entry, received at sharedAt.
-	fleet    Service
-	share    Share
-	sharedAt time.Time
-	full     map[units.IncarnationID]Full
+	// stated holds the statements of upstreams to this entry, and answeredAt is when any of them has
+	// last answered it.
+	stated     map[units.IncarnationID]stated
+	answeredAt time.Time
+	// fleet is what the leader said last.
+	fleet Service
+	// share is the last share of this entry. It is used until there is another one, also without a
+	// leader, as the shares of all entries do not overlap.
+	share Share
+	full  map[units.IncarnationID]Full
 	// found are the upstreams that this entry has found full since its last report.
 	found map[units.IncarnationID]bool
 	// loads are the numbers of calls that upstreams have stated in their last answers.
@@ -130,17 +135,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.Brittle {
-		r.service(name).stated[id] = stated{
+		r.service(name)
+	}
+	known := r.services[name]
+	if known == nil {
+		return
+	}
+	known.answeredAt = now
+	if s.Brittle {
+		known.stated[id] = stated{
 			maxRejections: s.MaxRejections,
 			at:            now,
 		}
-		return
-	}
-	if known := r.services[name]; known != nil && sentAt.After(known.stated[id].at) {
+	} else if sentAt.After(known.stated[id].at) {
 		delete(known.stated, id)
 	}
 }
 
+// IsBrittle reports whether the service is still brittle by its last statement.
+func (s Service) IsBrittle(now time.Time) bool {
+	return !s.StatedAt.IsZero() && now.Sub(s.StatedAt) < maxStatementAge && s.AnsweredAt.Sub(s.StatedAt) < statementTTL
+}
+
 // RecordLoad records how many calls an upstream has, and how many of these wait.
 func (r *Rationer) RecordLoad(now time.Time, name units.Service, id units.IncarnationID, calls, waiting int) {
 	if r.count.Load() == 0 {
@@ -190,7 +206,7 @@
 		s := r.service(fleet.Name)
 		s.fleet = fleet
 		if !fleet.Share.isEmpty() {
-			s.share, s.sharedAt = fleet.Share, now
+			s.share = fleet.Share
 		}
 	}
 	for _, s := range r.services {
@@ -199,7 +215,7 @@
 		}
 	}
 	for name, s := range r.services {
-		maps.DeleteFunc(s.stated, func(_ units.IncarnationID, st stated) bool { return now.Sub(st.at) >= statementTTL })
+		maps.DeleteFunc(s.stated, func(_ units.IncarnationID, st stated) bool { return !s.isValid(now, st) })
 		maps.DeleteFunc(s.full, func(_ units.IncarnationID, f Full) bool { return f.isOver(now) })
 		if _, brittle := s.maxRejections(now); !brittle {
 			delete(r.services, name)
@@ -208,7 +224,7 @@
 	r.count.Store(int64(len(r.services)))
 }
 
-// Report returns the services that upstreams have stated to this entry to be brittle, and the
+// Report returns what upstreams of brittle services have stated to this entry, if anything, and the
 // upstreams that it has found full since the last report.
 func (r *Rationer) Report(now time.Time) (services []Service, full []Full) {
 	if r.count.Load() == 0 {
@@ -217,10 +233,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, s := range r.services {
-		if last, found := s.lastStated(now); found {
-			last.Name = name
-			services = append(services, last)
-		}
+		last, _ := s.lastStated(now)
+		last.Name, last.AnsweredAt = name, s.answeredAt
+		services = append(services, last)
 		for id := range s.found {
 			full = append(full, s.full[id])
 		}
@@ -263,10 +278,27 @@
 	return !f.isFull(now) && (f.Capacity == 0 || now.Sub(f.RejectedAt) >= maxCapacityAge)
 }
 
+// isValid reports whether a statement still counts.
+func (s *service) isValid(now time.Time, st stated) bool {
+	last := Service{
+		StatedAt:   st.at,
+		AnsweredAt: s.lastAnswer(),
+	}
+	return last.IsBrittle(now)
+}
+
+// lastAnswer returns when an upstream of the service has last answered any entry.
+func (s *service) lastAnswer() time.Time {
+	if s.fleet.AnsweredAt.After(s.answeredAt) {
+		return s.fleet.AnsweredAt
+	}
+	return s.answeredAt
+}
+
 // lastStated returns what upstreams have lately stated to this entry.
 func (s *service) lastStated(now time.Time) (last Service, found bool) {
 	for _, st := range s.stated {
-		if now.Sub(st.at) >= statementTTL {
+		if !s.isValid(now, st) {
 			continue
 		}
 		if !found || st.maxRejections < last.MaxRejections {
@@ -299,7 +331,9 @@
 func (s *service) maxRejections(now time.Time) (lowest float64, brittle bool) {
 	last, brittle := s.lastStated(now)
 	lowest = last.MaxRejections
-	if s.fleet.StatedAt.IsZero() || now.Sub(s.fleet.StatedAt) >= statementTTL {
+	fleet := s.fleet
+	fleet.AnsweredAt = s.lastAnswer()
+	if !fleet.IsBrittle(now) {
 		return lowest, brittle
 	}
 	if !brittle || s.fleet.MaxRejections < lowest {
@@ -326,8 +360,7 @@
 		upstreams[i].Slots = s.full[upstreams[i].ID].slots(now, upstreams[i].Slots)
 		slots += usableSlots(upstreams[i])
 	}
-	hasShare := !s.share.isEmpty() && now.Sub(s.sharedAt) < shareTTL
-	if hasShare && slots >= minSlotsPerEntry*load.Entries {
+	if !s.share.isEmpty() && slots >= minSlotsPerEntry*load.Entries {
 		return s.selectOwned(now, upstreams)
 	}
 	return s.selectByTarget(now, upstreams, load, maxRejections, r.random)
--- a/src/rationer/summary.go
+++ b/src/rationer/summary.go
@@ -44,18 +44,15 @@
 func (s *Summary) RecordReport(now time.Time, services []Service, full []Full) []Service {
 	var begun []Service
 	for _, reported := range services {
-		if now.Sub(reported.StatedAt) >= statementTTL {
-			continue
-		}
 		known := s.services[reported.Name]
 		if known == nil {
+			if !reported.IsBrittle(now) {
+				continue
+			}
 			known = s.begin(now, reported)
 			begun = append(begun, reported)
 		}
-		known.MaxRejections = min(known.MaxRejections, reported.MaxRejections)
-		if reported.StatedAt.After(known.StatedAt) {
-			known.StatedAt = reported.StatedAt
-		}
+		known.merge(reported)
 	}
 	for _, f := range full {
 		if s.full == nil {
@@ -66,6 +63,20 @@
 	return begun
 }
 
+// merge adds what an entry reports.
+func (f *fleetService) merge(reported Service) {
+	if reported.AnsweredAt.After(f.AnsweredAt) {
+		f.AnsweredAt = reported.AnsweredAt
+	}
+	if reported.StatedAt.IsZero() {
+		return
+	}
+	f.MaxRejections = min(f.MaxRejections, reported.MaxRejections)
+	if reported.StatedAt.After(f.StatedAt) {
+		f.StatedAt = reported.StatedAt
+	}
+}
+
 func (s *Summary) begin(now time.Time, reported Service) *fleetService {
 	if s.services == nil {
 		s.services = make(map[units.Service]*fleetService)
@@ -141,7 +152,7 @@
 	var ended []Service
 	for name, known := range s.services {
 		switch {
-		case now.Sub(known.StatedAt) >= statementTTL:
+		case !known.IsBrittle(now):
 			ended = append(ended, known.Service)
 			delete(s.services, name)
 		case now.Sub(known.sharedAt) >= shareInterval:
