Relay requests of a partitioned entry of the product through its peers

An entry judged "no upstream can be reached" from its own connections and had no other way to them. The gateway of the platform got its relays in; src/entry still forwarded directly.

Change: entries that can reach no upstream send attempts through peers that can (src/entry/relays.go, over the relayer of the gateway). The probe that finds the way back moves to pathfinder.Prober and is shared by both. A relayed stream that breaks off is continued elsewhere, from what the caller has (dispatcher.NewResumedStream). Upstream connections use the dialer with keep-alive and user timeouts, so that a silent second does not end them.

Known limits: relayed streams are not moved with their KV cache; a suspended peer holds a relayed call until its deadline; the product's entry does not read rations of brittle upstreams.

--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// NewResumedStream returns a stream whose caller has received its events up to an offset, which are the
+// text that a version of the model has generated.
+func NewResumedStream(sink Sink, offset units.Tokens, text []byte, version units.ModelVersion) *Stream {
+	return &Stream{
+		Sink:    sink,
+		offset:  offset,
+		text:    text,
+		version: version,
+	}
+}
+
 // Offset returns how many tokens the caller has received.
 func (s *Stream) Offset() units.Tokens { return s.offset }
 
--- a/src/entry/coordinator.go
+++ b/src/entry/coordinator.go
@@ -71,6 +71,9 @@
 	onDeparture func(upstream *tracker.Upstream)
 	// onCacheEvents is called for cache events; it may be nil.
 	onCacheEvents func(upstream *tracker.Upstream, events *messages.CacheEvents)
+	// onSnapshot is called with each new snapshot and onView with each new view; they may be nil.
+	onSnapshot func(snapshot *indexer.Snapshot)
+	onView     func(view *messages.EntryView)
 	// publishedAt is when the snapshot was last built, stale whether it must be rebuilt.
 	publishedAt time.Time
 	stale       bool
@@ -170,5 +173,9 @@
 	}
 	c.publishedAt = time.Now()
 	c.stale = false
-	c.snapshot.Store(indexer.Build(c.configuration, c.tracker.Usable()))
+	snapshot := indexer.Build(c.configuration, c.tracker.Usable())
+	c.snapshot.Store(snapshot)
+	if c.onSnapshot != nil {
+		c.onSnapshot(snapshot)
+	}
 }
--- a/src/entry/entry.go
+++ b/src/entry/entry.go
@@ -44,6 +44,7 @@
 	view         atomic.Pointer[messages.EntryView]
 	coordinator  *coordinator
 	traffic      *traffic
+	relays       *relays
 	shares       *shares
 	stopping     atomic.Bool
 	incarnation  units.Incarnation
@@ -93,7 +94,10 @@
 		Scope:      e.Meter.Scope,
 	}
 	e.traffic = newTraffic(e)
+	e.relays = newRelays(e, e.traffic)
 	e.coordinator.onDeparture = e.traffic.handleDeparture
+	e.coordinator.onSnapshot = e.relays.onSnapshot
+	e.coordinator.onView = e.relays.onView
 	e.coordinator.onCacheEvents = e.traffic.router.OnCacheEvents
 	e.recorder = e.newRecorder()
 	e.callers = e.newCallerServer()
@@ -113,6 +117,7 @@
 		e.recorder.Run,
 		e.Certificates.Run,
 		e.traffic.migrator.Run,
+		e.relays.run,
 		e.shares.run,
 	}
 }
@@ -126,6 +131,7 @@
 	if err := e.callers.Run(ctx); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
+	e.relays.drain(ctx)
 	e.drainRecord(ctx)
 	e.leaveView(ctx)
 	e.Log.Info().Msg("drained")
@@ -156,7 +162,7 @@
 			Budget:    &limiter.RetryBudget{},
 			Recorder:  e.recorder,
 			Router:    e.traffic.router,
-			Exchanger: e.traffic.forwarder,
+			Exchanger: &pathExchanger{relays: e.relays},
 			Observer:  e.traffic.router,
 		},
 		Ready:         e.isReady,
@@ -179,6 +185,7 @@
 	e.recorder.Handle(server)
 	e.controlClient.register(server)
 	e.handleAdoption(server)
+	e.relays.register(server)
 	return server
 }
 
--- a/src/entry/membership.go
+++ b/src/entry/membership.go
@@ -179,6 +179,9 @@
 		c.handleGossipEnded(e)
 	case viewChanged:
 		c.stepInformer(informer.ViewChanged{View: e.view})
+		if c.onView != nil {
+			c.onView(e.view)
+		}
 	case directUpstreamsRequested:
 		e.reply <- c.directUpstreams()
 	}
--- a/src/entry/traffic.go
+++ b/src/entry/traffic.go
@@ -14,6 +14,7 @@
 
 // traffic is the part of an entry that forwards calls to upstreams.
 type traffic struct {
+	pools     *forwarder.Pools
 	router    *router.Router
 	forwarder *forwarder.Forwarder
 	migrator  *forwarder.StreamMigrator
@@ -30,6 +31,7 @@
 	}
 	migrator := forwarder.NewStreamMigrator(callRouter, pools, e.Log)
 	return &traffic{
+		pools:    pools,
 		router:   callRouter,
 		migrator: migrator,
 		forwarder: &forwarder.Forwarder{
--- a/src/forwarder/pool.go
+++ b/src/forwarder/pool.go
@@ -1,12 +1,17 @@
 package forwarder
 
 import (
+	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/dialer"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/watcher"
 )
 
@@ -23,6 +28,11 @@
 	// TLS is the configuration for upstreams that serve over TLS; it is nil if none
 	// does.
 	TLS *tls.Config
+	// Dialer opens the connections; nil opens them over TCP.
+	Dialer Dialer
+	// OnDialed is called with the outcome of each attempt to open a connection, except those whose
+	// caller left; it may be nil.
+	OnDialed func(address string, startedAt time.Time, err error)
 
 	mu      sync.Mutex
 	clients map[string]*http.Client
@@ -41,7 +51,7 @@
 	if len(p.clients) >= maxPools {
 		p.evictOne()
 	}
-	client := p.newClient()
+	client := p.newClient(address)
 	p.clients[address] = client
 	return client
 }
@@ -71,13 +81,46 @@
 	}
 }
 
-func (p *Pools) newClient() *http.Client {
-	dialer := &net.Dialer{
-		Timeout: watcher.ConnectTimeout,
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dial opens a connection to the upstream at an address, which is its URL.
+func (p *Pools) dial(ctx context.Context, address, network, hostPort string) (net.Conn, error) {
+	startedAt := timekeeper.Now()
+	var open Dialer = dialer.New()
+	if p.Dialer != nil {
+		open = p.Dialer
+	}
+	timed, cancel := context.WithTimeout(ctx, watcher.ConnectTimeout)
+	defer cancel()
+	conn, err := open.DialContext(timed, network, hostPort)
+	if p.OnDialed != nil && (err == nil || ctx.Err() == nil) {
+		p.OnDialed(address, startedAt, err)
 	}
+	return conn, err
+}
+
+// Probe returns why no connection to the upstream at an address can be opened, or nil.
+func (p *Pools) Probe(ctx context.Context, address string) error {
+	parsed, err := url.Parse(address)
+	if err != nil {
+		return fmt.Errorf("read the address of an upstream: %w", err)
+	}
+	conn, err := p.dial(ctx, address, "tcp", parsed.Host)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (p *Pools) newClient(address string) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, hostPort string) (net.Conn, error) {
+				return p.dial(ctx, address, network, hostPort)
+			},
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- a/src/forwarder/request.go
+++ b/src/forwarder/request.go
@@ -87,6 +87,12 @@
 	return p, nil
 }
 
+// IsResumable reports whether a call's answer can resume at another upstream.
+func IsResumable(call *dispatcher.Call) bool {
+	p, err := newPlan(call)
+	return err == nil && p.resumable
+}
+
 func isSingle(count json.RawMessage) bool {
 	return len(count) == 0 || string(count) == "1" || string(count) == "null"
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -182,7 +182,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		g.runProbes(ctx)
+		g.prober().Run(ctx)
 		return nil
 	})
 	group.Go(func() error { return g.runRelays(ctx) })
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/pathfinder"
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/relayer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -21,8 +23,6 @@
 	relayDescriptorFraction = 0.08
 	// relayMemoryFraction is the fraction of the memory limit that bodies of relayed calls may use.
 	relayMemoryFraction = 0.08
-	// probeInterval is how often due probes of upstreams are started.
-	probeInterval = 100 * time.Millisecond
 )
 
 // prepareRelays creates the components that send calls through other entries and carry theirs.
@@ -208,36 +208,22 @@
 	return c.gateway.pool.Probe(ctx, upstream)
 }
 
-// runProbes attempts connections to upstreams that this entry could not connect to, until ctx ends.
-func (g *Gateway) runProbes(ctx context.Context) {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, probe := range g.pathfinder.DueProbes(timekeeper.Now()) {
-				go g.probe(ctx, probe.Service, probe.Upstream)
+// prober returns the prober of upstreams that this entry could not connect to.
+func (g *Gateway) prober() *pathfinder.Prober {
+	return &pathfinder.Prober{
+		Pathfinder: &g.pathfinder,
+		Connect: func(ctx context.Context, service units.Service, id units.IncarnationID) error {
+			upstream := g.upstream(service, id)
+			if upstream == nil {
+				return errUpstreamGone
 			}
-		}
+			return g.pool.Probe(ctx, upstream)
+		},
 	}
 }
 
-// probe attempts connections to upstreams of a service, the next one as soon as one is made.
-func (g *Gateway) probe(ctx context.Context, service units.Service, id units.IncarnationID) {
-	for {
-		upstream := g.upstream(service, id)
-		if upstream == nil || g.pool.Probe(ctx, upstream) != nil {
-			return
-		}
-		next, due := g.pathfinder.DueProbe(timekeeper.Now(), service)
-		if !due {
-			return
-		}
-		id = next
-	}
-}
+// errUpstreamGone is the error of a probe of an upstream that is no longer in use.
+var errUpstreamGone = errors.New("the upstream is no longer in use")
 
 // upstream returns the upstream in use with an incarnation, nil if there is none.
 func (g *Gateway) upstream(service units.Service, id units.IncarnationID) *tracker.Upstream {
--- a/src/indexer/snapshot.go
+++ b/src/indexer/snapshot.go
@@ -177,6 +177,9 @@
 	return models
 }
 
+// Services returns all services.
+func (s *Snapshot) Services() []*Service { return s.services }
+
 // Service returns a service by name.
 func (s *Snapshot) Service(name units.Service) (*Service, bool) {
 	for _, service := range s.services {
--- a/src/relayer/carrier.go
+++ b/src/relayer/carrier.go
@@ -29,7 +29,7 @@
 // Carrier sends calls of other entries to upstreams; its exported fields are set before use.
 type Carrier struct {
 	Upstreams Upstreams
-	// TrueNow returns the time of day that the fleet has agreed on.
+	// TrueNow returns the time of day that the fleet has agreed on; nil where there is none.
 	TrueNow func() time.Time
 	// MaxCalls and MaxBytes bound the calls that are carried at a time and their bodies together; 0
 	// stands for no limit.
@@ -126,7 +126,8 @@
 		ctx:  ctx,
 		peer: peer,
 	}
-	sink.stream = dispatcher.NewStream(sink, units.Tokens(m.GetOffset()))
+	sink.stream = dispatcher.NewResumedStream(sink, units.Tokens(m.GetOffset()), m.GetText(), units.ModelVersion(m.GetModelVersion()))
+	sink.textSent = len(m.GetText())
 	result := c.Upstreams.Exchange(ctx, call, units.Attempt(m.GetAttempt()), upstream, sink.stream)
 	sink.flush()
 	c.log(m, upstream, result, startedAt)
@@ -151,6 +152,9 @@
 
 // timeLeft returns how much time an attempt has left.
 func (c *Carrier) timeLeft(m *messages.RelayedCall) time.Duration {
+	if c.TrueNow == nil || m.GetDeadlineNs() == 0 {
+		return time.Duration(m.GetLeftNs())
+	}
 	untilDeadline := time.Unix(0, m.GetDeadlineNs()).Sub(c.TrueNow())
 	return min(time.Duration(m.GetLeftNs()), untilDeadline+deadlineTolerance)
 }
@@ -199,6 +203,8 @@
 	buffering bool
 	buffered  []byte
 	offset    units.Tokens
+	// textSent is how many bytes of the stream's text the sender has.
+	textSent int
 }
 
 // Answer is not called: complete answers are part of the result.
@@ -226,7 +232,9 @@
 	event := &messages.RelayedEvent{
 		Offset: int64(s.offset),
 		Data:   s.buffered,
+		Text:   s.stream.Text()[s.textSent:],
 	}
+	s.textSent = len(s.stream.Text())
 	err := s.peer.Notify(s.ctx, methodEvent, event)
 	s.buffered = s.buffered[:0]
 	return err
--- a/src/relayer/codec.go
+++ b/src/relayer/codec.go
@@ -34,12 +34,13 @@
 }
 
 // encodeCall encodes one attempt of a call.
-func encodeCall(offer *messages.RelayOffer, call *dispatcher.Call, attempt units.Attempt, offset units.Tokens, left time.Duration, deadline time.Time) *messages.RelayedCall {
+func encodeCall(offer *messages.RelayOffer, call *dispatcher.Call, attempt units.Attempt, stream *dispatcher.Stream) *messages.RelayedCall {
 	m := &messages.RelayedCall{
 		Offer:        offer,
 		Method:       call.Method,
 		Host:         call.Host,
 		Path:         call.Path,
+		Query:        call.Query,
 		Header:       encodeHeader(call.Header),
 		Body:         call.Body,
 		Credential:   call.Credential,
@@ -49,13 +50,17 @@
 		Stream:       call.Stream,
 		Repeatable:   call.Repeatable,
 		Attempt:      uint32(attempt),
-		Offset:       int64(offset),
+		Offset:       int64(stream.Offset()),
 		Fingerprint:  uint64(call.Fingerprint),
-		LeftNs:       int64(left),
-		DeadlineNs:   deadline.UnixNano(),
+		Kind:         string(call.Kind),
+		InterTokenNs: int64(call.InterTokenLatency),
+		MaxOutput:    int64(call.MaxOutput),
+		Text:         stream.Text(),
+		ModelVersion: string(stream.Version()),
 	}
 	if call.Account != nil {
 		m.Account = string(call.Account.Name)
+		m.Priority = int32(call.Account.Priority)
 	}
 	for _, section := range call.Prefixes {
 		m.Sections = append(m.Sections, &messages.PromptSection{
@@ -69,24 +74,31 @@
 // decodeCall decodes one attempt of a call, without its times.
 func decodeCall(m *messages.RelayedCall) *dispatcher.Call {
 	call := &dispatcher.Call{
-		ID:           units.CallID(m.GetOffer().GetCall()),
-		Service:      units.Service(m.GetOffer().GetService()),
-		Method:       m.GetMethod(),
-		Host:         m.GetHost(),
-		Path:         m.GetPath(),
-		Header:       decodeHeader(m.GetHeader()),
-		Body:         m.GetBody(),
-		Repeatable:   m.GetRepeatable(),
-		Stream:       m.GetStream(),
-		Model:        units.Model(m.GetModel()),
-		PromptTokens: units.Tokens(m.GetPromptTokens()),
-		ResumeOffset: units.Tokens(m.GetOffset()),
-		Rank:         int(m.GetRank()),
-		Credential:   m.GetCredential(),
-		Fingerprint:  units.Fingerprint(m.GetFingerprint()),
+		ID:                units.CallID(m.GetOffer().GetCall()),
+		Service:           units.Service(m.GetOffer().GetService()),
+		Kind:              parser.ServiceKind(m.GetKind()),
+		Method:            m.GetMethod(),
+		Host:              m.GetHost(),
+		Path:              m.GetPath(),
+		Query:             m.GetQuery(),
+		Header:            decodeHeader(m.GetHeader()),
+		Body:              m.GetBody(),
+		InterTokenLatency: time.Duration(m.GetInterTokenNs()),
+		Repeatable:        m.GetRepeatable(),
+		Stream:            m.GetStream(),
+		Model:             units.Model(m.GetModel()),
+		PromptTokens:      units.Tokens(m.GetPromptTokens()),
+		MaxOutput:         units.Tokens(m.GetMaxOutput()),
+		ResumeOffset:      units.Tokens(m.GetOffset()),
+		Rank:              int(m.GetRank()),
+		Credential:        m.GetCredential(),
+		Fingerprint:       units.Fingerprint(m.GetFingerprint()),
 	}
 	if m.GetAccount() != "" {
-		call.Account = &parser.ClientAccount{Name: units.Account(m.GetAccount())}
+		call.Account = &parser.ClientAccount{
+			Name:     units.Account(m.GetAccount()),
+			Priority: int(m.GetPriority()),
+		}
 	}
 	for _, section := range m.GetSections() {
 		call.Prefixes = append(call.Prefixes, dispatcher.PromptPrefix{
--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -189,29 +189,37 @@
 		Service:    "s",
 		Method:     http.MethodPost,
 		Host:       "h.example",
-		Path:       "/p?q=1",
+		Kind:       parser.ModelService,
+		Path:       "/p",
+		Query:      "q=1",
 		Header:     http.Header{"X-A": {"1", "2"}},
 		Body:       []byte("body"),
-		Account:    &parser.ClientAccount{Name: "acme"},
+		Account:    &parser.ClientAccount{Name: "acme", Priority: 2},
 		Credential: "key",
 		Rank:       3,
-		Prefixes:   []dispatcher.PromptPrefix{{ID: 1 << 63, Tokens: 7}},
-		Repeatable: repeatable,
-		Stream:     stream,
+		MaxOutput:  40,
+
+		InterTokenLatency: 30 * time.Millisecond,
+		Prefixes:          []dispatcher.PromptPrefix{{ID: 1 << 63, Tokens: 7}},
+		Repeatable:        repeatable,
+		Stream:            stream,
 	}
 }
 
+// tokenText returns the text of some tokens of a stream.
+func tokenText(from, to int) string { return "TUVWXYZ"[from:to] }
+
 func stream(from int, count int, result dispatcher.Result) func(context.Context, *dispatcher.Call, *dispatcher.Stream) dispatcher.Result {
 	return func(_ context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
 		call.Trace.(*Trace).Started = true
-		if s.Offset() != units.Tokens(from) {
-			return dispatcher.Result{Kind: dispatcher.Failed, Err: fmt.Errorf("stream begins at %d", s.Offset())}
+		if s.Offset() != units.Tokens(from) || string(s.Text()) != tokenText(0, from) {
+			return dispatcher.Result{Kind: dispatcher.Failed, Err: fmt.Errorf("stream begins at %d after %q", s.Offset(), s.Text())}
 		}
 		if _, err := s.Begin(http.Header{"X-Proof": {"p"}}, testUpstream, "v1"); err != nil {
 			return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
 		}
 		for n := from; n < from+count; n++ {
-			if err := s.Event(units.Tokens(n+1), []byte{byte('a' + n)}, nil); err != nil {
+			if err := s.Event(units.Tokens(n+1), []byte{byte('a' + n)}, []byte(tokenText(n, n+1))); err != nil {
 				return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
 			}
 		}
@@ -286,8 +294,12 @@
 			s := newSender(startCarrier(t, upstreams))
 			sink := &recordingSink{}
 			call := newCall(!c.once, c.streamed)
-			got := s.Exchange(t.Context(), call, 2, testUpstream, dispatcher.NewStream(sink, c.offset))
+			callerStream := dispatcher.NewResumedStream(sink, c.offset, []byte(tokenText(0, int(c.offset))), "v1")
+			got := s.Exchange(t.Context(), call, 2, testUpstream, callerStream)
 			checkResult(t, got, c.want)
+			if text, want := string(callerStream.Text()), tokenText(0, int(c.offset)+len(c.wantEvents)); text != want {
+				t.Errorf("text from which the stream could resume: got %q, want %q", text, want)
+			}
 			if events := strings.Join(sink.events, ""); events != c.wantEvents || c.streamed && sink.ended != (c.want.Kind == dispatcher.Answered) {
 				t.Errorf("events: got %q with the end %t, want %q", events, sink.ended, c.wantEvents)
 			}
@@ -318,10 +330,26 @@
 		t.Fatalf("calls at the carrier: got %d, want 1", len(carried))
 	}
 	got := carried[0]
-	if got.ID != call.ID || got.Method != call.Method || got.Host != call.Host || got.Path != call.Path || string(got.Body) != string(call.Body) ||
-		got.Account.Name != call.Account.Name || got.Credential != call.Credential || got.Rank != call.Rank || got.Repeatable != call.Repeatable ||
-		!slices.Equal(got.Prefixes, call.Prefixes) || !slices.Equal(got.Header["X-A"], call.Header["X-A"]) {
-		t.Errorf("call at the carrier: got %+v, want %+v", got, call)
+	for field, values := range map[string][2]any{
+		"id":          {got.ID, call.ID},
+		"kind":        {got.Kind, call.Kind},
+		"method":      {got.Method, call.Method},
+		"host":        {got.Host, call.Host},
+		"path":        {got.Path + "?" + got.Query, call.Path + "?" + call.Query},
+		"header":      {fmt.Sprint(got.Header), fmt.Sprint(call.Header)},
+		"body":        {string(got.Body), string(call.Body)},
+		"account":     {got.Account.Name, call.Account.Name},
+		"priority":    {got.Account.Priority, call.Account.Priority},
+		"credential":  {got.Credential, call.Credential},
+		"rank":        {got.Rank, call.Rank},
+		"repeatable":  {got.Repeatable, call.Repeatable},
+		"max-output":  {got.MaxOutput, call.MaxOutput},
+		"inter-token": {got.InterTokenLatency, call.InterTokenLatency},
+		"prefixes":    {fmt.Sprint(got.Prefixes), fmt.Sprint(call.Prefixes)},
+	} {
+		if values[0] != values[1] {
+			t.Errorf("%s of the call at the carrier: got %v, want %v", field, values[0], values[1])
+		}
 	}
 }
 
@@ -469,17 +497,22 @@
 func TestCarriedCallsKeepTheirDeadline(t *testing.T) {
 	cases := map[string]struct {
 		left, untilDeadline time.Duration
+		noTrueTime          bool
 		want                time.Duration
 	}{
 		"in time":           {left: time.Second, untilDeadline: time.Second, want: time.Second},
 		"clock ahead":       {left: time.Second, untilDeadline: time.Second - deadlineTolerance, want: time.Second},
 		"delayed":           {left: 2 * time.Second, untilDeadline: time.Second, want: time.Second + deadlineTolerance},
+		"no true time":      {left: 2 * time.Second, untilDeadline: -time.Second, noTrueTime: true, want: 2 * time.Second},
 		"past its deadline": {left: 2 * time.Second, untilDeadline: -time.Second, want: deadlineTolerance - time.Second},
 	}
 	now := time.Unix(1000, 0)
-	c := &Carrier{TrueNow: func() time.Time { return now }}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
+			c := &Carrier{TrueNow: func() time.Time { return now }}
+			if test.noTrueTime {
+				c.TrueNow = nil
+			}
 			got := c.timeLeft(&messages.RelayedCall{LeftNs: int64(test.left), DeadlineNs: now.Add(test.untilDeadline).UnixNano()})
 			if got != test.want {
 				t.Errorf("time left: got %v, want %v", got, test.want)
--- a/src/relayer/sender.go
+++ b/src/relayer/sender.go
@@ -34,7 +34,7 @@
 	Client *connector.Client
 	// Guard is checked right before an attempt is sent to the peer.
 	Guard exchanger.Guard
-	// TrueNow returns the time of day that the fleet has agreed on.
+	// TrueNow returns the time of day that the fleet has agreed on; nil where there is none.
 	TrueNow func() time.Time
 	// OnStarted is called once a call has started to run or may have.
 	OnStarted func(call *dispatcher.Call, upstream *tracker.Upstream)
@@ -206,7 +206,11 @@
 		stream:   stream,
 		sentAt:   timekeeper.Now(),
 	}
-	message := encodeCall(s.offer(call, upstream), call, attempt, stream.Offset(), left, s.TrueNow().Add(left))
+	message := encodeCall(s.offer(call, upstream), call, attempt, stream)
+	message.LeftNs = int64(left)
+	if s.TrueNow != nil {
+		message.DeadlineNs = s.TrueNow().Add(left).UnixNano()
+	}
 	end := &messages.RelayEnd{}
 	err = session.Call(ctx, MethodSend, message, end, e.receive)
 	result := e.result(ctx, end, err)
@@ -288,7 +292,7 @@
 	}
 	offset := units.Tokens(event.GetOffset())
 	if offset > e.stream.Offset() {
-		e.fail(dispatcher.CallerGone, e.stream.Event(offset, event.GetData(), nil))
+		e.fail(dispatcher.CallerGone, e.stream.Event(offset, event.GetData(), event.GetText()))
 		return
 	}
 	// The carrier sends no event twice, so this one has no position of its own.
--- a/src/router/observer.go
+++ b/src/router/observer.go
@@ -5,14 +5,14 @@
 	"github.com/rosecroft/rosecroft/src/ejector"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Observe records the result of an exchange and ejects upstreams at which calls fail.
 func (r *Router) Observe(upstream *tracker.Upstream, result dispatcher.Result) {
-	key := ejector.Key{
-		Service:     upstream.Service,
-		Upstream:    upstream.Name,
-		Incarnation: upstream.Incarnation,
+	key := keyOf(upstream)
+	if result.NoPath {
+		return
 	}
 	switch result.Kind {
 	case dispatcher.Answered:
@@ -50,6 +50,50 @@
 	}
 }
 
+// OnReached records that a connection to an upstream was made, which ends its ejection for want of one.
+func (r *Router) OnReached(upstream *tracker.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	event := ejector.UpstreamReached{Key: keyOf(upstream)}
+	if len(r.ejector.Step(r.now(), event)) > 0 {
+		upstream.Local.EjectedUntil.Store(0)
+	}
+}
+
+// OnPartition records that this entry is partitioned from a service, so that connections that could not
+// be made say nothing about its upstreams.
+func (r *Router) OnPartition(name units.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	readmitted := make(map[ejector.Key]bool)
+	for _, action := range r.ejector.Step(r.now(), ejector.EntryPartitioned{Service: name}) {
+		if a, ok := action.(ejector.Readmit); ok {
+			readmitted[a.Key] = true
+		}
+	}
+	snapshot := r.Snapshot.Load()
+	if snapshot == nil {
+		return
+	}
+	service, known := snapshot.Service(name)
+	if !known {
+		return
+	}
+	for _, upstream := range service.UsableUpstreams {
+		if readmitted[keyOf(upstream)] {
+			upstream.Local.EjectedUntil.Store(0)
+		}
+	}
+}
+
+func keyOf(upstream *tracker.Upstream) ejector.Key {
+	return ejector.Key{
+		Service:     upstream.Service,
+		Upstream:    upstream.Name,
+		Incarnation: upstream.Incarnation,
+	}
+}
+
 // OnDeparture records that an upstream is leaving or gone. For a reclaimable one it
 // counts as a reclaim notice in its data centre.
 func (r *Router) OnDeparture(upstream *tracker.Upstream) {
