--- a/src/prover/control_test.go
+++ b/src/prover/control_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -195,6 +196,27 @@
 	})
 }
 
+// freeze suspends a node and waits until all its threads are stopped: one that still runs may handle
+// what is sent after the signal.
+func freeze(t *testing.T, node *stager.Node) {
+	t.Helper()
+	node.Signal(syscall.SIGSTOP)
+	await(t, "all threads are stopped", func() bool {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", node.PID()))
+		if err != nil || len(threads) == 0 {
+			return false
+		}
+		for _, path := range threads {
+			content, err := os.ReadFile(path)
+			_, state, found := strings.Cut(string(content), ") ")
+			if err != nil || !found || !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // The leader freezes for longer than its lease while it handles a submission, and
 // another operator's content is accepted under the same version. When the leader
 // resumes in the middle of its work, it must not accept the first content, nor
@@ -205,7 +227,7 @@
 	awaitAccepted(t, cluster.Controls, 1)
 	leader := awaitLeader(t, cluster.Controls)
 	rest := excluding(cluster.Controls, leader)
-	leader.Signal(syscall.SIGSTOP)
+	freeze(t, leader)
 	lateResult := make(chan *messages.SubmissionResult, 1)
 	lostContent := exampleDocument(t, 2, "of the frozen leader")
 	go func() { lateResult <- submit(t.Context(), leader, lostContent, "bob") }()
@@ -221,7 +243,11 @@
 	if result.GetOutcome() == messages.Outcome_OUTCOME_ACCEPTED {
 		t.Fatalf("submission at the frozen leader: got %s, want a conflict or no answer", result.GetOutcome())
 	}
-	resent := submit(t.Context(), leader, lostContent, "bob")
+	var resent *messages.SubmissionResult
+	await(t, "the resumed leader answers", func() bool {
+		resent = submit(t.Context(), leader, lostContent, "bob")
+		return resent != nil
+	})
 	if got, want := resent.GetOutcome(), messages.Outcome_OUTCOME_CONFLICT; got != want {
 		t.Errorf("resend after the leader resumed: got %s, want %s", got, want)
 	}
