--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-func startCarrier(t *testing.T, upstreams Upstreams) *carrierProcess {
+func startCarrier(t testing.TB, upstreams Upstreams) *carrierProcess {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
