Tell entries without answers that upstreams are no longer brittle

Cause: the end of a statement is known by answers that came after it. The leader dropped the service in the moment in which it knew of such answers, so that entries without answers of their own were not told, and kept the service as brittle for 30 s; an entry without a slot makes no attempts, hence has no answers.

Change: the leader names a service for as long as an entry may take it for brittle, with the time of the last answer. An entry gives up what a leader said once a new one does not name the service for a second, in which all entries have reported to it. A service that states again that it is brittle begins anew.

Tests: TestIdleEntriesLearnThatUpstreamsAreNoLongerBrittle failed before (same and new leader), TestServiceBecomesBrittleAgain; three mutants. The condition of TestStatementsOfIdleEntries is now what entries conclude, as the leader names the service longer.

Still so: while upstreams are brittle, an entry whose share holds no slot refuses its calls.

--- a/src/rationer/rationer.go
+++ b/src/rationer/rationer.go
@@ -17,6 +17,8 @@
 	statementTTL = 3 * time.Second
 	// maxStatementAge is how long a service without answers counts as brittle.
 	maxStatementAge = 30 * time.Second
+	// reportTime is how long entries may take to report to a new leader: some polls.
+	reportTime = time.Second
 	// fullTTL is how long an upstream gets no calls after it rejected one or had some waiting: until
 	// the polls of all entries show its load.
 	fullTTL = 300 * time.Millisecond
@@ -108,8 +110,10 @@
 	// last answered it.
 	stated     map[units.IncarnationID]stated
 	answeredAt time.Time
-	// fleet is what the leader said last.
-	fleet Service
+	// fleet is what a leader said last, and untoldSince when the first response after it did not name
+	// the service, zero if none did.
+	fleet       Service
+	untoldSince time.Time
 	// share is the last share of this entry. It is used until there is another one, also without a
 	// leader, as the shares of all entries do not overlap.
 	share Share
@@ -202,9 +206,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	told := make(map[units.Service]bool, len(services))
 	for _, fleet := range services {
+		if r.services[fleet.Name] == nil && !fleet.IsBrittle(now) {
+			continue
+		}
 		s := r.service(fleet.Name)
-		s.fleet = fleet
+		s.fleet, s.untoldSince = fleet, time.Time{}
+		told[fleet.Name] = true
 		if !fleet.Share.isEmpty() {
 			s.share = fleet.Share
 		}
@@ -215,6 +224,9 @@
 		}
 	}
 	for name, s := range r.services {
+		if !told[name] {
+			s.leaveUntold(now)
+		}
 		maps.DeleteFunc(s.stated, func(_ units.IncarnationID, st stated) bool { return !s.isValid(now, st) })
 		maps.DeleteFunc(s.full, func(_ units.IncarnationID, f Full) bool { return f.isOver(now) })
 		if _, brittle := s.maxRejections(now); !brittle {
@@ -224,6 +236,17 @@
 	r.count.Store(int64(len(r.services)))
 }
 
+// leaveUntold handles a response that does not name the service: once all entries had the time to report
+// to a new leader, none of them has had a statement.
+func (s *service) leaveUntold(now time.Time) {
+	if s.untoldSince.IsZero() {
+		s.untoldSince = now
+	}
+	if now.Sub(s.untoldSince) >= reportTime {
+		s.fleet = Service{}
+	}
+}
+
 // Report returns what upstreams of brittle services have stated to this entry, if anything, and the
 // upstreams that it has found full since the last report.
 func (r *Rationer) Report(now time.Time) (services []Service, full []Full) {
--- a/src/rationer/rationer_test.go
+++ b/src/rationer/rationer_test.go
@@ -285,13 +285,87 @@
 			s.RecordReport(now, []Service{{Name: llm, AnsweredAt: other}}, nil)
 			s.Step(now)
 			got := s.ServicesFor("a")
-			if (len(got) > 0) != c.want || c.want && got[0].MaxRejections != 3 {
-				t.Errorf("brittle services: got %+v, want some %t", got, c.want)
+			if len(got) != 1 || got[0].IsBrittle(now) != c.want || got[0].MaxRejections != 3 {
+				t.Errorf("services: got %+v, want one that is brittle %t", got, c.want)
 			}
 		})
 	}
 }
 
+// Guards against an entry that refuses its callers long after upstreams said last that they are brittle,
+// because it has no slots, hence no answers: with the same leader, and with one that knows nothing of it.
+func TestIdleEntriesLearnThatUpstreamsAreNoLongerBrittle(t *testing.T) {
+	const (
+		pollInterval = 200 * time.Millisecond
+		brittleTime  = 2 * time.Second
+	)
+	cases := map[string]struct {
+		// stated is set where the idle entry has had a statement itself.
+		stated    bool
+		newLeader bool
+		allowed   time.Duration
+	}{
+		"same leader":                {allowed: statementTTL + time.Second},
+		"same leader, own statement": {stated: true, allowed: statementTTL + time.Second},
+		"new leader":                 {newLeader: true, allowed: 2*statementTTL + time.Second},
+		"new leader, own statement":  {stated: true, newLeader: true, allowed: 2*statementTTL + time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			end := start.Add(brittleTime + c.allowed)
+			begun := 0
+			busy, idle, leader := &Rationer{}, &Rationer{}, &Summary{}
+			for now := start; now.Before(end); now = now.Add(pollInterval) {
+				brittle := now.Before(start.Add(brittleTime))
+				busy.RecordAnswer(now, now, llm, 1, Statement{Brittle: brittle, MaxRejections: 3})
+				if c.stated && now.Equal(start.Add(brittleTime-pollInterval)) {
+					idle.RecordAnswer(now, now, llm, 2, Statement{Brittle: true, MaxRejections: 3})
+				}
+				if sinceEnd := now.Sub(start) - brittleTime; c.newLeader && sinceEnd > time.Second && sinceEnd < statementTTL+time.Second {
+					// There is no leader.
+					leader = &Summary{}
+					continue
+				}
+				for i, r := range []*Rationer{busy, idle} {
+					services, full := r.Report(now)
+					begun += len(leader.RecordReport(now, services, full))
+					leader.Step(now)
+					r.ApplyFleet(now, leader.ServicesFor(units.Instance(rune('a'+i))), leader.Full())
+				}
+				if _, got := idle.Brittle(now, llm); brittle && now.After(start.Add(pollInterval)) && !got {
+					t.Errorf("after %v: got no brittle service at the idle entry, want one", now.Sub(start))
+				}
+			}
+			if _, got := idle.Brittle(end, llm); got {
+				t.Errorf("%v after the last statement: got a brittle service, want none", c.allowed)
+			}
+			if !c.newLeader && begun != 1 {
+				t.Errorf("times that the service became brittle at the leader: got %d, want 1", begun)
+			}
+		})
+	}
+}
+
+// Guards against a service that stays usable for others though its upstreams say anew that they are brittle.
+func TestServiceBecomesBrittleAgain(t *testing.T) {
+	s := &Summary{}
+	s.RecordReport(start, []Service{{Name: llm, MaxRejections: 3, StatedAt: start, AnsweredAt: start}}, nil)
+	now := start.Add(statementTTL)
+	s.RecordReport(now, []Service{{Name: llm, StatedAt: start, AnsweredAt: now}}, nil)
+	if ended := s.Step(now); len(ended) != 1 {
+		t.Fatalf("services that are no longer brittle: got %+v, want one", ended)
+	}
+	if ended := s.Step(now); len(ended) != 0 {
+		t.Errorf("services that are no longer brittle, again: got %+v, want none", ended)
+	}
+	now = now.Add(time.Second)
+	begun := s.RecordReport(now, []Service{{Name: llm, MaxRejections: 5, StatedAt: now, AnsweredAt: now}}, nil)
+	got := s.ServicesFor("a")
+	if len(begun) != 1 || len(got) != 1 || !got[0].IsBrittle(now) || got[0].MaxRejections != 5 {
+		t.Errorf("services after another statement: got %+v (%d begun), want a brittle one with 5 rejections", got, len(begun))
+	}
+}
+
 // Guards against entries that have calls but no share, and against shares that overlap.
 func TestSharesFollowTheCalls(t *testing.T) {
 	s := &Summary{}
--- a/src/rationer/summary.go
+++ b/src/rationer/summary.go
@@ -28,6 +28,9 @@
 // fleetService is what all entries know of one service.
 type fleetService struct {
 	Service
+	// ended is set once the service is no longer brittle. Entries that have no answers from it are told
+	// so for as long as they would take it for brittle by what they know.
+	ended    bool
 	calls    map[units.Instance]*callCount
 	shares   map[units.Instance]Share
 	sharedAt time.Time
@@ -53,6 +56,10 @@
 			begun = append(begun, reported)
 		}
 		known.merge(reported)
+		if known.ended && known.IsBrittle(now) {
+			known.ended, known.MaxRejections = false, reported.MaxRejections
+			begun = append(begun, known.Service)
+		}
 	}
 	for _, f := range full {
 		if s.full == nil {
@@ -132,7 +139,7 @@
 	}
 }
 
-// ServicesFor returns the brittle services, with the shares of an entry.
+// ServicesFor returns the services that are or were brittle, with the shares of an entry.
 func (s *Summary) ServicesFor(entry units.Instance) []Service {
 	services := make([]Service, 0, len(s.services))
 	for _, known := range s.services {
@@ -151,11 +158,15 @@
 func (s *Summary) Step(now time.Time) []Service {
 	var ended []Service
 	for name, known := range s.services {
-		switch {
-		case !known.IsBrittle(now):
+		brittle := known.IsBrittle(now)
+		if !brittle && !known.ended {
+			known.ended = true
 			ended = append(ended, known.Service)
+		}
+		switch {
+		case now.Sub(known.StatedAt) >= maxStatementAge:
 			delete(s.services, name)
-		case now.Sub(known.sharedAt) >= shareInterval:
+		case brittle && now.Sub(known.sharedAt) >= shareInterval:
 			known.share(now)
 		}
 	}
