--- a/src/rationer/rationer.go
+++ b/src/rationer/rationer.go
@@ -110,10 +110,10 @@
 	// last answered it.
 	stated     map[units.IncarnationID]stated
 	answeredAt time.Time
-	// fleet is what a leader said last, and untoldSince when the first response after it did not name
+	// fleet is what a leader said last, and omittedSince when the first response after it did not name
 	// the service, zero if none did.
-	fleet       Service
-	untoldSince time.Time
+	fleet        Service
+	omittedSince time.Time
 	// share is the last share of this entry. It is used until there is another one, also without a
 	// leader, as the shares of all entries do not overlap.
 	share Share
@@ -206,14 +206,14 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	told := make(map[units.Service]bool, len(services))
+	named := make(map[units.Service]bool, len(services))
 	for _, fleet := range services {
 		if r.services[fleet.Name] == nil && !fleet.IsBrittle(now) {
 			continue
 		}
 		s := r.service(fleet.Name)
-		s.fleet, s.untoldSince = fleet, time.Time{}
-		told[fleet.Name] = true
+		s.fleet, s.omittedSince = fleet, time.Time{}
+		named[fleet.Name] = true
 		if !fleet.Share.isEmpty() {
 			s.share = fleet.Share
 		}
@@ -224,8 +224,8 @@
 		}
 	}
 	for name, s := range r.services {
-		if !told[name] {
-			s.leaveUntold(now)
+		if !named[name] {
+			s.recordOmission(now)
 		}
 		maps.DeleteFunc(s.stated, func(_ units.IncarnationID, st stated) bool { return !s.isValid(now, st) })
 		maps.DeleteFunc(s.full, func(_ units.IncarnationID, f Full) bool { return f.isOver(now) })
@@ -236,13 +236,13 @@
 	r.count.Store(int64(len(r.services)))
 }
 
-// leaveUntold handles a response that does not name the service: once all entries had the time to report
+// recordOmission records that a response does not name the service: once all entries had the time to report
 // to a new leader, none of them has had a statement.
-func (s *service) leaveUntold(now time.Time) {
-	if s.untoldSince.IsZero() {
-		s.untoldSince = now
+func (s *service) recordOmission(now time.Time) {
+	if s.omittedSince.IsZero() {
+		s.omittedSince = now
 	}
-	if now.Sub(s.untoldSince) >= reportTime {
+	if now.Sub(s.omittedSince) >= reportTime {
 		s.fleet = Service{}
 	}
 }
