Log how answers of upstreams are framed and how they end

The logs of the incident say neither how an answer was framed nor how its input ended, so that an end of input without a length, an end between two events and a cut that is lost on the way cannot be told apart.

Package framer names both. call-ended and upstream-cut have framing and end, also of answers that came through another entry; the counter upstream_answers counts by both. No decision changes.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -64,7 +65,9 @@
 	// had not.
 	ConnectionLost bool
 	AnswerDuration time.Duration
-	Err            error
+	// Receipt is how the upstream's answer arrived.
+	Receipt framer.Receipt
+	Err     error
 }
 
 // Limiter admits calls.
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -41,6 +42,9 @@
 	var event []byte
 	for {
 		event, err = readEvent(reader, event[:0])
+		if err != nil {
+			e.receipt.End = endOfStream(e.receipt.Framing, event, err)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return e.streamCutResult(ctx, err)
 		}
@@ -64,6 +68,14 @@
 	return dispatcher.Result{Kind: dispatcher.Answered}
 }
 
+// endOfStream returns how a stream ended; rest is what followed its last event.
+func endOfStream(framing framer.Framing, rest []byte, err error) framer.End {
+	if errors.Is(err, io.EOF) && len(rest) > 0 {
+		return framer.InsideEvent
+	}
+	return framer.EndOf(framing, err)
+}
+
 func callerGoneResult(err error) dispatcher.Result {
 	return dispatcher.Result{
 		Kind: dispatcher.CallerGone,
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/rationer"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -152,6 +153,7 @@
 	// Ends blocking reads and writes at once when the caller leaves or the deadline passes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	result := e.run(ctx)
+	result.Receipt = e.receipt
 	stopped := stop()
 	if e.reusable && stopped && c.reader.Buffered() == 0 {
 		_ = c.SetDeadline(time.Time{})
@@ -180,6 +182,7 @@
 	// answerStartedAt is when the first event of a streamed answer arrived, or the head of
 	// another answer.
 	answerStartedAt time.Time
+	receipt         framer.Receipt
 }
 
 func (e *exchange) run(ctx context.Context) dispatcher.Result {
@@ -194,6 +197,7 @@
 	if response == nil {
 		return result
 	}
+	e.receipt.Framing = framer.FramingOf(response)
 	verdict := e.Dialect.CheckAnswer(e.call, e.upstream, response.StatusCode, response.Header)
 	if !verdict.MatchesAttempt {
 		return e.foreignResult("it names another attempt")
@@ -298,6 +302,7 @@
 func (e *exchange) readAnswer(ctx context.Context, response *http.Response) dispatcher.Result {
 	e.markAnswerStarted()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	e.receipt.End = framer.EndOf(e.receipt.Framing, err)
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errors.New("answer exceeds the size limit")
 	}
--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -46,6 +46,10 @@
 	startedAt := timekeeper.Now()
 	result := l.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	now := timekeeper.Now()
+	t, known := call.Trace.(*callTrace)
+	if known && result.Receipt.Framing != "" {
+		t.receipt = result.Receipt
+	}
 	switch {
 	case result.Kind == dispatcher.Answered, result.Kind == dispatcher.Failed, result.AnswerDuration >= minRunTime:
 		if l.gateway.evidence.RecordRun(now, call.Fingerprint) {
@@ -64,7 +68,7 @@
 	if !result.ConnectionLost {
 		return result
 	}
-	if t, known := call.Trace.(*callTrace); known {
+	if known {
 		t.connectionCut = true
 	}
 	l.gateway.trafficStats.connectionCut(upstream)
@@ -76,6 +80,8 @@
 		Int("attempt", int(attempt)).
 		Int64("after-ms", now.Sub(startedAt).Milliseconds()).
 		Int64("answering-ms", result.AnswerDuration.Milliseconds()).
+		Str("framing", string(result.Receipt.Framing)).
+		Str("end", string(result.Receipt.End)).
 		Err(result.Err).
 		Msg("upstream-cut")
 	return result
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
@@ -276,6 +277,8 @@
 	connectionAge time.Duration
 	route         string
 	sink          *timedSink
+	// receipt is how the last answer of an upstream arrived.
+	receipt framer.Receipt
 }
 
 // RecordStep records an attempt that has ended.
@@ -383,6 +386,10 @@
 			Int("rank", call.Rank).
 			Float64("size", call.LimitCost)
 	}
+	if t.receipt.Framing != "" {
+		event.Str("framing", string(t.receipt.Framing)).
+			Str("end", string(t.receipt.End))
+	}
 	if refusal != nil {
 		event.Int("status", refusal.Status).
 			Str("executed", string(refusal.Executed)).
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
 	"github.com/rosecroft/rosecroft/src/pathfinder"
@@ -29,6 +30,7 @@
 	services  map[units.Service]*serviceStats
 	calls     map[string]tally.Counter
 	exchanges map[string]tally.Counter
+	receipts  map[framer.Receipt]tally.Counter
 	firstByte map[string]tally.Histogram
 }
 
@@ -62,6 +64,7 @@
 		services:    make(map[units.Service]*serviceStats),
 		calls:       make(map[string]tally.Counter),
 		exchanges:   make(map[string]tally.Counter),
+		receipts:    make(map[framer.Receipt]tally.Counter),
 		firstByte:   make(map[string]tally.Histogram),
 	}
 }
@@ -223,10 +226,11 @@
 	return 0
 }
 
-// exchangeEnded counts an exchange by its result.
+// exchangeEnded counts an exchange by its result, and its answer by how it arrived.
 func (t *trafficStats) exchangeEnded(u *tracker.Upstream, result dispatcher.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answerEnded(result.Receipt)
 	key := string(u.Service) + " " + result.Kind.String()
 	counter := t.exchanges[key]
 	if counter == nil {
@@ -239,6 +243,22 @@
 	counter.Inc(1)
 }
 
+// answerEnded counts an answer by its framing and its end; mu is held.
+func (t *trafficStats) answerEnded(receipt framer.Receipt) {
+	if receipt.Framing == "" {
+		return
+	}
+	counter := t.receipts[receipt]
+	if counter == nil {
+		counter = t.scope.Tagged(map[string]string{
+			"framing": string(receipt.Framing),
+			"end":     string(receipt.End),
+		}).Counter("upstream_answers")
+		t.receipts[receipt] = counter
+	}
+	counter.Inc(1)
+}
+
 func serviceTag(service units.Service) map[string]string {
 	return map[string]string{"service": string(service)}
 }
--- a/src/relayer/codec.go
+++ b/src/relayer/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -147,6 +148,8 @@
 		Started:       started,
 		RetryAfterNs:  int64(stated.RetryAfter),
 		Leaving:       stated.Leaving,
+		Framing:       string(result.Receipt.Framing),
+		AnswerEnd:     string(result.Receipt.End),
 	}
 	if result.Answer != nil {
 		end.Answer = &messages.StoredAnswer{
@@ -168,6 +171,10 @@
 		ConnectFailed: end.GetConnectFailed(),
 		Unsent:        end.GetUnsent(),
 		RetryAfter:    time.Duration(end.GetRetryAfterNs()),
+		Receipt: framer.Receipt{
+			Framing: framer.Framing(end.GetFraming()),
+			End:     framer.End(end.GetAnswerEnd()),
+		},
 	}
 	for kind, encoded := range resultKinds {
 		if encoded == end.GetResult() {
