Add tests of answers without a length that are broken off, which fail

The test's gate handed on a reset of an engine as an orderly close, which would have hidden the one from the entries; it hands on a reset now.

--- /dev/null
+++ b/src/exchanger/broken_off_test.go
@@ -0,0 +1,133 @@
+package exchanger
+
+import (
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/framer"
+)
+
+// Guards against streams that their upstream broke off and that reach callers as complete.
+func TestBrokenOffStreamsAreNotComplete(t *testing.T) {
+	const (
+		head   = okHead + "Content-Type: text/event-stream\r\nVersion: 1\r\n"
+		first  = "id: 1\ndata: a\n\n"
+		second = "id: 2\ndata: b\n\n"
+	)
+	cases := map[string]struct {
+		answer string
+		// got is what the caller may receive.
+		got     string
+		whole   bool
+		receipt framer.Receipt
+	}{
+		"close-delimited, closed in an event": {
+			answer:  head + "\r\n" + first + "id: 2\ndata" + closeMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.InsideEvent},
+		},
+		"close-delimited, closed in the first event": {
+			answer:  head + "\r\nid: 1\nda" + closeMarker,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.InsideEvent},
+		},
+		"close-delimited, closed before the empty line": {
+			answer:  head + "\r\n" + first + "id: 2\ndata: b\n" + closeMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.InsideEvent},
+		},
+		"close-delimited, closed in the empty line": {
+			answer:  head + "\r\n" + first + "id: 2\r\ndata: b\r\n\r" + closeMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.InsideEvent},
+		},
+		"close-delimited, reset in an event": {
+			answer:  head + "\r\n" + first + "id: 2\ndata" + resetMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.Reset},
+		},
+		"close-delimited, reset between events": {
+			answer:  head + "\r\n" + first + resetMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.Reset},
+		},
+		"close-delimited, upstream ended between events": {
+			answer:  head + "\r\n" + first + endMarker,
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.Closed},
+		},
+		"length reached in an event": {
+			answer:  head + "Content-Length: 22\r\n\r\n" + first + "id: 2\nd",
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.Length, End: framer.InsideEvent},
+		},
+		"last chunk in an event": {
+			answer:  head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(first) + chunk("id: 2\nd") + "0\r\n\r\n",
+			got:     first,
+			receipt: framer.Receipt{Framing: framer.Chunked, End: framer.InsideEvent},
+		},
+		"close-delimited, whole": {
+			answer:  head + "\r\n" + first + second + closeMarker,
+			got:     first + second,
+			whole:   true,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.Closed},
+		},
+		"close-delimited, whole without an event": {
+			answer:  head + "\r\n" + closeMarker,
+			whole:   true,
+			receipt: framer.Receipt{Framing: framer.CloseDelimited, End: framer.Closed},
+		},
+	}
+	for name, c := range cases {
+		for kind, repeatable := range map[string]bool{"resumable": true, "not resumable": false} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				u := newUpstream(t, func(int, int, string) string { return c.answer })
+				call := newCall()
+				call.Stream = true
+				call.Repeatable = repeatable
+				s := &recordingSink{}
+				result := newExchanger(&fakeGuard{}).Exchange(t.Context(), call, 1, u.Upstream, &dispatcher.Stream{Sink: s})
+				want := dispatcher.Answered
+				switch {
+				case !c.whole && repeatable:
+					want = dispatcher.OutcomeUnknown
+				case !c.whole:
+					want = dispatcher.Unresumable
+				}
+				if result.Kind != want {
+					t.Errorf("result: got %v (%v), want %v", result.Kind, result.Err, want)
+				}
+				if got := s.text.String(); got != c.got || s.ended != c.whole {
+					t.Errorf("caller received %q (ended %t), want %q (ended %t)", got, s.ended, c.got, c.whole)
+				}
+				if result.Receipt != c.receipt {
+					t.Errorf("receipt: got %+v, want %+v", result.Receipt, c.receipt)
+				}
+			})
+		}
+	}
+}
+
+// Guards against answers without a length that their upstream broke off and that reach callers as
+// complete, and against whole ones that do not reach them.
+func TestBrokenOffAnswersAreNotComplete(t *testing.T) {
+	cases := map[string]struct {
+		answer string
+		want   dispatcher.ResultKind
+	}{
+		"whole":          {answer: okHead + "\r\nhi" + closeMarker, want: dispatcher.Answered},
+		"reset":          {answer: okHead + "\r\nhi" + resetMarker, want: dispatcher.OutcomeUnknown},
+		"upstream ended": {answer: okHead + "\r\nhi" + endMarker, want: dispatcher.OutcomeUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, func(int, int, string) string { return c.answer })
+			result := newExchanger(&fakeGuard{}).Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+			if result.Kind != c.want {
+				t.Errorf("result: got %v (%v), want %v", result.Kind, result.Err, c.want)
+			}
+			if c.want == dispatcher.Answered && string(result.Answer.Body) != "hi" {
+				t.Errorf("body: got %q, want %q", result.Answer.Body, "hi")
+			}
+		})
+	}
+}
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -23,7 +23,7 @@
 	*tracker.Upstream
 	listener net.Listener
 	// answer receives the number of the connection and of the request on it. An empty
-	// answer closes the connection at once, and one that ends with closeMarker after it.
+	// answer closes the connection at once, and one that ends with a marker after it.
 	answer func(connection, request int, head string) string
 
 	mu          sync.Mutex
@@ -31,8 +31,13 @@
 	heads       []string
 }
 
-// closeMarker at the end of an answer closes the connection after it.
-const closeMarker = "\x00close"
+// Markers at the end of an answer close or reset the connection after it; endMarker closes the
+// listener before, as when the process ends.
+const (
+	closeMarker = "\x00close"
+	resetMarker = "\x00reset"
+	endMarker   = "\x00end"
+)
 
 func newUpstream(t *testing.T, answer func(connection, request int, head string) string) *fakeUpstream {
 	t.Helper()
@@ -91,8 +96,14 @@
 		u.heads = append(u.heads, head)
 		u.mu.Unlock()
 		text := u.answer(connection, number, head)
-		text, ends := strings.CutSuffix(text, closeMarker)
+		text, marker, ends := strings.Cut(text, "\x00")
 		_, _ = io.WriteString(c, text)
+		switch "\x00" + marker {
+		case resetMarker:
+			_ = c.(*net.TCPConn).SetLinger(0)
+		case endMarker:
+			_ = u.listener.Close()
+		}
 		if text == "" || ends {
 			return
 		}
