Take the end of a connection for the end of an answer only where it is one

Cause: an answer with neither a length nor chunks ends with its connection. readEvent returned the rest of an event that the upstream had broken off with the end of input, and forwardStream passed it on and ended the caller's answer properly. The same happened to streams that have a length or chunks and end inside an event, and to answers whose upstream ended: the kernel closes its connections as the process would.

Now a stream that ends inside an event is cut, whatever its framing. Where a close-delimited answer ends, a new connection shows whether the upstream still runs; one that refuses it, for other entries too, has ended, and the answer counts as cut. The connection serves the next call, which would have opened one. Callers keep getting chunks or a length: with their upstream's framing, an entry that is killed would leave them an answer that looks complete.

The test of results expected that no connection is kept after a close-delimited answer. It now expects that a second one was opened and kept, which is as strict: the first may not be used again.

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -1,10 +1,12 @@
 package exchanger
 
 import (
+	"context"
 	"testing"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/framer"
+	"github.com/rosecroft/rosecroft/src/tracker"
 )
 
 // Guards against streams that their upstream broke off and that reach callers as complete.
@@ -112,16 +114,21 @@
 func TestBrokenOffAnswersAreNotComplete(t *testing.T) {
 	cases := map[string]struct {
 		answer string
-		want   dispatcher.ResultKind
+		// reached is set where another entry reaches the upstream.
+		reached bool
+		want    dispatcher.ResultKind
 	}{
-		"whole":          {answer: okHead + "\r\nhi" + closeMarker, want: dispatcher.Answered},
-		"reset":          {answer: okHead + "\r\nhi" + resetMarker, want: dispatcher.OutcomeUnknown},
-		"upstream ended": {answer: okHead + "\r\nhi" + endMarker, want: dispatcher.OutcomeUnknown},
+		"whole":                        {answer: okHead + "\r\nhi" + closeMarker, want: dispatcher.Answered},
+		"reset":                        {answer: okHead + "\r\nhi" + resetMarker, want: dispatcher.OutcomeUnknown},
+		"upstream ended":               {answer: okHead + "\r\nhi" + endMarker, want: dispatcher.OutcomeUnknown},
+		"upstream refuses connections": {answer: okHead + "\r\nhi" + endMarker, reached: true, want: dispatcher.Answered},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, func(int, int, string) string { return c.answer })
-			result := newExchanger(&fakeGuard{}).Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+			x := newExchanger(&fakeGuard{})
+			x.HasEnded = func(context.Context, *tracker.Upstream) bool { return !c.reached }
+			result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
 			if result.Kind != c.want {
 				t.Errorf("result: got %v (%v), want %v", result.Kind, result.Err, c.want)
 			}
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -43,24 +43,23 @@
 	for {
 		event, err = readEvent(reader, event[:0])
 		if err != nil {
-			e.receipt.End = endOfStream(e.receipt.Framing, event, err)
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return e.streamCutResult(ctx, err)
+			break
 		}
-		if len(event) > 0 {
-			e.markAnswerStarted()
-			if batcher != nil {
-				batcher.SetBuffering(err == nil && reader.Buffered() > 0)
-			}
-			if forwardErr := e.forwardEvent(event); forwardErr != nil {
-				return callerGoneResult(forwardErr)
-			}
+		e.markAnswerStarted()
+		if batcher != nil {
+			batcher.SetBuffering(reader.Buffered() > 0)
 		}
-		if err != nil {
-			break
+		if err := e.forwardEvent(event); err != nil {
+			return callerGoneResult(err)
 		}
 	}
+	e.receipt.End = endOfStream(e.receipt.Framing, event, err)
+	if errors.Is(err, io.EOF) {
+		err = e.checkEnd(ctx)
+	}
+	if err != nil {
+		return e.streamCutResult(ctx, err)
+	}
 	e.finish(response, nil)
 	if err := e.stream.Sink.End(); err != nil {
 		return callerGoneResult(err)
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -116,6 +116,9 @@
 	// OnAnswer is called with the head of each answer to its attempt, and the time at which the
 	// attempt was sent; it may be nil.
 	OnAnswer func(upstream *tracker.Upstream, verdict Verdict, sentAt time.Time)
+	// HasEnded reports whether an upstream that refuses a connection from this entry has ended; nil
+	// takes each such upstream for ended.
+	HasEnded func(ctx context.Context, upstream *tracker.Upstream) bool
 }
 
 // InvalidAnswerError is the error for received bytes that do not answer the attempt.
@@ -155,10 +158,12 @@
 	result := e.run(ctx)
 	result.Receipt = e.receipt
 	stopped := stop()
-	if e.reusable && stopped && c.reader.Buffered() == 0 {
+	switch {
+	case e.dropped:
+	case e.reusable && stopped && c.reader.Buffered() == 0:
 		_ = c.SetDeadline(time.Time{})
 		x.Pool.put(c)
-	} else {
+	default:
 		x.Pool.drop(c)
 	}
 	return result
@@ -175,6 +180,8 @@
 	// where the body was sent with the head.
 	bodySent chan error
 	reusable bool
+	// dropped is set once the connection was dropped.
+	dropped bool
 	// startReported is set once OnStarted was called.
 	startReported bool
 	// replaying is set while the stream may repeat events that the caller has.
@@ -306,6 +313,9 @@
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errors.New("answer exceeds the size limit")
 	}
+	if err == nil {
+		err = e.checkEnd(ctx)
+	}
 	if err != nil {
 		return e.lostResult(ctx, err)
 	}
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -194,12 +194,13 @@
 		answer string
 		want   dispatcher.ResultKind
 		body   string
-		// reusable is set where the next call may use the connection.
-		reusable bool
+		// reusable is set where the next call may use the connection, replaced where another one is
+		// opened for it.
+		reusable, replaced bool
 	}{
 		"whole":                      {answer: wholeAnswer, want: dispatcher.Answered, body: "hi", reusable: true},
 		"in chunks":                  {answer: okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", want: dispatcher.Answered, body: "hi", reusable: true},
-		"ends with its connection":   {answer: okHead + "\r\nhi" + closeMarker, want: dispatcher.Answered, body: "hi"},
+		"ends with its connection":   {answer: okHead + "\r\nhi" + closeMarker, want: dispatcher.Answered, body: "hi", replaced: true},
 		"after an informational one": {answer: "HTTP/1.1 102 Processing\r\n\r\n" + wholeAnswer, want: dispatcher.Answered, body: "hi", reusable: true},
 		"asks to close":              {answer: okHead + "Connection: close\r\nContent-Length: 2\r\n\r\nhi", want: dispatcher.Answered, body: "hi"},
 		"bytes after it":             {answer: wholeAnswer + "HTTP/1.1 200 OK\r\n", want: dispatcher.Answered, body: "hi"},
@@ -219,6 +220,8 @@
 		t.Run(name, func(t *testing.T) {
 			u := newUpstream(t, func(int, int, string) string { return c.answer })
 			x := newExchanger(&fakeGuard{})
+			opened := 0
+			x.Pool.OnDialed = func(*tracker.Upstream, time.Time, error) { opened++ }
 			result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
 			if result.Kind != c.want {
 				t.Fatalf("result: got %v (%v), want %v", result.Kind, result.Err, c.want)
@@ -226,9 +229,16 @@
 			if result.Answer != nil && string(result.Answer.Body) != c.body {
 				t.Errorf("body: got %q, want %q", result.Answer.Body, c.body)
 			}
-			if got, want := x.Pool.HasIdle(u.Upstream), c.reusable; got != want {
+			if got, want := x.Pool.HasIdle(u.Upstream), c.reusable || c.replaced; got != want {
 				t.Errorf("connection kept: got %t, want %t", got, want)
 			}
+			wantOpened := 1
+			if c.replaced {
+				wantOpened = 2
+			}
+			if opened != wantOpened {
+				t.Errorf("connections opened: got %d, want %d", opened, wantOpened)
+			}
 			if got, want := u.heads[0], "POST /a/b?c=%20d h.example body"; got != want {
 				t.Errorf("request: got %q, want %q", got, want)
 			}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -136,6 +136,7 @@
 		Donor:     g.placer.Donor,
 		OnStarted: g.countCall,
 		OnAnswer:  g.recordAnswer,
+		HasEnded:  g.crashed,
 	}
 	g.prepareRelays(direct)
 	g.dispatcher = &dispatcher.Dispatcher{
