Deliver whole events that arrive together with the beginning of the next one

Callers did not get events that their entry had received: an event was buffered while any byte followed it, to share a write with the next event. If that one was broken off, the buffered events were lost with the connection, and if the rest came late, they waited for it.

The test failed before (got no event, want two). Events now wait only for events of which the buffer holds the end.

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -7,6 +7,7 @@
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Guards against streams that their upstream broke off and that reach callers as complete.
@@ -138,3 +139,46 @@
 		})
 	}
 }
+
+// batchingSink records what the caller has received, without the events that are buffered.
+type batchingSink struct {
+	recordingSink
+	buffering bool
+	buffered  []byte
+}
+
+func (s *batchingSink) SetBuffering(hold bool) { s.buffering = hold }
+
+func (s *batchingSink) Event(offset units.Tokens, data []byte) error {
+	s.buffered = append(s.buffered, data...)
+	if s.buffering {
+		return nil
+	}
+	data, s.buffered = s.buffered, nil
+	return s.recordingSink.Event(offset, data)
+}
+
+// Guards against whole events that do not reach callers because the next one was broken off.
+func TestWholeEventsDoNotWaitForTheNextOne(t *testing.T) {
+	cases := map[string]string{
+		"line feeds":       "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+		"carriage returns": "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+	}
+	for name, whole := range cases {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, func(int, int, string) string {
+				return okHead + "Content-Type: text/event-stream\r\n\r\n" + whole + "id: 3\ndata" + resetMarker
+			})
+			call := newCall()
+			call.Stream = true
+			s := &batchingSink{}
+			result := newExchanger(&fakeGuard{}).Exchange(t.Context(), call, 1, u.Upstream, &dispatcher.Stream{Sink: s})
+			if got, want := result.Kind, dispatcher.Unresumable; got != want {
+				t.Errorf("result: got %v (%v), want %v", got, result.Err, want)
+			}
+			if got := s.text.String(); got != whole {
+				t.Errorf("caller received %q, want %q", got, whole)
+			}
+		})
+	}
+}
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
@@ -47,7 +48,7 @@
 		}
 		e.markAnswerStarted()
 		if batcher != nil {
-			batcher.SetBuffering(reader.Buffered() > 0)
+			batcher.SetBuffering(hasEvent(reader))
 		}
 		if err := e.forwardEvent(event); err != nil {
 			return callerGoneResult(err)
@@ -122,6 +123,15 @@
 	return 0
 }
 
+// emptyLines are the ends of an event's last line together with the empty line after it.
+var emptyLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// hasEvent reports whether the reader's buffer holds the end of another event.
+func hasEvent(reader *bufio.Reader) bool {
+	pending, _ := reader.Peek(reader.Buffered())
+	return slices.ContainsFunc(emptyLines, func(end []byte) bool { return bytes.Contains(pending, end) })
+}
+
 // readEvent appends to event up to and including the empty line that ends the event. At
 // the end of the stream it returns what follows the last event, with io.EOF.
 func readEvent(reader *bufio.Reader, event []byte) ([]byte, error) {
