Read an event to its empty line where a line is as long as the buffer

An event whose line fills the read buffer exactly was taken for whole at that line: its line feed was read alone and looked like the empty line. A stream that broke off there would have reached its caller as complete, and its next upstream would have gone on after an event that the caller has only in part.

--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -135,17 +135,22 @@
 // readEvent appends to event up to and including the empty line that ends the event. At
 // the end of the stream it returns what follows the last event, with io.EOF.
 func readEvent(reader *bufio.Reader, event []byte) ([]byte, error) {
+	lineStart := len(event)
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return event, err
 		}
 		if len(event) > maxEventBytes {
 			return event, errors.New("event exceeds the size limit")
 		}
-		if err == nil && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if err != nil {
+			continue
+		}
+		if len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 {
 			return event, nil
 		}
+		lineStart = len(event)
 	}
 }
