--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -278,7 +279,13 @@
 		},
 		"stream":         {run: stream(0, 4, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "abcd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
 		"resumed stream": {run: stream(2, 2, dispatcher.Result{Kind: dispatcher.Answered}), streamed: true, offset: 2, want: dispatcher.Result{Kind: dispatcher.Answered}, wantEvents: "cd", wantStarted: 1, wantVerdicts: []exchanger.Verdict{{}}},
-		"stream cut":     {run: stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Err: errLost}), streamed: true, want: dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Err: errLost}, wantEvents: "ab", wantStarted: 1},
+		"stream cut": {
+			run:         stream(0, 2, dispatcher.Result{Kind: dispatcher.OutcomeUnknown, ConnectionLost: true, Receipt: insideEvent, Err: errLost}),
+			streamed:    true,
+			want:        dispatcher.Result{Kind: dispatcher.OutcomeUnknown, Receipt: insideEvent, Err: errLost},
+			wantEvents:  "ab",
+			wantStarted: 1,
+		},
 		"events kept back": {
 			run: func(ctx context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
 				s.Sink.(dispatcher.Batcher).SetBuffering(true)
@@ -317,11 +324,20 @@
 	}
 }
 
+// insideEvent is the receipt of a stream that its upstream broke off.
+var insideEvent = framer.Receipt{
+	Framing: framer.CloseDelimited,
+	End:     framer.InsideEvent,
+}
+
 func checkResult(t *testing.T, got, want dispatcher.Result) {
 	t.Helper()
 	if got.Kind != want.Kind || got.Unsent != want.Unsent || got.ConnectFailed != want.ConnectFailed || got.RetryAfter != want.RetryAfter || got.ConnectionLost || got.NoPath {
 		t.Errorf("result: got %+v, want %+v", got, want)
 	}
+	if got.Receipt != want.Receipt {
+		t.Errorf("receipt: got %+v, want %+v", got.Receipt, want.Receipt)
+	}
 	if got.Through != "a" || (got.Err != nil) != (want.Err != nil) || got.Err != nil && !strings.Contains(got.Err.Error(), want.Err.Error()) {
 		t.Errorf("through %q with error %v, want through a with error %v", got.Through, got.Err, want.Err)
 	}
