Log the software versions of streams and services, and what a caller resumes

The logs of the incident name no version, and no line says which call a caller resumes, so that streams that change versions within one answer, over a caller's calls, or by an outdated table cannot be told apart.

call-ended has the versions of all attempts, and the call named in Resumes with the offset; upstream-changed has the version at entries too. No decision changes.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -38,6 +38,7 @@
 	// digest was computed when the cursor was digestCursor. It is nil if there is none.
 	digest       Digest
 	digestCursor uint64
+	former       formerReleases
 }
 
 // change is a change of one upstream and the table's cursor after it.
@@ -66,6 +67,7 @@
 	if t.upstreams == nil {
 		t.upstreams = make(map[units.Upstream]*Upstream)
 		t.byAddress = make(map[string]units.Upstream)
+		t.former = make(formerReleases)
 	}
 	known := t.upstreams[r.ID]
 	if known != nil && !isNewer(&known.Registration, &r) {
@@ -88,6 +90,7 @@
 		upstream.State = known.State
 		upstream.LeavesIn = known.LeavesIn
 	}
+	t.former.record(known, upstream)
 	t.upstreams[r.ID] = upstream
 	if upstream.State != Gone {
 		t.byAddress[upstream.Address] = upstream.ID
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -316,6 +316,7 @@
 		Str("service", m.GetService()).
 		Str("address", m.GetAddress()).
 		Stringer("state", enroller.State(m.GetState())).
+		Str("release", m.GetVersion()).
 		Bool("silent", m.GetSilent()).
 		Int64("born", m.GetBornMs()).
 		Uint64("sequence", m.GetSequence()).
--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -47,8 +47,8 @@
 	result := l.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	now := timekeeper.Now()
 	t, known := call.Trace.(*callTrace)
-	if known && result.Receipt.Framing != "" {
-		t.receipt = result.Receipt
+	if known {
+		t.recordAttempt(upstream, result)
 	}
 	switch {
 	case result.Kind == dispatcher.Answered, result.Kind == dispatcher.Failed, result.AnswerDuration >= minRunTime:
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -83,6 +83,8 @@
 	slowdownSync     slowdownSync
 	// peersVersion is that of the entries that carry calls of this one.
 	peersVersion uint64
+	// releasesAt is when the snapshot's releases were determined.
+	releasesAt time.Time
 	// hasMore reports that the last response did not contain the rest of the table, fleetStale
 	// that the fleet is older than the table.
 	hasMore    bool
@@ -338,6 +340,7 @@
 	if r.GetLeads() {
 		p.handleLeaderResponse(now, sentAt, r)
 	}
+	p.updateReleases(now, changed)
 	p.hasMore = r.GetMore()
 	p.fleetStale = p.fleetStale || changed
 	if p.fleetStale && !p.hasMore || p.snapshot.fleet == nil {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/framer"
@@ -43,6 +45,8 @@
 	MaxOutput   units.Tokens
 	// ResumeOffset is the stream offset from which the caller resumes, 0 for the beginning.
 	ResumeOffset units.Tokens
+	// Resumes is the call that brought the caller the stream's first event, "" if it did not say.
+	Resumes units.CallID
 }
 
 const (
@@ -76,8 +80,9 @@
 		startedAt: timekeeper.Now(),
 	}
 	t := &callTrace{
-		route: route.Name,
-		sink:  timedSink,
+		route:   route.Name,
+		sink:    timedSink,
+		resumes: r.Resumes,
 	}
 	call.Trace = t
 	err = g.dispatcher.Do(ctx, call, timedSink)
@@ -279,6 +284,10 @@
 	sink          *timedSink
 	// receipt is how the last answer of an upstream arrived.
 	receipt framer.Receipt
+	// releases are the software versions of the upstreams of all attempts, in order.
+	releases []string
+	// resumes is the call that brought the caller the stream's first event, "" if not known.
+	resumes units.CallID
 }
 
 // RecordStep records an attempt that has ended.
@@ -294,6 +303,29 @@
 	t.text.WriteString(detail)
 }
 
+// recordAttempt records at which software version an attempt ran and how its answer arrived.
+func (t *callTrace) recordAttempt(upstream *tracker.Upstream, result dispatcher.Result) {
+	t.releases = append(t.releases, string(upstream.Release))
+	if result.Receipt.Framing != "" {
+		t.receipt = result.Receipt
+	}
+}
+
+// logAnswer adds to a call's log line how its answer arrived and from which software versions.
+func (t *callTrace) logAnswer(event *zerolog.Event, call *dispatcher.Call) {
+	if call.Stream {
+		event.Str("releases", strings.Join(t.releases, "; "))
+	}
+	if call.ResumeOffset > 0 {
+		event.Str("resumes", string(t.resumes)).
+			Int64("resume-offset", int64(call.ResumeOffset))
+	}
+	if t.receipt.Framing != "" {
+		event.Str("framing", string(t.receipt.Framing)).
+			Str("end", string(t.receipt.End))
+	}
+}
+
 // RecordCandidate is not recorded.
 func (t *callTrace) RecordCandidate(units.Upstream, float64) {}
 
@@ -386,10 +418,7 @@
 			Int("rank", call.Rank).
 			Float64("size", call.LimitCost)
 	}
-	if t.receipt.Framing != "" {
-		event.Str("framing", string(t.receipt.Framing)).
-			Str("end", string(t.receipt.End))
-	}
+	t.logAnswer(event, call)
 	if refusal != nil {
 		event.Int("status", refusal.Status).
 			Str("executed", string(refusal.Executed)).
--- a/src/gateway/snapshot.go
+++ b/src/gateway/snapshot.go
@@ -28,6 +28,8 @@
 	// lease is when the entry must stop serving calls with keys, on the clock that
 	// continues while the instance is suspended.
 	lease time.Time
+	// releases holds the software versions that the upstreams of each service run or have lately run.
+	releases map[units.Service][]units.Release
 	// rollouts holds the last roll-out of each service that had one.
 	rollouts rollouts
 	// trueTimeOffset is the time of day agreed on by the fleet, minus that clock.
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -307,6 +307,11 @@
 	t.scope.Tagged(serviceTag(reach.Service)).Gauge("service_partitioned").Update(value)
 }
 
+// releases records how many software versions a service's upstreams run or have lately run.
+func (t *trafficStats) releases(service units.Service, count int) {
+	t.scope.Tagged(serviceTag(service)).Gauge("service_releases").Update(float64(count))
+}
+
 // upstreamCrashed counts an upstream that has crashed with calls of this entry.
 func (t *trafficStats) upstreamCrashed(u *tracker.Upstream) {
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_ends").Inc(1)
