Go on with a stream only at the software version that began it

Output of two versions does not fit together.

Cause: a stream kept the version of the model's weights, which was the same, and not that of the software.

A stream is bound to the software version of its first event. Further attempts, relayed ones, planned moves and copies of KV caches among them, are picked among upstreams of that version; where only other versions are left, the call ends at once. A roll-out's split holds as before: none goes on at a version that was taken back.

--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -38,6 +38,10 @@
 	return &tracker.Upstream{Name: "u", Local: &tracker.LocalState{}}
 }
 
+func (r *refusingUpstreams) PickRelease(call *Call, _ units.Release, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return r.Pick(call, tried), false
+}
+
 func (r *refusingUpstreams) Exchange(context.Context, *Call, units.Attempt, *tracker.Upstream, *Stream) Result {
 	r.attempts++
 	if r.attempts <= r.unsent {
--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -162,6 +162,8 @@
 	ProblemMethod         ProblemKind = "method-not-allowed"
 	ProblemMediaType      ProblemKind = "unsupported-media-type"
 	ProblemTooSlow        ProblemKind = "too-slow"
+	// ProblemVersionGone refuses to go on with a stream whose software version no upstream runs any more.
+	ProblemVersionGone ProblemKind = "version-gone"
 	// ProblemQuarantined refuses a request that crashed the upstreams that ran it.
 	ProblemQuarantined ProblemKind = "quarantined"
 )
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -95,6 +95,9 @@
 	// Pick returns the upstream for the next attempt, or nil if none is available; tried
 	// are the upstreams of the attempts so far.
 	Pick(call *Call, tried []units.Upstream) *tracker.Upstream
+	// PickRelease is Pick among the upstreams of one software version; gone reports that only upstreams
+	// of other versions are left.
+	PickRelease(call *Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool)
 }
 
 // Exchanger runs one attempt at an upstream.
@@ -372,14 +375,18 @@
 // chooseUpstream returns the upstream for the next attempt, or nil if none is available. A
 // started stream waits for one until the deadline, since its caller has part of the answer.
 func (d *Dispatcher) chooseUpstream(ctx context.Context, call *Call, stream *Stream, state *attemptState) (*tracker.Upstream, error) {
-	if state.moveTarget != nil {
-		return state.moveTarget, nil
+	release, isBound := stream.Release()
+	if target := state.moveTarget; target != nil && (!isBound || target.Release == release) {
+		return target, nil
 	}
 	for {
 		if err := state.contextError(ctx); err != nil {
 			return nil, err
 		}
-		upstream := d.Router.Pick(call, state.tried)
+		upstream, gone := d.pick(call, stream, state.tried)
+		if gone {
+			return nil, versionGoneRefusal(state.executed)
+		}
 		if upstream != nil || stream.Offset() == 0 {
 			return upstream, nil
 		}
@@ -388,6 +395,14 @@
 	}
 }
 
+// pick picks an upstream of the version that the stream is bound to, or any if it is not bound.
+func (d *Dispatcher) pick(call *Call, stream *Stream, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	if release, isBound := stream.Release(); isBound {
+		return d.Router.PickRelease(call, release, tried)
+	}
+	return d.Router.Pick(call, tried), false
+}
+
 func (d *Dispatcher) exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	upstream.Local.InFlight.Add(1)
 	defer upstream.Local.InFlight.Add(-1)
@@ -423,6 +438,15 @@
 	}
 }
 
+func versionGoneRefusal(ran Executed) *Refusal {
+	return &Refusal{
+		Status:   http.StatusServiceUnavailable,
+		Kind:     ProblemVersionGone,
+		Detail:   "no upstream runs the software version that began the stream any more; begin it anew",
+		Executed: ran,
+	}
+}
+
 func noUpstreamRefusal(ran Executed, wait time.Duration) *Refusal {
 	return &Refusal{
 		Status:     http.StatusServiceUnavailable,
--- a/src/dispatcher/dispatcher_test.go
+++ b/src/dispatcher/dispatcher_test.go
@@ -79,6 +79,10 @@
 	return nil
 }
 
+func (s *simulation) PickRelease(call *Call, _ units.Release, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return s.Pick(call, tried), false
+}
+
 func (s *simulation) Exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	s.exchanges++
 	if s.recordedAttempt != attempt {
@@ -94,7 +98,7 @@
 	kind := rapid.SampledFrom(kinds).Draw(s.t, "result")
 	s.mayHaveRun = s.mayHaveRun || kind != NotRun
 	if kind != NotRun && call.Stream && rapid.Bool().Draw(s.t, "tokens") {
-		_, _ = stream.Begin(nil, upstream, "1")
+		_ = stream.Begin(nil, upstream, "1")
 		_ = stream.Event(stream.Offset()+1, nil, nil)
 	}
 	if rapid.IntRange(0, 9).Draw(s.t, "late") == 0 {
@@ -206,12 +210,16 @@
 	return o.simulation.Pick(call, tried)
 }
 
+func (o *outageFleet) PickRelease(call *Call, _ units.Release, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return o.Pick(call, tried), false
+}
+
 func (o *outageFleet) Exchange(_ context.Context, _ *Call, _ units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	if o.firstTokenSent {
 		return Result{Kind: Answered}
 	}
 	o.firstTokenSent = true
-	_, _ = stream.Begin(nil, upstream, "1")
+	_ = stream.Begin(nil, upstream, "1")
 	_ = stream.Event(1, nil, nil)
 	return Result{Kind: OutcomeUnknown}
 }
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -24,6 +25,24 @@
 	// version and source are those that the stream began with.
 	version units.ModelVersion
 	source  upstreamIncarnation
+	// current is the upstream of the last attempt that has begun to answer.
+	current *tracker.Upstream
+	// release is the software version of the events that the caller has; isBound is set once it has any.
+	release units.Release
+	isBound bool
+}
+
+// VersionError is the error for output that does not continue a stream.
+type VersionError struct {
+	Upstream units.Upstream
+	// Of is what has another version, and Stream and Got are the two.
+	Of          string
+	Stream, Got string
+}
+
+// Error names the versions.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("the stream began with version %q of the %s, but %s has version %q", e.Stream, e.Of, e.Upstream, e.Got)
 }
 
 // upstreamIncarnation identifies one incarnation of an upstream.
@@ -60,9 +79,27 @@
 // Version returns the model version that generated the stream so far, or "".
 func (s *Stream) Version() units.ModelVersion { return s.version }
 
-// Begin starts the caller's stream unless an earlier attempt already has. It reports
-// false where the output of this upstream must not continue the stream.
-func (s *Stream) Begin(header http.Header, upstream *tracker.Upstream, version units.ModelVersion) (bool, error) {
+// bind binds the stream to a software version: the caller gets output of no other.
+func (s *Stream) bind(release units.Release) {
+	s.release = release
+	s.isBound = true
+}
+
+// Release returns the software version that the stream is bound to, false if it is not bound yet.
+func (s *Stream) Release() (units.Release, bool) { return s.release, s.isBound }
+
+// Begin starts the caller's stream unless an earlier attempt already has. The error is a
+// *VersionError where the output of this upstream must not continue the stream.
+func (s *Stream) Begin(header http.Header, upstream *tracker.Upstream, version units.ModelVersion) error {
+	if s.isBound && upstream.Release != s.release {
+		return &VersionError{
+			Upstream: upstream.Name,
+			Of:       "software",
+			Stream:   string(s.release),
+			Got:      string(upstream.Release),
+		}
+	}
+	s.current = upstream
 	current := upstreamIncarnation{
 		name:        upstream.Name,
 		incarnation: upstream.Incarnation,
@@ -70,13 +107,29 @@
 	if s.begun {
 		// An answer must not combine output of two model versions. An upstream that
 		// names no version may continue only a stream that it began itself.
-		consistent := version == s.version && (version != "" || current == s.source)
-		return consistent, nil
+		if version == s.version && (version != "" || current == s.source) {
+			return nil
+		}
+		return &VersionError{
+			Upstream: upstream.Name,
+			Of:       "model",
+			Stream:   string(s.version),
+			Got:      string(version),
+		}
 	}
 	s.begun = true
 	s.version = version
 	s.source = current
-	return true, s.Sink.Begin(header)
+	return s.Sink.Begin(header)
+}
+
+// send sends an event. The first one binds the stream.
+func (s *Stream) send(offset units.Tokens, data []byte) error {
+	s.eventSent = true
+	if !s.isBound && s.current != nil {
+		s.bind(s.current.Release)
+	}
+	return s.Sink.Event(offset, data)
 }
 
 // Event sends one event to the caller unless the caller already has its tokens.
@@ -84,10 +137,9 @@
 	if offset <= s.offset {
 		return s.eventWithoutTokens(offset, data)
 	}
-	s.eventSent = true
 	s.offset = offset
 	s.text = append(s.text, text...)
-	return s.Sink.Event(offset, data)
+	return s.send(offset, data)
 }
 
 // eventWithoutTokens sends an event without new tokens if it is the first event of the
@@ -99,13 +151,11 @@
 	if !opening && !closing {
 		return nil
 	}
-	s.eventSent = true
 	s.usageSent = s.usageSent || closing
-	return s.Sink.Event(offset, data)
+	return s.send(offset, data)
 }
 
 // EventWithoutOffset sends an event that has no offset of its own; it follows the last event sent.
 func (s *Stream) EventWithoutOffset(data []byte) error {
-	s.eventSent = true
-	return s.Sink.Event(s.offset, data)
+	return s.send(s.offset, data)
 }
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -24,19 +24,17 @@
 // forwardStream forwards a stream's complete events as they arrive. A caller that loses
 // its connection can then resume exactly after the last event that it received.
 func (e *exchange) forwardStream(ctx context.Context, response *http.Response, verdict Verdict) dispatcher.Result {
-	joins, err := e.stream.Begin(response.Header, e.upstream, verdict.ModelVersion)
-	if err != nil {
-		return callerGoneResult(err)
-	}
-	if !joins {
+	err := e.stream.Begin(response.Header, e.upstream, verdict.ModelVersion)
+	var versionErr *dispatcher.VersionError
+	if errors.As(err, &versionErr) {
 		return dispatcher.Result{
 			Kind: dispatcher.Unresumable,
-			Err: &InvalidAnswerError{
-				Upstream: e.upstream.Name,
-				Reason:   "its weights have another version than the stream began with",
-			},
+			Err:  versionErr,
 		}
 	}
+	if err != nil {
+		return callerGoneResult(err)
+	}
 	e.replaying = e.stream.Offset() > 0
 	reader := bufio.NewReaderSize(response.Body, readBuffer)
 	batcher, _ := e.stream.Sink.(dispatcher.Batcher)
--- a/src/forwarder/migrator.go
+++ b/src/forwarder/migrator.go
@@ -26,7 +26,8 @@
 
 // Router chooses the upstream at which a stream resumes.
 type Router interface {
-	Pick(call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream
+	// PickRelease returns an upstream of one software version, nil if there is none.
+	PickRelease(call *dispatcher.Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool)
 }
 
 // StreamMigrator carries out the mover's actions for the streams at leaving upstreams.
@@ -190,7 +191,7 @@
 // after the export began are computed again.
 func (s *StreamMigrator) export(ctx context.Context, e *exchange) {
 	startedAt := time.Now()
-	target := s.Router.Pick(e.call, []units.Upstream{e.upstream.Name})
+	target, _ := s.Router.PickRelease(e.call, e.upstream.Release, []units.Upstream{e.upstream.Name})
 	var tokens units.Tokens
 	err := errMoved
 	if target != nil {
--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,13 +25,14 @@
 	if e.plan.collects {
 		e.stream.Sink = discardSink{}
 	}
-	joins, err := e.stream.Begin(forwardedHeaders(response.Header), e.upstream, version)
+	err := e.stream.Begin(forwardedHeaders(response.Header), e.upstream, version)
+	var versionErr *dispatcher.VersionError
+	if errors.As(err, &versionErr) {
+		return lostResult(versionErr)
+	}
 	if err != nil {
 		return callerGoneResult(err)
 	}
-	if !joins {
-		return lostResult(fmt.Errorf("the upstream serves version %q, but the stream began with version %q", version, e.stream.Version()))
-	}
 	batch, _ := e.stream.Sink.(dispatcher.Batcher)
 	return e.forwardEvents(response, newLineReader(response.Body), batch)
 }
--- a/src/gateway/quarantine_test.go
+++ b/src/gateway/quarantine_test.go
@@ -38,6 +38,10 @@
 	return &tracker.Upstream{Name: "u", Local: &tracker.LocalState{}}
 }
 
+func (f fixedRouter) PickRelease(call *dispatcher.Call, _ units.Release, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return f.Pick(call, tried), false
+}
+
 // quarantineMessage is the leader's quarantine of one request.
 func quarantineMessage(number uint64, request units.Fingerprint, remaining time.Duration) *messages.Quarantines {
 	return &messages.Quarantines{
--- a/src/gateway/rollout.go
+++ b/src/gateway/rollout.go
@@ -74,8 +74,9 @@
 	split := placer.Split{
 		Target:     r.target,
 		TargetOnly: r.state == messages.RolloutState_ROLLOUT_STATE_COMPLETED,
+		Evaluated:  r.state == messages.RolloutState_ROLLOUT_STATE_RUNNING,
 	}
-	if r.state == messages.RolloutState_ROLLOUT_STATE_RUNNING && timekeeper.Now().Before(r.shareUntil) {
+	if split.Evaluated && timekeeper.Now().Before(r.shareUntil) {
 		split.Share = r.share
 	}
 	return split, true
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -248,9 +248,38 @@
 
 // Pick returns the upstream for the next attempt, or nil if there is none.
 func (p *Placer) Pick(call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
+	return p.admitted(func(now time.Time) *Candidate {
+		assigned, fallback := p.versionCandidates(call.Service, len(tried) == 0)
+		candidates := p.eligible(now, assigned, tried)
+		if len(candidates) == 0 {
+			candidates = p.eligible(now, fallback, tried)
+		}
+		return p.best(now, call, candidates, len(tried) == 0)
+	})
+}
+
+// PickRelease returns the upstream of one software version for the next attempt of a stream that began at it, or
+// nil if there is none; gone reports that only upstreams of other versions take calls.
+func (p *Placer) PickRelease(call *dispatcher.Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	same, gone := p.releaseCandidates(call.Service, release)
+	if len(same) == 0 {
+		return nil, gone
+	}
+	return p.admitted(func(now time.Time) *Candidate {
+		// An upstream that has not been heard of may have started again at another version.
+		heard := slices.DeleteFunc(p.eligible(now, same, tried), func(c *Candidate) bool {
+			return c.Silent && !c.hasAnsweredRecently(now)
+		})
+		// The caller has part of the answer: it is too late to refuse the rest.
+		return p.best(now, call, heard, false)
+	}), false
+}
+
+// admitted returns the first chosen upstream that the gate admits, nil if none is chosen.
+func (p *Placer) admitted(choose func(now time.Time) *Candidate) *tracker.Upstream {
 	now := p.Now()
 	for {
-		c := p.pick(now, call, tried)
+		c := choose(now)
 		if c == nil {
 			return nil
 		}
@@ -261,12 +290,9 @@
 	}
 }
 
-func (p *Placer) pick(now time.Time, call *dispatcher.Call, tried []units.Upstream) *Candidate {
-	assigned, fallback := p.versionCandidates(call.Service, len(tried) == 0)
-	candidates := p.eligible(now, assigned, tried)
-	if len(candidates) == 0 {
-		candidates = p.eligible(now, fallback, tried)
-	}
+// best returns the candidate with the lowest score, nil if there is none, or if the call may be refused and would
+// be answered far too late.
+func (p *Placer) best(now time.Time, call *dispatcher.Call, candidates []*Candidate, mayRefuse bool) *Candidate {
 	candidates = p.ration(now, call.Service, candidates)
 	if len(candidates) == 0 {
 		return nil
@@ -303,7 +329,7 @@
 		compare(c, call.PromptTokens)
 	}
 	prefillTime := time.Duration(best.slowdown() * float64(p.prefillTime(call.Service)))
-	if len(tried) == 0 && isTooLate(call, time.Duration(bestPrefill)*prefillTime) {
+	if mayRefuse && isTooLate(call, time.Duration(bestPrefill)*prefillTime) {
 		return nil
 	}
 	return best
--- /dev/null
+++ b/src/placer/release_test.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// newReleaseFixture returns a placer with two upstreams of each of two versions.
+func newReleaseFixture(split *Split) *fixture {
+	f := newFixture(0)
+	for _, release := range []units.Release{"v1", "v2"} {
+		for i := range 2 {
+			f.fleet["s"] = append(f.fleet["s"], f.NewCandidate(&tracker.Upstream{
+				Name:    units.Upstream(fmt.Sprintf("%s-%d", release, i)),
+				Service: "s",
+				Release: release,
+				Slots:   8,
+				Local:   &tracker.LocalState{},
+			}, false, false))
+		}
+	}
+	if split != nil {
+		f.Split = func(units.Service) (Split, bool) { return *split, true }
+	}
+	return f
+}
+
+// Guards against a stream that goes on at another version, at one that takes no calls, or not at all though
+// an upstream of its version takes it.
+func TestPickRelease(t *testing.T) {
+	cases := map[string]struct {
+		split   *Split
+		change  func(f *fixture)
+		release units.Release
+		tried   []units.Upstream
+		want    bool
+		gone    bool
+	}{
+		"of two versions":                     {release: "v2", want: true},
+		"one was tried":                       {release: "v2", tried: []units.Upstream{"v2-0"}, want: true},
+		"both were tried":                     {release: "v2", tried: []units.Upstream{"v2-0", "v2-1"}},
+		"a version that is gone":              {release: "v0", gone: true},
+		"no version was stated":               {release: "", gone: true},
+		"no upstream at all":                  {release: "v2", change: func(f *fixture) { f.fleet["s"] = nil }},
+		"silent ones":                         {release: "v2", change: func(f *fixture) { f.silence(2, 3) }},
+		"one is silent":                       {release: "v2", change: func(f *fixture) { f.silence(2) }, want: true},
+		"the target of a roll-out":            {split: &Split{Target: "v2", Share: 0.1, Evaluated: true}, release: "v2", want: true},
+		"the others in a roll-out":            {split: &Split{Target: "v2", Share: 0.1, Evaluated: true}, release: "v1", want: true},
+		"the target while no leader is known": {split: &Split{Target: "v2", Evaluated: true}, release: "v2"},
+		"the target after it was taken back":  {split: &Split{Target: "v2"}, release: "v2", gone: true},
+		"the others once it is completed":     {split: &Split{Target: "v2", TargetOnly: true}, release: "v1", gone: true},
+		"the target once it is completed":     {split: &Split{Target: "v2", TargetOnly: true}, release: "v2", want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newReleaseFixture(c.split)
+			if c.change != nil {
+				c.change(f)
+			}
+			for range 50 {
+				u, gone := f.PickRelease(&dispatcher.Call{Service: "s", Stream: true}, c.release, c.tried)
+				if (u != nil) != c.want || gone != c.gone {
+					t.Fatalf("upstream: got %v, gone %t, want one %t, gone %t", u, gone, c.want, c.gone)
+				}
+				if u != nil && u.Release != c.release {
+					t.Fatalf("version: got %q, want %q", u.Release, c.release)
+				}
+			}
+		})
+	}
+}
+
+// silence makes control hear no more of some upstreams.
+func (f *fixture) silence(indexes ...int) {
+	for _, i := range indexes {
+		f.fleet["s"][i].Silent = true
+	}
+}
--- a/src/placer/split.go
+++ b/src/placer/split.go
@@ -15,6 +15,8 @@
 	Share float64
 	// TargetOnly is set when the other versions take no more calls.
 	TargetOnly bool
+	// Evaluated is set while the version is under evaluation, also when it takes no calls for the moment.
+	Evaluated bool
 }
 
 // versionCandidates returns the upstreams of the version that an attempt is assigned to, and those
@@ -51,3 +53,29 @@
 	}
 	return other, nil
 }
+
+// releaseCandidates returns the upstreams of a software version that calls may go to; gone reports that only
+// other versions take calls.
+func (p *Placer) releaseCandidates(service units.Service, release units.Release) (same []*Candidate, gone bool) {
+	all := p.Fleet()[service]
+	if p.Split != nil {
+		split, found := p.Split(service)
+		if found && !split.allows(release) {
+			return nil, release != split.Target || !split.Evaluated
+		}
+	}
+	for _, c := range all {
+		if c.Release == release {
+			same = append(same, c)
+		}
+	}
+	return same, len(same) == 0 && len(all) > 0
+}
+
+// allows reports whether calls may go to upstreams of a version now.
+func (s Split) allows(release units.Release) bool {
+	if release == s.Target {
+		return s.TargetOnly || s.Share > 0
+	}
+	return !s.TargetOnly
+}
--- a/src/relayer/benchmark_test.go
+++ b/src/relayer/benchmark_test.go
@@ -56,7 +56,7 @@
 		"answer": answered,
 		"stream": func(_ context.Context, call *dispatcher.Call, s *dispatcher.Stream) dispatcher.Result {
 			call.Trace.(*Trace).Started = true
-			if _, err := s.Begin(http.Header{}, testUpstream, "v1"); err != nil {
+			if err := s.Begin(http.Header{}, testUpstream, "v1"); err != nil {
 				return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
 			}
 			for n := range units.Tokens(tokens) {
--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -216,7 +216,7 @@
 		if s.Offset() != units.Tokens(from) || string(s.Text()) != tokenText(0, from) {
 			return dispatcher.Result{Kind: dispatcher.Failed, Err: fmt.Errorf("stream begins at %d after %q", s.Offset(), s.Text())}
 		}
-		if _, err := s.Begin(http.Header{"X-Proof": {"p"}}, testUpstream, "v1"); err != nil {
+		if err := s.Begin(http.Header{"X-Proof": {"p"}}, testUpstream, "v1"); err != nil {
 			return dispatcher.Result{Kind: dispatcher.CallerGone, Err: err}
 		}
 		for n := from; n < from+count; n++ {
--- a/src/relayer/sender.go
+++ b/src/relayer/sender.go
@@ -274,16 +274,13 @@
 
 func (e *exchange) begin(head *messages.RelayedHead) {
 	e.reportStart()
-	joins, err := e.stream.Begin(decodeHeader(head.GetHeader()), e.upstream, units.ModelVersion(head.GetModelVersion()))
-	if e.fail(dispatcher.CallerGone, err) {
+	err := e.stream.Begin(decodeHeader(head.GetHeader()), e.upstream, units.ModelVersion(head.GetModelVersion()))
+	var versionErr *dispatcher.VersionError
+	if errors.As(err, &versionErr) {
+		e.fail(dispatcher.Unresumable, versionErr)
 		return
 	}
-	if !joins {
-		e.fail(dispatcher.Unresumable, &exchanger.InvalidAnswerError{
-			Upstream: e.upstream.Name,
-			Reason:   "its weights have another version than the stream began with",
-		})
-	}
+	e.fail(dispatcher.CallerGone, err)
 }
 
 // forwardAll passes events on, in one write where the caller's sink can.
--- a/src/router/router.go
+++ b/src/router/router.go
@@ -54,6 +54,26 @@
 	if s == nil {
 		return nil
 	}
+	return r.pickRelaxing(s, call, tried)
+}
+
+// PickRelease is Pick among the upstreams of one software version; gone reports that the service has only
+// upstreams of other versions.
+func (r *Router) PickRelease(call *dispatcher.Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	s := r.subsetOf(call.Service)
+	if s == nil {
+		return nil, false
+	}
+	same := &subset{service: s.service}
+	for _, c := range s.candidates {
+		if c.upstream.Release == release {
+			same.candidates = append(same.candidates, c)
+		}
+	}
+	return r.pickRelaxing(same, call, tried), len(same.candidates) == 0 && len(s.candidates) > 0
+}
+
+func (r *Router) pickRelaxing(s *subset, call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
 	now := r.now()
 	for _, required := range []eligibility{healthy, alive, untried} {
 		if chosen := r.pick(s, call, tried, now, required); chosen != nil {
--- a/src/router/router_test.go
+++ b/src/router/router_test.go
@@ -390,3 +390,20 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on or is moved to another software version.
+func TestPickReleaseKeepsTheVersion(t *testing.T) {
+	f := newFleet(6)
+	for i, engine := range f.engines {
+		engine.Release = []units.Release{"v1", "v2"}[i%2]
+	}
+	for i := range 50 {
+		call := modelCall(parser.PrefixCost, uint64(i))
+		if got, gone := f.router.PickRelease(call, "v2", nil); got == nil || got.Release != "v2" || gone {
+			t.Fatalf("upstream: got %v, gone %t, want one of v2", got, gone)
+		}
+	}
+	if got, gone := f.router.PickRelease(modelCall(parser.PrefixCost, 1), "v3", nil); got != nil || !gone {
+		t.Errorf("upstream of a version that is gone: got %v, gone %t, want none and gone", got, gone)
+	}
+}
