Remember at which version streams began, and continue callers' streams there

Cause: what an entry knew of a stream ended with its call, and Resumes, which names the call that brought the first event, was not read. Nothing that an upstream or a caller sends says which version began a stream.

Each entry remembers the version of its callers' streams for as long as they try, before the attempt is sent. While several versions serve, or lately did, its polls carry them to the leader, which remembers those of all entries; a new leader gets them again. A call with Last-Event-Id asks its entry, then the leader: a stream that is known goes on at its version and service, one that can have begun at one version only at that one, and any other is refused at once as not run. Without a leader an entry goes by its own table, if that names one version and is no older than a second. With one version nothing is reported; resuming costs one question.

Weighed: a record at several entries by a hash of the call needs connections between all entries, or a message for each stream and copy, while polls exist and each entry's own memory makes the leader's one a second copy.

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -51,6 +52,8 @@
 	Prefixes []PromptPrefix
 	// ResumeOffset is the count of tokens that the caller has from an earlier call of the stream.
 	ResumeOffset units.Tokens
+	// Origin is where the stream began that the call resumes, nil if it resumes none.
+	Origin *binder.Origin
 	// MaxAttempts limits how many attempts may run the call, 0 for no limit.
 	MaxAttempts int
 	// LatencyTarget is the target for the time to the answer or its first event, 0 for none.
@@ -162,8 +165,10 @@
 	ProblemMethod         ProblemKind = "method-not-allowed"
 	ProblemMediaType      ProblemKind = "unsupported-media-type"
 	ProblemTooSlow        ProblemKind = "too-slow"
-	// ProblemVersionGone refuses to go on with a stream whose software version no upstream runs any more.
-	ProblemVersionGone ProblemKind = "version-gone"
+	// ProblemUnknownStream refuses to resume a stream of which it is not known which software version
+	// began it, and ProblemVersionGone one whose version no upstream runs any more.
+	ProblemUnknownStream ProblemKind = "unknown-stream"
+	ProblemVersionGone   ProblemKind = "version-gone"
 	// ProblemQuarantined refuses a request that crashed the upstreams that ran it.
 	ProblemQuarantined ProblemKind = "quarantined"
 )
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -127,6 +127,8 @@
 	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
 	// that an upstream asked for.
 	BackoffLeft func(call *Call) time.Duration
+	// OnAttempt is called before each attempt; it may be nil.
+	OnAttempt func(call *Call, upstream *tracker.Upstream)
 }
 
 // Do runs a call to completion. An error that is a *Refusal is the response to the
@@ -201,7 +203,7 @@
 		defer stop()
 		runCtx = detached
 	}
-	answer, err := run(runCtx, call, NewStream(sink, call.ResumeOffset))
+	answer, err := run(runCtx, call, newStream(call, sink))
 	var refusal *Refusal
 	errors.As(err, &refusal)
 	refusal = d.Recorder.Finish(context.WithoutCancel(ctx), call, answer, refusal)
@@ -214,6 +216,16 @@
 	return sink.Answer(answer)
 }
 
+// newStream returns the stream of a call, bound to the software version that began it if the call
+// resumes one.
+func newStream(call *Call, sink Sink) *Stream {
+	stream := NewStream(sink, call.ResumeOffset)
+	if call.Origin != nil {
+		stream.bind(call.Origin.Release)
+	}
+	return stream
+}
+
 // attemptState is the accumulated outcome of a call's attempts.
 type attemptState struct {
 	tried []units.Upstream
@@ -407,6 +419,9 @@
 	upstream.Local.InFlight.Add(1)
 	defer upstream.Local.InFlight.Add(-1)
 	call.RecordStep(StepAttempt, upstream.Name, "")
+	if d.OnAttempt != nil {
+		d.OnAttempt(call, upstream)
+	}
 	result := d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	recordAttemptEnd(call, upstream.Name, result)
 	if result.Kind == Answered && d.Budget != nil {
--- a/src/dispatcher/version_test.go
+++ b/src/dispatcher/version_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -22,6 +23,8 @@
 	upstreams []*tracker.Upstream
 	// releases are the versions whose events the caller has, in order.
 	releases []units.Release
+	// recorded is the last version that was recorded for the stream.
+	recorded units.Release
 }
 
 func newVersionedFleet(t *rapid.T) *versionedFleet {
@@ -66,6 +69,9 @@
 		}
 		for range rapid.IntRange(0, 2).Draw(f.t, "events") {
 			f.releases = append(f.releases, upstream.Release)
+			if f.recorded != upstream.Release {
+				f.t.Fatalf("event of version %q: got %q recorded before it", upstream.Release, f.recorded)
+			}
 			_ = stream.Event(stream.Offset()+1, nil, nil)
 		}
 	}
@@ -76,8 +82,8 @@
 	return result
 }
 
-// Guards against streams that hold output of two software versions within one answer, whatever happens to
-// their upstreams and wherever they are moved.
+// Guards against streams that hold output of two software versions, within one answer or continued by a
+// caller, whatever happens to their upstreams and wherever they are moved.
 func TestStreamsHoldOneVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := newVersionedFleet(t)
@@ -87,11 +93,17 @@
 			Repeatable: true,
 			Deadline:   time.Now().Add(shortDeadline),
 		}
+		if rapid.Bool().Draw(t, "resumes") {
+			call.ResumeOffset = 3
+			call.Origin = &binder.Origin{Release: rapid.SampledFrom([]units.Release{"", "v1", "v2"}).Draw(t, "began")}
+			fleet.releases = append(fleet.releases, call.Origin.Release)
+		}
 		d := &Dispatcher{
 			Limiter:   fleet,
 			Recorder:  fleet,
 			Router:    fleet,
 			Exchanger: fleet,
+			OnAttempt: func(_ *Call, upstream *tracker.Upstream) { fleet.recorded = upstream.Release },
 		}
 		_ = d.Do(context.Background(), call, sink{sim: &fleet.simulation})
 		if found := slices.Compact(slices.Clone(fleet.releases)); len(found) > 1 {
@@ -105,20 +117,27 @@
 func TestStreamOfAVersionThatIsGoneIsRefusedAtOnce(t *testing.T) {
 	cases := map[string]struct {
 		releases []units.Release
-		want     ProblemKind
+		// ran is set if an attempt of this call has brought events.
+		ran  bool
+		want ProblemKind
 	}{
-		"other versions are left": {releases: []units.Release{"v2"}, want: ProblemVersionGone},
-		"none is left":            {want: ProblemDeadline},
+		"other versions are left":            {releases: []units.Release{"v2"}, want: ProblemVersionGone},
+		"other versions are left, after ran": {releases: []units.Release{"v2"}, ran: true, want: ProblemVersionGone},
+		"none is left":                       {want: ProblemDeadline},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := &goneFleet{}
+				fleet := &goneFleet{began: !c.ran}
 				for _, release := range c.releases {
 					fleet.left = append(fleet.left, &tracker.Upstream{Name: "left", Release: release, Local: &tracker.LocalState{}})
 				}
 				const timeout = 5 * time.Second
 				call := &Call{Stream: true, Repeatable: true, Deadline: time.Now().Add(timeout)}
+				if !c.ran {
+					call.ResumeOffset = 3
+					call.Origin = &binder.Origin{Release: "v1"}
+				}
 				startedAt := time.Now()
 				d := &Dispatcher{Limiter: fleet, Recorder: fleet, Router: fleet, Exchanger: fleet}
 				err := d.Do(t.Context(), call, noSink{})
@@ -126,8 +145,12 @@
 				if !errors.As(err, &refusal) || refusal.Kind != c.want {
 					t.Fatalf("got %v, want %s", err, c.want)
 				}
-				if refusal.Executed != ExecutedUnknown {
-					t.Errorf("executed: got %s, want %s", refusal.Executed, ExecutedUnknown)
+				wantExecuted := ExecutedNo
+				if c.ran {
+					wantExecuted = ExecutedUnknown
+				}
+				if refusal.Executed != wantExecuted {
+					t.Errorf("executed: got %s, want %s", refusal.Executed, wantExecuted)
 				}
 				if took := time.Since(startedAt); c.want == ProblemVersionGone && took > 0 {
 					t.Errorf("refused after %v, want at once", took)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rosecroft/rosecroft/src/aggregator"
 	"github.com/rosecroft/rosecroft/src/allocator"
 	"github.com/rosecroft/rosecroft/src/appraiser"
+	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -83,6 +84,7 @@
 	slowdowns    appraiser.Collector
 	pathfinder   pathfinder.Pathfinder
 	rationer     rationer.Rationer
+	journal      binder.Journal
 	sender       *relayer.Sender
 	carrier      *relayer.Carrier
 }
@@ -118,6 +120,7 @@
 		Slack:  g.Settings.Retries.Slack,
 		Now:    timekeeper.Now,
 	}
+	g.journal.MaxRecords = maxJournal
 	g.usageCounter = &aggregator.Counter{WindowLength: g.Settings.Usage.Window}
 	g.pool = &exchanger.Pool{
 		Dialer:         g.UpstreamDialer,
@@ -162,6 +165,7 @@
 		BackoffLeft: func(call *dispatcher.Call) time.Duration {
 			return spreadWait(g.placer.BackoffLeft(call))
 		},
+		OnAttempt: g.recordOrigin,
 	}
 }
 
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -81,6 +81,7 @@
 	suspects         uint64
 	limitSync        limitSync
 	slowdownSync     slowdownSync
+	originSync       originSync
 	// peersVersion is that of the entries that carry calls of this one.
 	peersVersion uint64
 	// releasesAt is when the snapshot's releases were determined.
@@ -254,6 +255,7 @@
 		poll.BackingOff = append(poll.BackingOff, uint64(id))
 	}
 	p.slowdownSync.report(&g.slowdowns, poll)
+	p.originSync.report(now, p.snapshot.wantsStreams, &g.journal, poll)
 	reportBrittleness(now, &g.rationer, poll)
 	poll.Unreached = encodeReach(g.pathfinder.Unreached())
 	poll.RelayAddress = g.Settings.RelayAddress()
@@ -293,6 +295,7 @@
 		p.ackedObservation, p.sentObservation = 0, 0
 		p.limitSync = limitSync{}
 		p.slowdownSync = slowdownSync{}
+		p.originSync = originSync{}
 	}
 	p.ackedObservation = p.sentObservation
 	if r.GetSuspects() == nil {
@@ -324,6 +327,7 @@
 func (p *poller) handleResponse(sentAt time.Time, r *messages.EntryPollResponse) {
 	now := timekeeper.Now()
 	p.leader = r.GetLeader()
+	p.snapshot.leader = p.leader
 	p.updateControls(r.GetControls())
 	changed := p.applyConfiguration(r.GetDeclaration())
 	for _, m := range p.upstreamChanges(r) {
@@ -406,6 +410,9 @@
 	p.gateway.retryBudget.SetEntries(p.snapshot.entries)
 	p.applyPeers(r.GetPeers())
 	applyBrittleness(now, &p.gateway.rationer, r)
+	p.originSync.handleResponse(r)
+	p.snapshot.leaderAt = sentAt
+	p.snapshot.wantsStreams = r.GetWantsStreams()
 	p.limitSync.handleResponse(now, sentAt, &p.gateway.gate, r, p.snapshot.entries)
 	p.gateway.placer.SetPeerLoads(&placer.PeerLoads{
 		At:    now,
--- a/src/gateway/rollout_stats.go
+++ b/src/gateway/rollout_stats.go
@@ -84,7 +84,8 @@
 	return reports
 }
 
-// measuredExchanger measures the first attempts of calls to services that are being rolled out.
+// measuredExchanger measures the first attempts of calls to services that are being rolled out, apart from
+// those that resume a stream: these are bound to a version.
 type measuredExchanger struct {
 	dispatcher.Exchanger
 	gateway *Gateway
@@ -96,7 +97,7 @@
 ) dispatcher.Result {
 	r := m.gateway.snapshot.Load().rollouts[call.Service]
 	t, known := call.Trace.(*callTrace)
-	if r.state != messages.RolloutState_ROLLOUT_STATE_RUNNING || attempt > 1 || !known {
+	if r.state != messages.RolloutState_ROLLOUT_STATE_RUNNING || attempt > 1 || !known || call.Origin != nil {
 		return m.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	}
 	key := sampleKey{route: releaser.Route(t.route)}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/framer"
@@ -85,7 +86,13 @@
 		resumes: r.Resumes,
 	}
 	call.Trace = t
-	err = g.dispatcher.Do(ctx, call, timedSink)
+	t.stream, t.streamUntil = streamOf(r)
+	if call.Stream && call.ResumeOffset > 0 {
+		err = g.findOrigin(ctx, r, route, call, t.stream)
+	}
+	if err == nil {
+		err = g.dispatcher.Do(ctx, call, timedSink)
+	}
 	t.connectionAge = r.Arrived.Sub(r.ConnectedAt)
 	g.finishCall(snap, call, route, t, timedSink, err)
 	return err
@@ -288,6 +295,9 @@
 	releases []string
 	// resumes is the call that brought the caller the stream's first event, "" if not known.
 	resumes units.CallID
+	// stream is the stream that the call begins or resumes, and streamUntil when its caller gives up.
+	stream      binder.StreamID
+	streamUntil time.Time
 }
 
 // RecordStep records an attempt that has ended.
--- a/src/gateway/snapshot.go
+++ b/src/gateway/snapshot.go
@@ -30,6 +30,11 @@
 	lease time.Time
 	// releases holds the software versions that the upstreams of each service run or have lately run.
 	releases map[units.Service][]units.Release
+	// leader is the address of the control instance that leads, "" if unknown, and leaderAt when the poll
+	// was sent that it answered last. wantsStreams is set while it wants reports of streams.
+	leader       string
+	leaderAt     time.Time
+	wantsStreams bool
 	// rollouts holds the last roll-out of each service that had one.
 	rollouts rollouts
 	// trueTimeOffset is the time of day agreed on by the fleet, minus that clock.
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -312,6 +312,11 @@
 	t.scope.Tagged(serviceTag(service)).Gauge("service_releases").Update(float64(count))
 }
 
+// originFound counts a stream that a caller resumes, by what its origin is known from.
+func (t *trafficStats) originFound(source originSource) {
+	t.scope.Tagged(map[string]string{"source": string(source)}).Counter("stream_origins").Inc(1)
+}
+
 // upstreamCrashed counts an upstream that has crashed with calls of this entry.
 func (t *trafficStats) upstreamCrashed(u *tracker.Upstream) {
 	t.scope.Tagged(serviceTag(u.Service)).Counter("upstream_ends").Inc(1)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -97,6 +97,7 @@
 	reaches     *reaches
 	brittleness *brittleness
 	durability  *durability
+	origins     *origins
 	pages       pages
 }
 
@@ -158,6 +159,10 @@
 	c.brittleness = &brittleness{
 		coordinator: c,
 	}
+	c.origins = &origins{
+		coordinator: c,
+		startedAt:   timekeeper.Now(),
+	}
 	if err := c.restore(stored.Snapshot); err != nil {
 		return nil, err
 	}
@@ -185,6 +190,7 @@
 		c.log.Warn().Err(err).Msg("upstreams-not-recalled")
 		return
 	}
+	c.origins.recalled = count > 0
 	c.log.Info().Int("upstreams", count).Msg("upstreams-recalled")
 }
 
@@ -282,6 +288,7 @@
 		c.rateLimits.tick(now)
 		c.slowdowns.tick(now)
 		c.brittleness.tick(now)
+		c.origins.tick(now)
 		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now)); err != nil {
 			return err
 		}
@@ -338,6 +345,7 @@
 		c.slowdowns.startLeadership()
 		c.reaches.startLeadership()
 		c.brittleness.startLeadership()
+		c.origins.startLeadership()
 	}
 	return true
 }
@@ -352,12 +360,8 @@
 		e.reply <- c.read()
 	case ticked:
 		return c.tick(c.ctx)
-	case pollReceived:
-		return c.handlePoll(e)
-	case announcementReceived:
-		e.reply <- c.handleAnnouncement(e)
-	case upstreamBatchReceived:
-		e.reply <- c.syncUpstreams(e.batch)
+	case pollReceived, announcementReceived, findStreamRequested, upstreamBatchReceived:
+		return c.handleFleetEvent(e)
 	case rolloutRequested:
 		return c.rollouts.start(e)
 	case rolloutReadRequested:
@@ -376,6 +380,21 @@
 	return nil
 }
 
+// handleFleetEvent handles an event of entries or upstreams.
+func (c *coordinator) handleFleetEvent(e event) error {
+	switch e := e.(type) {
+	case pollReceived:
+		return c.handlePoll(e)
+	case announcementReceived:
+		e.reply <- c.handleAnnouncement(e)
+	case findStreamRequested:
+		e.reply <- c.origins.find(timekeeper.Now(), e.request)
+	case upstreamBatchReceived:
+		e.reply <- c.syncUpstreams(e.batch)
+	}
+	return nil
+}
+
 // handleDeclare proposes a configuration. It replies at once where this instance leads and
 // the same or a higher version is in force: that one is committed, so the reply is final.
 func (c *coordinator) handleDeclare(e declareRequested) error {
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -22,6 +22,7 @@
 	// MethodStartRollout and MethodReadRollout forward an operator's calls to the leader.
 	MethodStartRollout connector.Method = "registry/rollout"
 	MethodReadRollout  connector.Method = "registry/read-rollout"
+	MethodFindStream   connector.Method = "registry/find-stream"
 )
 
 // event is an input of the coordinator.
@@ -65,6 +66,12 @@
 	reply      chan<- *messages.EntryPollResponse
 }
 
+// findStreamRequested asks where a stream began.
+type findStreamRequested struct {
+	request *messages.FindStream
+	reply   chan<- *messages.FindStreamResponse
+}
+
 // announcementReceived is a heartbeat, or a deregistration where deregistered is set.
 type announcementReceived struct {
 	registration enroller.Registration
@@ -150,6 +157,7 @@
 func (pollReceived) event()          {}
 func (announcementReceived) event()  {}
 func (upstreamBatchReceived) event() {}
+func (findStreamRequested) event()   {}
 func (rolloutRequested) event()      {}
 func (rolloutReadRequested) event()  {}
 func (usageReportEnded) event()      {}
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -151,6 +151,8 @@
 		e.reply <- &messages.EntryPollResponse{}
 	case announcementReceived:
 		e.reply <- announceReply{}
+	case findStreamRequested:
+		e.reply <- &messages.FindStreamResponse{}
 	case upstreamBatchReceived:
 		e.reply <- &messages.UpstreamBatchResponse{}
 	case rolloutRequested:
@@ -196,6 +198,14 @@
 			Declaration: reply.declaration,
 		}, err
 	})
+	connector.Handle(server, MethodFindStream, func(ctx context.Context, _ connector.Peer, m *messages.FindStream) (*messages.FindStreamResponse, error) {
+		return sendAndWait(ctx, g, func(reply chan<- *messages.FindStreamResponse) event {
+			return findStreamRequested{
+				request: m,
+				reply:   reply,
+			}
+		})
+	})
 	g.registerRolloutMethods(server)
 	return server
 }
--- /dev/null
+++ b/src/governor/origins.go
@@ -0,0 +1,178 @@
+package governor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/binder"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+const (
+	// maxStreams bounds the streams that the leader remembers. A thousand entries begin some 40,000 a second,
+	// and callers try for some ten seconds.
+	maxStreams = 1 << 20
+	// knownHeartbeats is how many heartbeat intervals after its start an instance has heard of all
+	// upstreams that are up.
+	knownHeartbeats = 2.5
+	// knownAfter is how long after its start an instance that recalled no upstreams knows all versions at
+	// which a stream may have begun: longer than callers try to resume one.
+	knownAfter = time.Minute
+)
+
+// origins remembers at which versions streams began that entries report. Only the coordinator's goroutine
+// uses it.
+type origins struct {
+	coordinator *coordinator
+	startedAt   time.Time
+	// recalled is set if the upstreams of an earlier run were read from disk.
+	recalled bool
+	ledger   binder.Ledger
+	// releases are the versions of each service as of the last tick; wanted is set while streams can have
+	// begun at several of them, as far as this instance knows.
+	releases map[units.Service][]units.Release
+	wanted   bool
+}
+
+// startLeadership starts with no streams reported by entries, which report theirs to each leader.
+func (o *origins) startLeadership() {
+	o.ledger = binder.Ledger{MaxStreams: maxStreams}
+	o.wanted = true
+}
+
+// tick determines which versions serve.
+func (o *origins) tick(now time.Time) {
+	releases := o.coordinator.table.Releases(now)
+	wanted := !o.knowsVersions(now)
+	for service, list := range releases {
+		wanted = wanted || len(list) > 1
+		if !slices.Equal(list, o.releases[service]) {
+			o.coordinator.log.Info().
+				Str("service", string(service)).
+				Strs("releases", names(list)).
+				Strs("before", names(o.releases[service])).
+				Msg("service-releases")
+		}
+	}
+	if wanted != o.wanted {
+		o.coordinator.log.Info().
+			Bool("wanted", wanted).
+			Int("streams", o.ledger.Len()).
+			Msg("streams-wanted")
+	}
+	o.releases, o.wanted = releases, wanted
+}
+
+func names(releases []units.Release) []string {
+	list := make([]string, 0, len(releases))
+	for _, release := range releases {
+		list = append(list, string(release))
+	}
+	return list
+}
+
+// knowsVersions reports whether this instance knows all versions at which a stream may have begun that a
+// caller still tries to resume.
+func (o *origins) knowsVersions(now time.Time) bool {
+	return now.Sub(o.startedAt) >= knownAfter || o.recalled && o.hasHeardAll(now)
+}
+
+// hasHeardAll reports whether this instance has heard of all upstreams that are up.
+func (o *origins) hasHeardAll(now time.Time) bool {
+	return now.Sub(o.startedAt) >= time.Duration(knownHeartbeats*float64(o.coordinator.settings.HeartbeatInterval))
+}
+
+// record records the streams that an entry reports.
+func (o *origins) record(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
+	dropped := 0
+	for _, m := range poll.GetStreamOrigins() {
+		dropped += o.ledger.Record(now, decodeOrigins(now, m))
+	}
+	if dropped > 0 {
+		o.coordinator.log.Warn().
+			Str("entry", string(entry)).
+			Int("dropped", dropped).
+			Int("streams", o.ledger.Len()).
+			Msg("streams-dropped")
+	}
+}
+
+// find returns where a stream began.
+func (o *origins) find(now time.Time, m *messages.FindStream) *messages.FindStreamResponse {
+	c := o.coordinator
+	response := &messages.FindStreamResponse{Leader: string(c.node.LeaderID())}
+	if !c.isLeader(now) {
+		return response
+	}
+	origin, reported := o.ledger.Find(now, binder.StreamID(m.GetStream()))
+	only, isOnly := o.onlyOrigin(now, m.GetServices())
+	switch {
+	case reported:
+		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED
+	case isOnly && o.knowsVersions(now):
+		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION
+		origin = only
+	case !c.allocator.Settled(now) || !o.hasHeardAll(now):
+		return response
+	default:
+		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN
+	}
+	response.Service, response.Release = string(origin.Service), string(origin.Release)
+	return response
+}
+
+// onlyOrigin returns the only version of the only service that serves a stream, false if there are several.
+func (o *origins) onlyOrigin(now time.Time, services []string) (binder.Origin, bool) {
+	if len(services) != 1 {
+		return binder.Origin{}, false
+	}
+	service := units.Service(services[0])
+	releases := o.coordinator.table.Releases(now)[service]
+	if len(releases) != 1 {
+		return binder.Origin{}, false
+	}
+	return binder.Origin{
+		Service: service,
+		Release: releases[0],
+	}, true
+}
+
+// EncodeOrigins encodes streams by the version at which they began.
+func EncodeOrigins(now time.Time, records []binder.Record) []*messages.StreamOrigins {
+	byOrigin := make(map[binder.Origin]*messages.StreamOrigins)
+	for _, record := range records {
+		m := byOrigin[record.Origin]
+		if m == nil {
+			m = &messages.StreamOrigins{
+				Service: string(record.Origin.Service),
+				Release: string(record.Origin.Release),
+			}
+			byOrigin[record.Origin] = m
+		}
+		m.Streams = append(m.Streams, uint64(record.Stream))
+		m.LeftMs = append(m.LeftMs, uint32(max(0, record.Until.Sub(now).Milliseconds())))
+	}
+	return slices.Collect(maps.Values(byOrigin))
+}
+
+// decodeOrigins decodes streams that began at one version. It returns none for a message whose lists differ in
+// length.
+func decodeOrigins(now time.Time, m *messages.StreamOrigins) []binder.Record {
+	if len(m.GetLeftMs()) != len(m.GetStreams()) {
+		return nil
+	}
+	records := make([]binder.Record, 0, len(m.GetStreams()))
+	for i, stream := range m.GetStreams() {
+		records = append(records, binder.Record{
+			Stream: binder.StreamID(stream),
+			Origin: binder.Origin{
+				Service: units.Service(m.GetService()),
+				Release: units.Release(m.GetRelease()),
+			},
+			Until: now.Add(time.Duration(m.GetLeftMs()[i]) * time.Millisecond),
+		})
+	}
+	return records
+}
--- /dev/null
+++ b/src/governor/origins_test.go
@@ -0,0 +1,147 @@
+package governor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/binder"
+	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/messages"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// newLeaderOfVersions returns a leader with one upstream of each version, that has been up for some time.
+func newLeaderOfVersions(t *testing.T, up time.Duration, recalled bool, releases ...units.Release) *coordinator {
+	t.Helper()
+	_, c := newLeader(t)
+	now := timekeeper.Now()
+	c.isLeader(now)
+	c.settings.HeartbeatInterval = time.Second
+	c.allocator.Since = now.Add(-time.Minute)
+	c.origins.startedAt = now.Add(-up)
+	c.origins.recalled = recalled
+	for _, release := range releases {
+		c.table.Record(now, enroller.Registration{
+			ID:       "u-" + units.Upstream(release),
+			Service:  "s",
+			Address:  string(release),
+			State:    enroller.Ready,
+			Release:  release,
+			Sequence: 1,
+		}, 0)
+	}
+	c.origins.tick(now)
+	return c
+}
+
+func streamsPoll(records ...binder.Record) *messages.EntryPoll {
+	return &messages.EntryPoll{
+		Entry:         "e1",
+		Incarnation:   1,
+		Serving:       true,
+		WallNs:        time.Now().UnixNano(),
+		StreamOrigins: EncodeOrigins(timekeeper.Now(), records),
+	}
+}
+
+func recordOf(stream binder.StreamID, release units.Release, left time.Duration) binder.Record {
+	return binder.Record{
+		Stream: stream,
+		Origin: binder.Origin{Service: "s", Release: release},
+		Until:  timekeeper.Now().Add(left),
+	}
+}
+
+// Guards against a leader that guesses where a stream began, or does not tell though it knows.
+func TestLeaderFindsStreams(t *testing.T) {
+	const long, short = time.Hour, time.Second
+	two := []units.Release{"v1", "v2"}
+	cases := map[string]struct {
+		up          time.Duration
+		recalled    bool
+		releases    []units.Release
+		change      func(c *coordinator)
+		services    []string
+		want        messages.StreamKnowledge
+		wantRelease string
+	}{
+		"reported":                         {up: long, releases: two, change: report(recordOf(7, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"reported, of a version that left": {up: long, releases: two, change: report(recordOf(7, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
+		"reported again":                   {up: long, releases: two, change: report(recordOf(7, "v1", short), recordOf(7, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"another one reported":             {up: long, releases: two, change: report(recordOf(8, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"caller has given up":              {up: long, releases: two, change: report(recordOf(7, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version":                      {up: long, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
+		"one version, recalled":            {up: 10 * time.Second, recalled: true, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
+		"one version, up for a moment":     {up: 10 * time.Second, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version, just recalled":       {recalled: true, releases: two[:1]},
+		"one version, another one left":    {up: long, releases: two, change: func(c *coordinator) { c.table.MarkGone(timekeeper.Now(), "u-v2") }, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version of several services":  {up: long, releases: two[:1], services: []string{"s", "t"}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"new leader":                       {up: long, releases: two, change: func(c *coordinator) { c.allocator.Since = timekeeper.Now() }},
+		"lists of different lengths": {up: long, releases: two, change: func(c *coordinator) {
+			c.poll(&messages.EntryPoll{Entry: "e1", StreamOrigins: []*messages.StreamOrigins{{Service: "s", Release: "v1", Streams: []uint64{7}}}})
+		}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeaderOfVersions(t, c.up, c.recalled, c.releases...)
+			if c.change != nil {
+				c.change(leader)
+			}
+			services := c.services
+			if services == nil {
+				services = []string{"s"}
+			}
+			got := leader.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 7, Services: services})
+			if got.GetKnowledge() != c.want || got.GetRelease() != c.wantRelease {
+				t.Errorf("got %s of version %q, want %s of %q", got.GetKnowledge(), got.GetRelease(), c.want, c.wantRelease)
+			}
+		})
+	}
+}
+
+func report(records ...binder.Record) func(c *coordinator) {
+	return func(c *coordinator) {
+		for _, record := range records {
+			c.poll(streamsPoll(record))
+		}
+	}
+}
+
+// Guards against entries that report streams while one version serves, and against those that do not while
+// several may have begun them.
+func TestLeaderWantsStreamsOfSeveralVersions(t *testing.T) {
+	cases := map[string]struct {
+		up       time.Duration
+		recalled bool
+		releases []units.Release
+		want     bool
+	}{
+		"one version":                  {up: time.Hour, releases: []units.Release{"v1"}},
+		"two versions":                 {up: time.Hour, releases: []units.Release{"v1", "v2"}, want: true},
+		"one version, up for a moment": {up: time.Second, releases: []units.Release{"v1"}, want: true},
+		"one version, recalled":        {up: 10 * time.Second, recalled: true, releases: []units.Release{"v1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			leader := newLeaderOfVersions(t, c.up, c.recalled, c.releases...)
+			if got := leader.poll(streamsPoll()).GetWantsStreams(); got != c.want {
+				t.Errorf("wanted: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a new leader that goes by streams of an earlier leadership, of which entries have since
+// reported other versions.
+func TestNewLeadershipKnowsNoStreams(t *testing.T) {
+	c := newLeaderOfVersions(t, time.Hour, false, "v1", "v2")
+	c.poll(streamsPoll(recordOf(7, "v1", time.Minute)))
+	c.origins.startLeadership()
+	if got := c.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 7, Services: []string{"s"}}); got.GetKnowledge() != messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN {
+		t.Errorf("got %s, want the stream unknown until it is reported again", got.GetKnowledge())
+	}
+	if !c.poll(streamsPoll()).GetWantsStreams() {
+		t.Error("wanted: got false, want the entries' streams")
+	}
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -132,6 +132,7 @@
 	c.slowdowns.report(poll, response)
 	c.reaches.report(now, entry, poll, response)
 	c.brittleness.report(now, entry, response)
+	response.WantsStreams = c.origins.wanted
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
@@ -260,6 +261,7 @@
 	c.slowdowns.record(poll)
 	c.reaches.record(now, entry, poll)
 	c.brittleness.record(now, entry, poll)
+	c.origins.record(now, entry, poll)
 	c.duties.orders.record(now, entry, units.Incarnation(poll.GetIncarnation()), poll.GetLoads())
 	c.inFlight.Record(entry, placer.ReportNumber(poll.GetNumber()), DecodeLoads(poll.GetUnderWay()))
 }
