Keep streams from upstreams that may have started again at another version

An upstream that starts again under its name may run other software, and entries learn that with their next poll at the earliest.

An entry that could not connect to an upstream, and can again, takes its version for uncertain until control would have told of a new start; streams go to others meanwhile while several versions serve, unless the entry was out of reach itself, so that all are uncertain.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -85,6 +85,7 @@
 	pathfinder   pathfinder.Pathfinder
 	rationer     rationer.Rationer
 	journal      binder.Journal
+	returns      returns
 	sender       *relayer.Sender
 	carrier      *relayer.Carrier
 }
@@ -99,19 +100,20 @@
 	}
 	g.trafficStats = newTrafficStats(g.Meter)
 	g.placer = &placer.Placer{
-		DataCentre:  g.Settings.DataCentre,
-		Now:         timekeeper.Now,
-		Fleet:       g.fleet,
-		Leaving:     g.leaving,
-		Split:       g.split,
-		PrefillTime: g.trafficStats.prefillPerToken,
-		MaxInFlight: g.connections,
-		Gate:        &g.gate,
-		Withholder:  &g.withholder,
-		Rationer:    &g.rationer,
-		CallTime:    g.trafficStats.callTime,
-		Entries:     g.entryCount,
-		IsRelayed:   g.isRelayed,
+		DataCentre:     g.Settings.DataCentre,
+		Now:            timekeeper.Now,
+		Fleet:          g.fleet,
+		Leaving:        g.leaving,
+		Split:          g.split,
+		PrefillTime:    g.trafficStats.prefillPerToken,
+		MaxInFlight:    g.connections,
+		Gate:           &g.gate,
+		Withholder:     &g.withholder,
+		Rationer:       &g.rationer,
+		CallTime:       g.trafficStats.callTime,
+		Entries:        g.entryCount,
+		IsRelayed:      g.isRelayed,
+		MayHaveChanged: g.mayHaveChanged,
 	}
 	g.quota = &allocator.LocalLimiter{Window: allocator.NewWindow(g.Settings.Quota)}
 	g.retryBudget = &retrier.Budget{
--- a/src/gateway/origins_test.go
+++ b/src/gateway/origins_test.go
@@ -19,7 +19,9 @@
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
+	"github.com/rosecroft/rosecroft/src/parser"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
+	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -253,3 +255,42 @@
 		})
 	}
 }
+
+// Guards against streams at an upstream that has started again at another version, before control has told.
+func TestUpstreamsThatReturnMayHaveChanged(t *testing.T) {
+	upstream := &tracker.Upstream{Name: "u", Service: "s", Incarnation: 1}
+	id := units.NewIncarnationID("u", 1)
+	now := timekeeper.Now()
+	cases := map[string]struct {
+		dials    []bool
+		after    time.Duration
+		releases []units.Release
+		want     bool
+	}{
+		"reached":                       {dials: []bool{true, true}, releases: []units.Release{"v1", "v2"}},
+		"not reached":                   {dials: []bool{true, false}, releases: []units.Release{"v1", "v2"}, want: true},
+		"reached again":                 {dials: []bool{false, false, true}, releases: []units.Release{"v1", "v2"}, want: true},
+		"reached again a while ago":     {dials: []bool{false, true}, after: 4 * time.Second, releases: []units.Release{"v1", "v2"}},
+		"reached again and again":       {dials: []bool{false, true, true}, after: time.Second, releases: []units.Release{"v1", "v2"}, want: true},
+		"reached again, of one version": {dials: []bool{false, true}, releases: []units.Release{"v1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newLimitedGateway(t, time.Minute)
+			g.Settings = &parser.PlatformSettings{HeartbeatInterval: 1200 * time.Millisecond}
+			snap := *g.snapshot.Load()
+			snap.releases = map[units.Service][]units.Release{"s": c.releases}
+			g.snapshot.Store(&snap)
+			for _, reached := range c.dials {
+				g.returns.recordDial(now, id, !reached)
+			}
+			if got := g.mayHaveChanged(now.Add(c.after), upstream, id); got != c.want {
+				t.Errorf("may have changed: got %t, want %t", got, c.want)
+			}
+			g.returns.retain(nil)
+			if g.mayHaveChanged(now, upstream, id) {
+				t.Error("an upstream that is gone: got it kept, want it forgotten")
+			}
+		})
+	}
+}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -382,6 +382,7 @@
 		known[units.NewIncarnationID(e.ID, e.Incarnation)] = true
 	}
 	p.gateway.withholder.Retain(now, func(id units.IncarnationID) bool { return known[id] })
+	p.gateway.returns.retain(known)
 }
 
 // upstreamChanges returns the changes of the table in a response. A page that cannot be decoded
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -13,6 +13,7 @@
 
 // recordDial records the outcome of an attempt to connect to an upstream.
 func (g *Gateway) recordDial(upstream *tracker.Upstream, startedAt time.Time, err error) {
+	g.returns.recordDial(timekeeper.Now(), units.NewIncarnationID(upstream.Name, upstream.Incarnation), err != nil)
 	reach, changed := g.pathfinder.RecordDial(pathfinder.Dial{
 		Service:   upstream.Service,
 		Upstream:  units.NewIncarnationID(upstream.Name, upstream.Incarnation),
--- /dev/null
+++ b/src/gateway/returns.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rosecroft/rosecroft/src/tracker"
+	"github.com/rosecroft/rosecroft/src/units"
+)
+
+// announcedAfter is how many heartbeat intervals after it is reached again an upstream that has started again
+// under its name is known as such.
+const announcedAfter = 2.5
+
+// returns holds the upstreams that do not accept connections, or do so again. Such an upstream may have started
+// again, at another software version, before control has told so. It is safe for concurrent use.
+type returns struct {
+	mu sync.Mutex
+	// unreached are the incarnations to which the last connection could not be made, and returnedAt is when
+	// one could be made again.
+	unreached  map[units.IncarnationID]bool
+	returnedAt map[units.IncarnationID]time.Time
+}
+
+// recordDial records the outcome of an attempt to connect to an upstream.
+func (r *returns) recordDial(now time.Time, id units.IncarnationID, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if failed {
+		if r.unreached == nil {
+			r.unreached = make(map[units.IncarnationID]bool)
+			r.returnedAt = make(map[units.IncarnationID]time.Time)
+		}
+		r.unreached[id] = true
+		return
+	}
+	if r.unreached[id] {
+		delete(r.unreached, id)
+		r.returnedAt[id] = now
+	}
+}
+
+// isRecent reports whether an upstream is not reached, or is again for less than a time.
+func (r *returns) isRecent(now time.Time, id units.IncarnationID, within time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, found := r.returnedAt[id]
+	return r.unreached[id] || found && now.Sub(at) < within
+}
+
+// retain forgets the upstreams that are no longer known.
+func (r *returns) retain(known map[units.IncarnationID]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.unreached {
+		if !known[id] {
+			delete(r.unreached, id)
+		}
+	}
+	for id := range r.returnedAt {
+		if !known[id] {
+			delete(r.returnedAt, id)
+		}
+	}
+}
+
+// mayHaveChanged reports whether an upstream may run another version of its software than control has told.
+func (g *Gateway) mayHaveChanged(now time.Time, upstream *tracker.Upstream, id units.IncarnationID) bool {
+	snap := g.snapshot.Load()
+	if snap == nil || len(snap.releases[upstream.Service]) < 2 {
+		return false
+	}
+	return g.returns.isRecent(now, id, time.Duration(announcedAfter*float64(g.Settings.HeartbeatInterval)))
+}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -129,6 +129,9 @@
 	Entries  func() int
 	// IsRelayed reports whether calls to an upstream go through another entry; it may be nil.
 	IsRelayed func(upstream *tracker.Upstream, id units.IncarnationID) bool
+	// MayHaveChanged reports whether an upstream may run another software version than it is known for; it may
+	// be nil.
+	MayHaveChanged func(now time.Time, u *tracker.Upstream, id units.IncarnationID) bool
 	// Random is the source of randomness; nil selects the process's own source.
 	Random Random
 
@@ -254,6 +257,9 @@
 		if len(candidates) == 0 {
 			candidates = p.eligible(now, fallback, tried)
 		}
+		if certain := p.certain(now, call, candidates); len(certain) > 0 {
+			candidates = certain
+		}
 		return p.best(now, call, candidates, len(tried) == 0)
 	})
 }
@@ -270,11 +276,31 @@
 		heard := slices.DeleteFunc(p.eligible(now, same, tried), func(c *Candidate) bool {
 			return c.Silent && !c.hasAnsweredRecently(now)
 		})
+		certain := p.certain(now, call, heard)
+		if len(certain) == 0 && len(p.certain(now, call, p.Fleet()[call.Service])) == 0 {
+			// This entry, and not its upstreams, has been out of reach.
+			certain = heard
+		}
 		// The caller has part of the answer: it is too late to refuse the rest.
-		return p.best(now, call, heard, false)
+		return p.best(now, call, certain, false)
 	}), false
 }
 
+// certain returns the candidates that are certain to run the software version that they are known for; for a
+// call without a stream all are.
+func (p *Placer) certain(now time.Time, call *dispatcher.Call, candidates []*Candidate) []*Candidate {
+	if !call.Stream || p.MayHaveChanged == nil {
+		return candidates
+	}
+	certain := make([]*Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if !p.MayHaveChanged(now, c.Upstream, c.incarnationID) {
+			certain = append(certain, c)
+		}
+	}
+	return certain
+}
+
 // admitted returns the first chosen upstream that the gate admits, nil if none is chosen.
 func (p *Placer) admitted(choose func(now time.Time) *Candidate) *tracker.Upstream {
 	now := p.Now()
--- a/src/placer/release_test.go
+++ b/src/placer/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -54,6 +55,11 @@
 		"the target after it was taken back":  {split: &Split{Target: "v2"}, release: "v2", gone: true},
 		"the others once it is completed":     {split: &Split{Target: "v2", TargetOnly: true}, release: "v1", gone: true},
 		"the target once it is completed":     {split: &Split{Target: "v2", TargetOnly: true}, release: "v2", want: true},
+		"some may have changed":               {release: "v2", change: func(f *fixture) { f.mayHaveChanged("v2-0") }, want: true},
+		"all of it may have changed":          {release: "v2", change: func(f *fixture) { f.mayHaveChanged("v2-0", "v2-1") }},
+		"all of the service may have changed": {
+			release: "v2", change: func(f *fixture) { f.mayHaveChanged("v1-0", "v1-1", "v2-0", "v2-1") }, want: true,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -69,14 +75,42 @@
 				if u != nil && u.Release != c.release {
 					t.Fatalf("version: got %q, want %q", u.Release, c.release)
 				}
+				if u != nil && name == "some may have changed" && u.Name == "v2-0" {
+					t.Fatal("got an upstream that may run another version, want the other one")
+				}
 			}
 		})
 	}
 }
 
+// Guards against new streams at an upstream that may run another version than is recorded for them, and
+// against calls without a stream that are kept from it.
+func TestNewStreamsAvoidUpstreamsThatMayHaveChanged(t *testing.T) {
+	f := newReleaseFixture(nil)
+	f.mayHaveChanged("v1-0", "v1-1", "v2-0")
+	used := make(map[units.Upstream]bool)
+	for range 200 {
+		if got := f.Pick(&dispatcher.Call{Service: "s", Stream: true}, nil); got.Name != "v2-1" {
+			t.Fatalf("stream: got %s, want v2-1", got.Name)
+		}
+		used[f.Pick(&dispatcher.Call{Service: "s"}, nil).Name] = true
+	}
+	if len(used) != 4 {
+		t.Errorf("upstreams of calls without a stream: got %d, want all 4", len(used))
+	}
+}
+
 // silence makes control hear no more of some upstreams.
 func (f *fixture) silence(indexes ...int) {
 	for _, i := range indexes {
 		f.fleet["s"][i].Silent = true
 	}
 }
+
+func (f *fixture) mayHaveChanged(names ...units.Upstream) {
+	changed := make(map[units.Upstream]bool)
+	for _, name := range names {
+		changed[name] = true
+	}
+	f.MayHaveChanged = func(_ time.Time, u *tracker.Upstream, _ units.IncarnationID) bool { return changed[u.Name] }
+}
