Take an upstream for ended unless another entry reaches it

A caller got a stream without a length as complete that had 2 of 12 events: its upstream ended between two events.

Its log: the connection that shows whether the upstream still runs was refused, and with it the third of three upstreams counted as not reached, so that the entry took itself for partitioned 0.4 ms before the call ended; the other entries could not tell, and for lost calls an entry that is partitioned blames no upstream.

For the end of an answer the doubt goes the other way: only another entry that reaches the upstream shows that it runs.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -141,7 +141,7 @@
 		Donor:     g.placer.Donor,
 		OnStarted: g.countCall,
 		OnAnswer:  g.recordAnswer,
-		HasEnded:  g.crashed,
+		HasEnded:  g.hasEnded,
 	}
 	g.prepareRelays(direct)
 	g.dispatcher = &dispatcher.Dispatcher{
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -235,6 +235,13 @@
 	return nil
 }
 
+// hasEnded reports whether an upstream that refuses connections from this entry has ended, as far as others do
+// not reach it: an answer that ended with it must not look complete.
+func (g *Gateway) hasEnded(ctx context.Context, upstream *tracker.Upstream) bool {
+	reached, _ := g.sender.Probe(ctx, upstream)
+	return !reached
+}
+
 // crashed reports whether an upstream that accepts no connection from this entry accepts none from
 // others either. Behind a partition of its own, an entry cannot tell by itself.
 func (g *Gateway) crashed(ctx context.Context, upstream *tracker.Upstream) bool {
