Refuse to resume streams that began at an upstream of uncertain version

It is remembered as one of unknown version now and refused when it is resumed, as not run; an earlier attempt's version does not stand in for it either.

--- a/src/binder/origin.go
+++ b/src/binder/origin.go
@@ -20,6 +20,9 @@
 	Release units.Release
 }
 
+// Unknown is the origin of a stream that began at an upstream whose version was not certain.
+var Unknown Origin
+
 // Record is the origin of one stream.
 type Record struct {
 	Stream StreamID
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -58,13 +58,18 @@
 	if !known || !call.Stream {
 		return
 	}
-	g.journal.Add(timekeeper.Now(), binder.Record{
+	now := timekeeper.Now()
+	origin := binder.Origin{
+		Service: upstream.Service,
+		Release: upstream.Release,
+	}
+	if g.mayHaveChanged(now, upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
+		origin = binder.Unknown
+	}
+	g.journal.Add(now, binder.Record{
 		Stream: t.stream,
-		Origin: binder.Origin{
-			Service: upstream.Service,
-			Release: upstream.Release,
-		},
-		Until: t.streamUntil,
+		Origin: origin,
+		Until:  t.streamUntil,
 	})
 }
 
@@ -85,7 +90,7 @@
 func (g *Gateway) findOrigin(ctx context.Context, r *Request, route *matcher.Route, call *dispatcher.Call, stream binder.StreamID) error {
 	startedAt := timekeeper.Now()
 	origin, source := g.originOf(ctx, r, route, stream)
-	served := source != sourceNone && slices.ContainsFunc(route.Splits, func(s matcher.Split) bool { return s.Service == origin.Service })
+	served := source != sourceNone && origin != binder.Unknown && slices.ContainsFunc(route.Splits, func(s matcher.Split) bool { return s.Service == origin.Service })
 	g.trafficStats.originFound(source)
 	g.Log.Info().
 		Str("call", string(call.ID)).
--- a/src/gateway/origins_test.go
+++ b/src/gateway/origins_test.go
@@ -102,6 +102,7 @@
 		"new leader":                       {answers: []*messages.FindStreamResponse{nothing, nothing, found(reported, "s", "v2")}, want: binder.Origin{Service: "s", Release: "v2"}, maxQuestions: 3},
 		"of another service of the route":  {answers: []*messages.FindStreamResponse{found(reported, "t", "v2")}, services: []units.Service{"s", "t"}, want: binder.Origin{Service: "t", Release: "v2"}, maxQuestions: 1},
 		"of a service that lost the route": {answers: []*messages.FindStreamResponse{found(reported, "t", "v2")}, refused: true, maxQuestions: 1},
+		"began at an uncertain version":    {answers: []*messages.FindStreamResponse{found(reported, "", "")}, refused: true, maxQuestions: 1},
 		"not known":                        {answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, releases: two, maxQuestions: 8},
 		"not known, one version here":      {answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, releases: one, maxQuestions: 8},
 		"not named":                        {unnamed: true, answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, maxQuestions: 1},
@@ -291,3 +292,30 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at the version that an upstream had before it started again, and at
+// that of an earlier attempt.
+func TestUncertainVersionsAreNotRecorded(t *testing.T) {
+	g := newLimitedGateway(t, time.Minute)
+	g.Settings = &parser.PlatformSettings{HeartbeatInterval: time.Second}
+	g.journal.MaxRecords = 10
+	now := timekeeper.Now()
+	certain := &tracker.Upstream{Name: "u", Service: "s", Release: "v1", Incarnation: 1}
+	uncertain := &tracker.Upstream{Name: "v", Service: "s", Release: "v1", Incarnation: 1}
+	g.returns.recordDial(now, units.NewIncarnationID("v", 1), true)
+	stream := binder.NewStreamID("c")
+	call := &dispatcher.Call{Stream: true, Trace: &callTrace{stream: stream, streamUntil: now.Add(time.Minute)}}
+	for _, attempt := range []struct {
+		upstream *tracker.Upstream
+		want     binder.Origin
+	}{
+		{upstream: certain, want: binder.Origin{Service: "s", Release: "v1"}},
+		{upstream: uncertain, want: binder.Unknown},
+		{upstream: certain, want: binder.Origin{Service: "s", Release: "v1"}},
+	} {
+		g.recordOrigin(call, attempt.upstream)
+		if got, found := g.journal.Find(now, stream); !found || got != attempt.want {
+			t.Errorf("after an attempt at %s: got %v (known %t), want %v", attempt.upstream.Name, got, found, attempt.want)
+		}
+	}
+}
