--- a/src/binder/binder_test.go
+++ b/src/binder/binder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 		r.journal.Add(r.now, record)
 		r.want[record.Stream] = record
 	case 2:
-		r.report(rapid.IntRange(1, 5).Draw(t, "most"), rapid.Bool().Draw(t, "acknowledged"))
+		r.report(t, rapid.IntRange(1, 5).Draw(t, "most"), rapid.Bool().Draw(t, "acknowledged"))
 	case 3:
 		r.now = r.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "passed")) * time.Millisecond)
 	case 4:
@@ -65,9 +66,16 @@
 	}
 }
 
-// report reports some records to the leader, and returns whether there are more.
-func (r *remembered) report(most int, acknowledged bool) bool {
+// report reports some records to the leader, which may take them in any order, and returns whether there
+// are more.
+func (r *remembered) report(t *rapid.T, most int, acknowledged bool) bool {
 	records, last := r.journal.After(r.now, r.reported, most)
+	slices.Reverse(records)
+	for _, record := range records {
+		if record != r.want[record.Stream] {
+			t.Fatalf("reported: got %v, want the last record %v", record, r.want[record.Stream])
+		}
+	}
 	r.ledger.Record(r.now, records)
 	more := last > r.reported
 	if acknowledged {
@@ -89,7 +97,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			r.step(t)
 		}
-		for r.report(3, true) {
+		for r.report(t, 3, true) {
 			// The rest follows in further polls.
 		}
 		for stream, record := range r.want {
--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -137,7 +137,9 @@
 func TestNewLeadershipKnowsNoStreams(t *testing.T) {
 	c := newLeaderOfVersions(t, time.Hour, false, "v1", "v2")
 	c.poll(streamsPoll(recordOf(7, "v1", time.Minute)))
-	c.origins.startLeadership()
+	c.leaderSince = time.Time{}
+	c.isLeader(timekeeper.Now())
+	c.allocator.Since = timekeeper.Now().Add(-time.Minute)
 	if got := c.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 7, Services: []string{"s"}}); got.GetKnowledge() != messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN {
 		t.Errorf("got %s, want the stream unknown until it is reported again", got.GetKnowledge())
 	}
