--- a/src/binder/binder_test.go
+++ b/src/binder/binder_test.go
@@ -193,3 +193,35 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
 	runtime.KeepAlive(ledger)
 }
+
+// BenchmarkJournal measures what an entry remembers of its own streams, 41 a second for 12 s and as many as there
+// is room for.
+func BenchmarkJournal(b *testing.B) {
+	for _, kept := range []int{41 * 12, 1 << 14} {
+		b.Run(fmt.Sprint(kept), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			journal := &Journal{MaxRecords: kept}
+			id := 0
+			add := func() {
+				id++
+				journal.Add(start, Record{
+					Stream: StreamID(id) * 0x9e3779b97f4a7c15,
+					Origin: Origin{Service: "s", Release: "v1"},
+					Until:  start.Add(12 * time.Second),
+				})
+			}
+			for b.Loop() {
+				add()
+			}
+			for id < 2*kept {
+				add()
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<10), "KiB")
+			runtime.KeepAlive(journal)
+		})
+	}
+}
--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -1,9 +1,12 @@
 package governor
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -147,3 +150,29 @@
 		t.Error("wanted: got false, want the entries' streams")
 	}
 }
+
+// BenchmarkEncodeOrigins measures what a poll carries of the streams that an entry began since the last one, at two
+// versions.
+func BenchmarkEncodeOrigins(b *testing.B) {
+	for _, streams := range []int{1, 8, 512} {
+		b.Run(strconv.Itoa(streams), func(b *testing.B) {
+			now := time.Now()
+			records := make([]binder.Record, 0, streams)
+			for i := range streams {
+				records = append(records, binder.Record{
+					Stream: binder.NewStreamID(units.CallID(strconv.Itoa(i))),
+					Origin: binder.Origin{
+						Service: "model",
+						Release: units.Release("v1." + strconv.Itoa(i%2)),
+					},
+					Until: now.Add(12 * time.Second),
+				})
+			}
+			size := 0
+			for b.Loop() {
+				size = proto.Size(&messages.EntryPoll{StreamOrigins: EncodeOrigins(now, records)})
+			}
+			b.ReportMetric(float64(size), "bytes/poll")
+		})
+	}
+}
