Let the leader know before a stream begins anew at another version

A stream's first attempt brought no event and its second one went to another software version; the leader knew of the second one with the entry's next poll. If the entry was killed before that, callers who resumed the stream elsewhere got the rest from the first version. Found by reading.

--- a/src/binder/journal.go
+++ b/src/binder/journal.go
@@ -21,8 +21,8 @@
 	latest  map[StreamID]Number
 }
 
-// Add adds a record.
-func (j *Journal) Add(now time.Time, record Record) {
+// Add adds a record and returns its number.
+func (j *Journal) Add(now time.Time, record Record) Number {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.latest == nil {
@@ -30,7 +30,9 @@
 	}
 	j.drop(now)
 	j.records = append(j.records, record)
-	j.latest[record.Stream] = j.dropped + Number(len(j.records))
+	number := j.dropped + Number(len(j.records))
+	j.latest[record.Stream] = number
+	return number
 }
 
 // drop drops records that are no longer needed, and one more than there is room for.
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -127,8 +127,8 @@
 	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
 	// that an upstream asked for.
 	BackoffLeft func(call *Call) time.Duration
-	// OnAttempt is called before each attempt; it may be nil.
-	OnAttempt func(call *Call, upstream *tracker.Upstream)
+	// OnAttempt is called before each attempt, which waits for it; it may be nil.
+	OnAttempt func(ctx context.Context, call *Call, upstream *tracker.Upstream)
 }
 
 // Do runs a call to completion. An error that is a *Refusal is the response to the
@@ -420,7 +420,7 @@
 	defer upstream.Local.InFlight.Add(-1)
 	call.RecordStep(StepAttempt, upstream.Name, "")
 	if d.OnAttempt != nil {
-		d.OnAttempt(call, upstream)
+		d.OnAttempt(ctx, call, upstream)
 	}
 	result := d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	recordAttemptEnd(call, upstream.Name, result)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -68,26 +68,27 @@
 	stopping       atomic.Bool
 	startupBarrier *startupBarrier
 	// seeds are the control instances that the current settings name.
-	seeds        atomic.Pointer[[]string]
-	placer       *placer.Placer
-	quota        *allocator.LocalLimiter
-	retryBudget  *retrier.Budget
-	usageCounter *aggregator.Counter
-	trafficStats *trafficStats
-	rolloutStats rolloutStats
-	pool         *exchanger.Pool
-	dispatcher   *dispatcher.Dispatcher
-	evidence     quarantiner.Evidence
-	quarantine   quarantine
-	gate         pacer.Gate
-	withholder   withholder.Withholder
-	slowdowns    appraiser.Collector
-	pathfinder   pathfinder.Pathfinder
-	rationer     rationer.Rationer
-	journal      binder.Journal
-	returns      returns
-	sender       *relayer.Sender
-	carrier      *relayer.Carrier
+	seeds         atomic.Pointer[[]string]
+	placer        *placer.Placer
+	quota         *allocator.LocalLimiter
+	retryBudget   *retrier.Budget
+	usageCounter  *aggregator.Counter
+	trafficStats  *trafficStats
+	rolloutStats  rolloutStats
+	pool          *exchanger.Pool
+	dispatcher    *dispatcher.Dispatcher
+	evidence      quarantiner.Evidence
+	quarantine    quarantine
+	gate          pacer.Gate
+	withholder    withholder.Withholder
+	slowdowns     appraiser.Collector
+	pathfinder    pathfinder.Pathfinder
+	rationer      rationer.Rationer
+	journal       binder.Journal
+	originReports originReports
+	returns       returns
+	sender        *relayer.Sender
+	carrier       *relayer.Carrier
 }
 
 // Prepare creates the components; it is called once, before Run and Serve.
@@ -123,6 +124,7 @@
 		Now:    timekeeper.Now,
 	}
 	g.journal.MaxRecords = maxJournal
+	g.originReports.waiting = make(chan struct{}, 1)
 	g.usageCounter = &aggregator.Counter{WindowLength: g.Settings.Usage.Window}
 	g.pool = &exchanger.Pool{
 		Dialer:         g.UpstreamDialer,
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -33,6 +33,9 @@
 	// findUnknownTimeout is how long a stream is asked for that the leader does not know: its entry reports
 	// it with its next poll.
 	findUnknownTimeout = 2 * maxInterval
+	// replaceTimeout is how long an attempt at another version than the last one waits until the leader knows
+	// that: a poll, also if one was just sent. Without a leader the attempt is made all the same.
+	replaceTimeout = maxInterval + 100*time.Millisecond
 	// trustTime is how long after the leader's last response this entry goes by its own table where the
 	// leader does not respond. A version that it does not know would have to begin a stream and to
 	// lose it in this time.
@@ -52,8 +55,9 @@
 )
 
 // recordOrigin remembers at which version a stream begins or goes on. It does so before the upstream has sent
-// the first event, so that the leader knows it by then; another attempt before that event replaces it.
-func (g *Gateway) recordOrigin(call *dispatcher.Call, upstream *tracker.Upstream) {
+// the first event, so that the leader knows it by then. Another attempt before that event replaces it, and waits
+// until the leader knows that: it would name the wrong version if this entry ended first.
+func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream) {
 	t, known := call.Trace.(*callTrace)
 	if !known || !call.Stream {
 		return
@@ -66,11 +70,23 @@
 	if g.mayHaveChanged(now, upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
 		origin = binder.Unknown
 	}
-	g.journal.Add(now, binder.Record{
+	earlier, isReplaced := g.journal.Find(now, t.stream)
+	number := g.journal.Add(now, binder.Record{
 		Stream: t.stream,
 		Origin: origin,
 		Until:  t.streamUntil,
 	})
+	if !isReplaced || earlier == origin || !g.snapshot.Load().wantsStreams {
+		return
+	}
+	reported := g.originReports.wait(ctx, number, replaceTimeout)
+	g.Log.Info().
+		Str("call", string(call.ID)).
+		Str("release", string(origin.Release)).
+		Str("before", string(earlier.Release)).
+		Bool("reported", reported).
+		Int64("took-ms", timekeeper.Now().Sub(now).Milliseconds()).
+		Msg("stream-origin-replaced")
 }
 
 // streamOf returns the id of the stream that a request begins or resumes, and until when its caller tries.
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -96,20 +96,28 @@
 	p.controlSessions = make(map[string]*controlSession)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var startedAt, dueAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+		case <-p.gateway.originReports.waiting:
+			if soonest := startedAt.Add(minInterval); !p.controlLost && soonest.Before(dueAt) {
+				dueAt = soonest
+				timer.Reset(max(0, dueAt.Sub(timekeeper.Now())))
+			}
+			continue
 		}
-		startedAt := timekeeper.Now()
+		startedAt = timekeeper.Now()
 		p.pollRound(ctx)
 		now := timekeeper.Now()
-		if p.hasMore {
-			timer.Reset(pageDelay)
-			continue
+		delay := pageDelay
+		if !p.hasMore {
+			delay = pollDelay(pollInterval(p.snapshot.entries), now.Sub(startedAt), now.Sub(p.controlLostAt), p.controlLost)
 		}
-		timer.Reset(pollDelay(pollInterval(p.snapshot.entries), now.Sub(startedAt), now.Sub(p.controlLostAt), p.controlLost))
+		dueAt = now.Add(delay)
+		timer.Reset(delay)
 	}
 }
 
@@ -412,6 +420,7 @@
 	p.applyPeers(r.GetPeers())
 	applyBrittleness(now, &p.gateway.rationer, r)
 	p.originSync.handleResponse(r)
+	p.gateway.originReports.set(p.originSync.reported)
 	p.snapshot.leaderAt = sentAt
 	p.snapshot.wantsStreams = r.GetWantsStreams()
 	p.limitSync.handleResponse(now, sentAt, &p.gateway.gate, r, p.snapshot.entries)
