Send a stream's head to its caller with the first event

Cause: the caller's head was written as soon as an engine's head arrived. If that engine was lost before its first event, the call went on elsewhere, and another engine's failure was written as an answer after the head that had gone out.

Change: Stream.Begin keeps the head, and the first event, or the end of a stream without events, sends it. Neither an error nor a whole answer follows an event; a non-repeatable call makes no further attempt after either.

All tests of src pass.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -291,7 +291,7 @@
 		}
 		offsetBefore := stream.Offset()
 		result := d.exchange(ctx, call, attempt, upstream, stream)
-		if result.Kind == Answered {
+		if result.Kind == Answered && (result.Answer == nil || !hasPart(call, stream)) {
 			return result.Answer, nil
 		}
 		if err := state.recordResult(ctx, call, upstream, result); err != nil {
@@ -299,12 +299,16 @@
 		}
 		state.recordProgress(call, stream, offsetBefore, result)
 	}
-	if state.upstreamFailure != nil && stream.Offset() == 0 {
+	if state.upstreamFailure != nil && !hasPart(call, stream) {
 		return state.upstreamFailure, nil
 	}
 	return nil, noUpstreamRefusal(state.executed, d.refusalWait(call, state))
 }
 
+// hasPart reports whether the caller has part of the answer, which no other answer may follow. A call that is no
+// stream gets the whole one, also where its upstreams stream theirs.
+func hasPart(call *Call, stream *Stream) bool { return call.Stream && stream.HasEvents() }
+
 // mayRetry reports whether the outcome of the last attempt allows another one.
 func (d *Dispatcher) mayRetry(call *Call, state *attemptState) bool {
 	return !state.refused || d.MayRetryRefused == nil || d.MayRetryRefused(call)
@@ -339,11 +343,13 @@
 		if !call.Repeatable {
 			return outcomeUnknownRefusal()
 		}
-	case Failed:
+	case Failed, Answered:
 		a.possibleRuns++
 		a.executed = ExecutedUnknown
 		a.upstreamFailure = result.Answer
-	case Answered:
+		if !call.Repeatable {
+			return outcomeUnknownRefusal()
+		}
 	}
 	return a.contextError(ctx)
 }
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -16,6 +16,8 @@
 	FinishReason json.RawMessage
 	Usage        json.RawMessage
 
+	// header is that of the answer that begins the stream, begun is set once the caller has it.
+	header    http.Header
 	begun     bool
 	eventSent bool
 	usageSent bool
@@ -88,7 +90,10 @@
 // Release returns the software version that the stream is bound to, false if it is not bound yet.
 func (s *Stream) Release() (units.Release, bool) { return s.release, s.isBound }
 
-// Begin starts the caller's stream unless an earlier attempt already has. The error is a
+// HasEvents reports whether an event was sent.
+func (s *Stream) HasEvents() bool { return s.eventSent }
+
+// Begin begins an attempt's part of the stream; the caller gets the head with the first event. The error is a
 // *VersionError where the output of this upstream must not continue the stream.
 func (s *Stream) Begin(header http.Header, upstream *tracker.Upstream, version units.ModelVersion) error {
 	if s.isBound && upstream.Release != s.release {
@@ -104,7 +109,7 @@
 		name:        upstream.Name,
 		incarnation: upstream.Incarnation,
 	}
-	if s.begun {
+	if s.eventSent {
 		// An answer must not combine output of two model versions. An upstream that
 		// names no version may continue only a stream that it began itself.
 		if version == s.version && (version != "" || current == s.source) {
@@ -117,10 +122,26 @@
 			Got:      string(version),
 		}
 	}
-	s.begun = true
+	s.header = header
 	s.version = version
 	s.source = current
-	return s.Sink.Begin(header)
+	return nil
+}
+
+// End ends the caller's stream as complete.
+func (s *Stream) End() error {
+	if err := s.beginSink(); err != nil {
+		return err
+	}
+	return s.Sink.End()
+}
+
+func (s *Stream) beginSink() error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	return s.Sink.Begin(s.header)
 }
 
 // send sends an event. The first one binds the stream.
@@ -129,6 +150,9 @@
 	if !s.isBound && s.current != nil {
 		s.bind(s.current.Release)
 	}
+	if err := s.beginSink(); err != nil {
+		return err
+	}
 	return s.Sink.Event(offset, data)
 }
 
--- a/src/exchanger/events.go
+++ b/src/exchanger/events.go
@@ -60,7 +60,7 @@
 		return e.streamCutResult(ctx, err)
 	}
 	e.finish(response, nil)
-	if err := e.stream.Sink.End(); err != nil {
+	if err := e.stream.End(); err != nil {
 		return callerGoneResult(err)
 	}
 	return dispatcher.Result{Kind: dispatcher.Answered}
--- a/src/forwarder/stream.go
+++ b/src/forwarder/stream.go
@@ -108,7 +108,7 @@
 	if e.plan.collects {
 		return e.collect()
 	}
-	if err := e.stream.Sink.End(); err != nil {
+	if err := e.stream.End(); err != nil {
 		return callerGoneResult(err)
 	}
 	return dispatcher.Result{
--- a/src/relayer/sender.go
+++ b/src/relayer/sender.go
@@ -340,7 +340,7 @@
 		}
 	}
 	if result.Kind == dispatcher.Answered && e.call.Stream && result.Answer == nil {
-		if err := e.stream.Sink.End(); err != nil {
+		if err := e.stream.End(); err != nil {
 			result.Kind, result.Err = dispatcher.CallerGone, err
 		}
 	}
