Record a stream's version by the path that knows it, and once

Cause: an entry takes an upstream that does not accept its connections for one that may have started again at another version, and recorded the origin of streams there as unknown. Its attempts go through other entries meanwhile, which do reach the upstream. Besides, a stream that went on at an upstream of uncertain version lost the version of its first event, which was known.

Change: a peer that accepts an attempt says whether the upstream may have changed as far as it knows, and that is recorded; a stream that has a version is not sent there if so, and tries another upstream. Each path records before its attempt, and only while the stream has no version yet. An entry that resumes a caller's stream remembers its origin as found.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -127,8 +127,6 @@
 	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
 	// that an upstream asked for.
 	BackoffLeft func(call *Call) time.Duration
-	// OnAttempt is called before each attempt, which waits for it; it may be nil.
-	OnAttempt func(ctx context.Context, call *Call, upstream *tracker.Upstream)
 }
 
 // Do runs a call to completion. An error that is a *Refusal is the response to the
@@ -221,7 +219,7 @@
 func newStream(call *Call, sink Sink) *Stream {
 	stream := NewStream(sink, call.ResumeOffset)
 	if call.Origin != nil {
-		stream.bind(call.Origin.Release)
+		stream.Bind(call.Origin.Release)
 	}
 	return stream
 }
@@ -425,9 +423,6 @@
 	upstream.Local.InFlight.Add(1)
 	defer upstream.Local.InFlight.Add(-1)
 	call.RecordStep(StepAttempt, upstream.Name, "")
-	if d.OnAttempt != nil {
-		d.OnAttempt(ctx, call, upstream)
-	}
 	result := d.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	recordAttemptEnd(call, upstream.Name, result)
 	if result.Kind == Answered && d.Budget != nil {
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -81,8 +81,8 @@
 // Version returns the model version that generated the stream so far, or "".
 func (s *Stream) Version() units.ModelVersion { return s.version }
 
-// bind binds the stream to a software version: the caller gets output of no other.
-func (s *Stream) bind(release units.Release) {
+// Bind binds the stream to a software version: the caller gets output of no other.
+func (s *Stream) Bind(release units.Release) {
 	s.release = release
 	s.isBound = true
 }
@@ -148,7 +148,7 @@
 func (s *Stream) send(offset units.Tokens, data []byte) error {
 	s.eventSent = true
 	if !s.isBound && s.current != nil {
-		s.bind(s.current.Release)
+		s.Bind(s.current.Release)
 	}
 	if err := s.beginSink(); err != nil {
 		return err
--- a/src/entry/relays.go
+++ b/src/entry/relays.go
@@ -259,6 +259,9 @@
 	return result
 }
 
+// MayHaveChanged returns false: upstreams state no version of their software.
+func (r *relays) MayHaveChanged(*tracker.Upstream) bool { return false }
+
 // Stated returns nothing, as upstreams state nothing of themselves in answers.
 func (r *relays) Stated(*tracker.Upstream) relayer.Stated { return relayer.Stated{} }
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -169,7 +169,6 @@
 		BackoffLeft: func(call *dispatcher.Call) time.Duration {
 			return spreadWait(g.placer.BackoffLeft(call))
 		},
-		OnAttempt: g.recordOrigin,
 	}
 }
 
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -54,10 +54,16 @@
 	sourceNone originSource = "none"
 )
 
-// recordOrigin remembers at which version a stream begins or goes on. It does so before the upstream has sent
-// the first event, so that the leader knows it by then. Another attempt before that event replaces it, and waits
-// until the leader knows that: it would name the wrong version if this entry ended first.
-func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream) {
+// recordAttempt remembers at which version a stream begins if an attempt of this entry's own brings its first event.
+func (g *Gateway) recordAttempt(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream) {
+	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+	g.recordOrigin(ctx, call, upstream, g.mayHaveChanged(timekeeper.Now(), upstream, id))
+}
+
+// recordOrigin remembers at which version a stream begins, unless the upstream may have changed. It does so before the
+// upstream has sent the first event, so that the leader knows it by then. Another attempt before that event replaces
+// it, and waits until the leader knows that: it would name the wrong version if this entry ended first.
+func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, mayHaveChanged bool) {
 	t, known := call.Trace.(*callTrace)
 	if !known || !call.Stream {
 		return
@@ -67,7 +73,7 @@
 		Service: upstream.Service,
 		Release: upstream.Release,
 	}
-	if g.mayHaveChanged(now, upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
+	if mayHaveChanged {
 		origin = binder.Unknown
 	}
 	earlier, isReplaced := g.journal.Find(now, t.stream)
@@ -103,7 +109,8 @@
 }
 
 // findOrigin sets where the stream began that a call resumes, or returns why the call is refused.
-func (g *Gateway) findOrigin(ctx context.Context, r *Request, route *matcher.Route, call *dispatcher.Call, stream binder.StreamID) error {
+func (g *Gateway) findOrigin(ctx context.Context, r *Request, route *matcher.Route, call *dispatcher.Call) error {
+	stream, until := streamOf(r)
 	startedAt := timekeeper.Now()
 	origin, source := g.originOf(ctx, r, route, stream)
 	served := source != sourceNone && origin != binder.Unknown && slices.ContainsFunc(route.Splits, func(s matcher.Split) bool { return s.Service == origin.Service })
@@ -122,6 +129,11 @@
 	}
 	call.Service = origin.Service
 	call.Origin = &origin
+	g.journal.Add(startedAt, binder.Record{
+		Stream: stream,
+		Origin: origin,
+		Until:  until,
+	})
 	return nil
 }
 
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -28,13 +28,14 @@
 // prepareRelays creates the components that send calls through other entries and carry theirs.
 func (g *Gateway) prepareRelays(direct dispatcher.Exchanger) {
 	g.sender = &relayer.Sender{
-		Name:      g.Settings.Name,
-		Client:    g.Client,
-		Guard:     (*attemptGuard)(g),
-		TrueNow:   g.trueNow,
-		OnStarted: g.countCall,
-		OnAnswer:  g.recordAnswer,
-		OnOffer:   g.recordOffer,
+		Name:       g.Settings.Name,
+		Client:     g.Client,
+		Guard:      (*attemptGuard)(g),
+		TrueNow:    g.trueNow,
+		OnStarted:  g.countCall,
+		OnAnswer:   g.recordAnswer,
+		OnAccepted: g.recordOrigin,
+		OnOffer:    g.recordOffer,
 	}
 	g.carrier = &relayer.Carrier{
 		Upstreams: &carriedUpstreams{
@@ -103,6 +104,9 @@
 ) dispatcher.Result {
 	g := p.gateway
 	if !g.isRelayed(upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
+		if _, isBound := stream.Release(); !isBound {
+			g.recordAttempt(ctx, call, upstream)
+		}
 		startedAt := timekeeper.Now()
 		result := p.direct.Exchange(ctx, call, attempt, upstream, stream)
 		if result.Kind == dispatcher.Answered {
@@ -193,6 +197,11 @@
 	return result
 }
 
+// MayHaveChanged reports whether an upstream may run another software version than it is known for.
+func (c *carriedUpstreams) MayHaveChanged(upstream *tracker.Upstream) bool {
+	return c.gateway.mayHaveChanged(timekeeper.Now(), upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation))
+}
+
 // Stated returns what an upstream has stated to this entry.
 func (c *carriedUpstreams) Stated(upstream *tracker.Upstream) relayer.Stated {
 	now := timekeeper.Now()
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -88,7 +88,7 @@
 	call.Trace = t
 	t.stream, t.streamUntil = streamOf(r)
 	if call.Stream && call.ResumeOffset > 0 {
-		err = g.findOrigin(ctx, r, route, call, t.stream)
+		err = g.findOrigin(ctx, r, route, call)
 	}
 	if err == nil {
 		err = g.dispatcher.Do(ctx, call, timedSink)
--- a/src/relayer/carrier.go
+++ b/src/relayer/carrier.go
@@ -48,6 +48,8 @@
 	Admit(offer *messages.RelayOffer) (*tracker.Upstream, *RefusedError)
 	// Exchange runs one attempt at an upstream.
 	Exchange(ctx context.Context, call *dispatcher.Call, attempt units.Attempt, upstream *tracker.Upstream, stream *dispatcher.Stream) dispatcher.Result
+	// MayHaveChanged reports whether an upstream may run another software version than it is known for.
+	MayHaveChanged(upstream *tracker.Upstream) bool
 	// Stated returns what an upstream has stated to this entry.
 	Stated(upstream *tracker.Upstream) Stated
 	// Probe returns why no connection to an upstream can be made, or nil.
@@ -84,13 +86,17 @@
 	if c.isBusy(int64(offer.GetBodyBytes())) {
 		return &messages.RelayOfferResponse{Refusal: messages.RelayRefusal_RELAY_REFUSAL_BUSY}, nil
 	}
-	if _, refused := c.Upstreams.Admit(offer); refused != nil {
+	upstream, refused := c.Upstreams.Admit(offer)
+	if refused != nil {
 		return &messages.RelayOfferResponse{
 			Refusal:   refused.Refusal,
 			BackoffNs: int64(refused.BackoffLeft),
 		}, nil
 	}
-	return &messages.RelayOfferResponse{Accepted: true}, nil
+	return &messages.RelayOfferResponse{
+		Accepted:       true,
+		MayHaveChanged: c.Upstreams.MayHaveChanged(upstream),
+	}, nil
 }
 
 // isBusy reports whether no call with a body of this size fits beside those that are carried.
--- a/src/relayer/relayer_test.go
+++ b/src/relayer/relayer_test.go
@@ -25,6 +25,7 @@
 // fakeUpstreams is a carrier's side of the upstreams.
 type fakeUpstreams struct {
 	refusal  messages.RelayRefusal
+	changed  bool
 	stated   Stated
 	probeErr error
 	run      func(ctx context.Context, call *dispatcher.Call, stream *dispatcher.Stream) dispatcher.Result
@@ -47,6 +48,8 @@
 	return f.run(ctx, call, stream)
 }
 
+func (f *fakeUpstreams) MayHaveChanged(*tracker.Upstream) bool { return f.changed }
+
 func (f *fakeUpstreams) Stated(*tracker.Upstream) Stated { return f.stated }
 
 func (f *fakeUpstreams) Probe(context.Context, *tracker.Upstream) error { return f.probeErr }
--- a/src/relayer/sender.go
+++ b/src/relayer/sender.go
@@ -41,6 +41,9 @@
 	// OnAnswer is called with what an upstream states of itself to the peer, or has stated before,
 	// and the time at which the attempt was sent.
 	OnAnswer func(upstream *tracker.Upstream, verdict exchanger.Verdict, sentAt time.Time)
+	// OnAccepted is called before an attempt that may bring a stream's first event is sent to a peer, with whether the
+	// upstream may run another software version than it is known for, as far as the peer knows; it may be nil.
+	OnAccepted func(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, mayHaveChanged bool)
 	// OnOffer is called with how an offer ended, nil if the peer has accepted it; it may be nil.
 	OnOffer func(peer Peer, call *dispatcher.Call, err error)
 
@@ -79,6 +82,17 @@
 // Error names the peer and its reason.
 func (e *RefusedError) Error() string { return fmt.Sprintf("%s refused: %s", e.Peer, e.Refusal) }
 
+// UncertainVersionError is the error where a stream must not go on at an upstream.
+type UncertainVersionError struct {
+	Peer     units.Instance
+	Upstream units.Upstream
+}
+
+// Error names the peer and the upstream.
+func (e *UncertainVersionError) Error() string {
+	return fmt.Sprintf("%s may have started again at another software version, as far as %s knows", e.Upstream, e.Peer)
+}
+
 // Exchange runs one attempt through a peer.
 func (s *Sender) Exchange(ctx context.Context, call *dispatcher.Call, attempt units.Attempt, upstream *tracker.Upstream,
 	stream *dispatcher.Stream,
@@ -96,8 +110,22 @@
 			break
 		}
 		tried = append(tried, peer.Name)
-		session, err := s.offerTo(ctx, peer, call, upstream)
+		session, mayHaveChanged, err := s.offerTo(ctx, peer, call, upstream)
+		_, isBound := stream.Release()
+		if err == nil && isBound && mayHaveChanged {
+			s.putIdle(peer, session)
+			s.release(peer)
+			result.NoPath = false
+			result.Err = &UncertainVersionError{
+				Peer:     peer.Name,
+				Upstream: upstream.Name,
+			}
+			break
+		}
 		if err == nil {
+			if s.OnAccepted != nil && !isBound {
+				s.OnAccepted(ctx, call, upstream, mayHaveChanged)
+			}
 			result = s.send(ctx, peer, session, call, attempt, upstream, stream)
 			s.release(peer)
 			return result
@@ -134,14 +162,15 @@
 	return false
 }
 
-// offerTo offers an attempt to a peer, and returns the session on which the peer awaits it.
-func (s *Sender) offerTo(ctx context.Context, peer Peer, call *dispatcher.Call, upstream *tracker.Upstream) (*connector.Session, error) {
+// offerTo offers an attempt to a peer, and returns the session on which the peer awaits it, and whether the peer
+// knows that the upstream may run another software version.
+func (s *Sender) offerTo(ctx context.Context, peer Peer, call *dispatcher.Call, upstream *tracker.Upstream) (session *connector.Session, mayHaveChanged bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	request := s.offer(call, upstream)
 	response := &messages.RelayOfferResponse{}
-	session := s.takeIdle(peer)
-	err := errNoSession
+	session = s.takeIdle(peer)
+	err = errNoSession
 	if session != nil {
 		err = session.Call(ctx, MethodOffer, request, response, nil)
 	}
@@ -163,7 +192,7 @@
 	if s.OnOffer != nil {
 		s.OnOffer(peer, call, err)
 	}
-	return session, err
+	return session, response.GetMayHaveChanged(), err
 }
 
 // errNoSession is the error where no idle session with a peer exists.
