Avoid upstreams of uncertain version only while several versions serve

Callers saw: an engine that had been silent for a second got no streams for up to 0.9 s after it could be connected to again, in 3 of 8 runs of TestEngineThatIsSilentForASecondIsKept beside load (805 to 1,006 ms, want 700). On the platform, with longer heartbeat intervals, it would be 3 s.

Cause: a connection to the silent engine fails, which counts as a sign that it may have started again at another software version, and new streams prefer the others until its heartbeats are due. The trace (scores of all candidates) had the engine left out with no call in flight, two idle connections and no ejection. The preference is meant to save streams from being refused when they are resumed; while one version serves none is.

Change: the preference holds only where the candidates run several versions. What is recorded of the stream is unchanged.

--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -257,7 +257,8 @@
 		if len(candidates) == 0 {
 			candidates = p.eligible(now, fallback, tried)
 		}
-		if certain := p.certain(now, call, candidates); len(certain) > 0 {
+		// While one version serves, a stream that began anywhere goes on anywhere.
+		if certain := p.certain(now, call, candidates); len(certain) > 0 && hasSeveralReleases(candidates) {
 			candidates = certain
 		}
 		return p.best(now, call, candidates, len(tried) == 0)
@@ -301,6 +302,10 @@
 	return certain
 }
 
+func hasSeveralReleases(candidates []*Candidate) bool {
+	return slices.ContainsFunc(candidates, func(c *Candidate) bool { return c.Release != candidates[0].Release })
+}
+
 // admitted returns the first chosen upstream that the gate admits, nil if none is chosen.
 func (p *Placer) admitted(choose func(now time.Time) *Candidate) *tracker.Upstream {
 	now := p.Now()
--- a/src/placer/release_test.go
+++ b/src/placer/release_test.go
@@ -100,6 +100,21 @@
 	}
 }
 
+// Guards against upstreams that get no streams for seconds after they were silent for one, while all run the same
+// version.
+func TestUpstreamsOfTheOnlyVersionAreNotAvoided(t *testing.T) {
+	f := newReleaseFixture(nil)
+	f.fleet["s"] = f.fleet["s"][:2]
+	f.mayHaveChanged("v1-0")
+	used := make(map[units.Upstream]bool)
+	for range 200 {
+		used[f.Pick(&dispatcher.Call{Service: "s", Stream: true}, nil).Name] = true
+	}
+	if len(used) != 2 {
+		t.Errorf("upstreams of streams: got %d, want both", len(used))
+	}
+}
+
 // silence makes control hear no more of some upstreams.
 func (f *fixture) silence(indexes ...int) {
 	for _, i := range indexes {
