Take crashed upstreams for a partition only if other entries reach them

Cause: each probe of a dead upstream renewed its failure, and a partition was judged by the connections made since the first failure; after each probe nobody had been connected to yet. Nothing but that evidence stood between the two states, and calls to an unreached upstream went through other entries in either of them.

Upstreams that are down get no calls while others take them, and are probed less often with time. - The reported state is held for 10 or 30 s when it changes again within a minute.

--- a/src/entry/relays.go
+++ b/src/entry/relays.go
@@ -47,6 +47,7 @@
 	sender    *relayer.Sender
 	carrier   *relayer.Carrier
 	reach     pathfinder.Pathfinder
+	verifier  pathfinder.Verifier
 	addresses atomic.Pointer[map[string]*tracker.Upstream]
 }
 
@@ -76,6 +77,12 @@
 		MaxBytes:  maxRelayedBytes,
 		Log:       e.Log,
 	}
+	r.reach.AsksPeers = true
+	r.verifier = pathfinder.Verifier{
+		Pathfinder: &r.reach,
+		Ask:        r.askPeers,
+		OnChange:   r.changeReach,
+	}
 	t.pools.OnDialed = r.recordDial
 	return r
 }
@@ -88,6 +95,7 @@
 	prober := &pathfinder.Prober{
 		Pathfinder: &r.reach,
 		Connect:    r.connect,
+		OnChange:   r.changeReach,
 	}
 	prober.Run(ctx)
 	return nil
@@ -133,8 +141,8 @@
 		}
 	}
 	r.addresses.Store(&addresses)
-	for _, reach := range r.reach.SetPresent(present) {
-		r.logReach(reach)
+	for _, reach := range r.reach.SetPresent(timekeeper.Now(), present) {
+		r.changeReach(reach)
 	}
 }
 
@@ -151,12 +159,18 @@
 		StartedAt: startedAt,
 		Failed:    err != nil,
 	})
+	if changed {
+		r.changeReach(reach)
+	}
 	if err == nil {
 		r.router.OnReached(upstream)
-	}
-	if !changed {
 		return
 	}
+	r.verifier.Verify(upstream.Service)
+}
+
+// changeReach applies that a service has become partitioned from this entry, or is so no longer.
+func (r *relays) changeReach(reach pathfinder.Reach) {
 	if reach.Partitioned {
 		r.router.OnPartition(reach.Service)
 		r.discardConnections(reach.Service)
@@ -164,6 +178,22 @@
 	r.logReach(reach)
 }
 
+// askPeers returns whether another entry reaches an upstream, and whether one can tell.
+func (r *relays) askPeers(ctx context.Context, service units.Service, id units.IncarnationID) (reached, known bool) {
+	upstream := r.upstream(service, id)
+	if upstream == nil {
+		return false, true
+	}
+	reached, known = r.sender.Probe(ctx, upstream)
+	r.log.Info().
+		Str("service", string(service)).
+		Str("upstream", string(upstream.Name)).
+		Bool("reached", reached).
+		Bool("known", known).
+		Msg("peer-reach")
+	return reached, known
+}
+
 // discardConnections gives up the idle connections to a service's upstreams, which may be silent.
 func (r *relays) discardConnections(service units.Service) {
 	for address, upstream := range *r.addresses.Load() {
@@ -181,6 +211,7 @@
 	r.log.Info().
 		Str("service", string(reach.Service)).
 		Int("unreached", reach.Unreached).
+		Int("down", reach.Down).
 		Int("present", reach.Present).
 		Msg(message)
 }
@@ -209,7 +240,7 @@
 	r := p.relays
 	if !r.isRelayed(upstream) {
 		result := r.direct.Exchange(ctx, call, attempt, upstream, stream)
-		if !result.ConnectFailed || !r.reach.IsPartitioned(upstream.Service) {
+		if !result.ConnectFailed || !r.verifier.IsPartitioned(ctx, upstream.Service) {
 			return result
 		}
 	}
@@ -221,6 +252,10 @@
 }
 
 func (r *relays) isRelayed(upstream *tracker.Upstream) bool {
+	return r.reach.IsPartitioned(upstream.Service) && r.isUnreached(upstream)
+}
+
+func (r *relays) isUnreached(upstream *tracker.Upstream) bool {
 	return !r.reach.DoubtfulSince(upstream.Service, incarnationID(upstream)).IsZero()
 }
 
@@ -240,7 +275,7 @@
 	switch {
 	case upstream == nil:
 		return refuse(messages.RelayRefusal_RELAY_REFUSAL_UNKNOWN_UPSTREAM)
-	case !r.isRelayed(upstream):
+	case !r.isUnreached(upstream):
 		return upstream, nil
 	case r.reach.IsPartitioned(upstream.Service):
 		return refuse(messages.RelayRefusal_RELAY_REFUSAL_PARTITIONED)
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -83,6 +83,7 @@
 	withholder    withholder.Withholder
 	slowdowns     appraiser.Collector
 	pathfinder    pathfinder.Pathfinder
+	verifier      pathfinder.Verifier
 	rationer      rationer.Rationer
 	journal       binder.Journal
 	originReports originReports
@@ -114,6 +115,7 @@
 		CallTime:       g.trafficStats.callTime,
 		Entries:        g.entryCount,
 		IsRelayed:      g.isRelayed,
+		IsUnreached:    g.isUnreached,
 		MayHaveChanged: g.mayHaveChanged,
 	}
 	g.quota = &allocator.LocalLimiter{Window: allocator.NewWindow(g.Settings.Quota)}
@@ -123,6 +125,12 @@
 		Slack:  g.Settings.Retries.Slack,
 		Now:    timekeeper.Now,
 	}
+	g.pathfinder.AsksPeers = true
+	g.verifier = pathfinder.Verifier{
+		Pathfinder: &g.pathfinder,
+		Ask:        g.askPeers,
+		OnChange:   g.changeReach,
+	}
 	g.journal.MaxRecords = maxJournal
 	g.originReports.waiting = make(chan struct{}, 1)
 	g.usageCounter = &aggregator.Counter{WindowLength: g.Settings.Usage.Window}
--- a/src/gateway/reach.go
+++ b/src/gateway/reach.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -20,20 +21,41 @@
 		StartedAt: startedAt,
 		Failed:    err != nil,
 	})
-	if err != nil {
-		g.trafficStats.connectFailed(upstream)
-	} else {
-		g.placer.RecordReached(upstream)
+	if changed {
+		g.changeReach(reach)
 	}
-	if !changed {
+	if err == nil {
+		g.placer.RecordReached(upstream)
 		return
 	}
+	g.trafficStats.connectFailed(upstream)
+	g.verifier.Verify(upstream.Service)
+}
+
+// changeReach applies that a service has become partitioned from this entry, or is so no longer.
+func (g *Gateway) changeReach(reach pathfinder.Reach) {
 	if reach.Partitioned {
 		g.placer.RecordPartition(reach.Service)
 	}
 	g.logReach(reach)
 }
 
+// askPeers returns whether another entry reaches an upstream, and whether one can tell.
+func (g *Gateway) askPeers(ctx context.Context, service units.Service, id units.IncarnationID) (reached, known bool) {
+	upstream := g.upstream(service, id)
+	if upstream == nil {
+		return false, true
+	}
+	reached, known = g.sender.Probe(ctx, upstream)
+	g.Log.Info().
+		Str("service", string(service)).
+		Str("upstream", string(upstream.Name)).
+		Bool("reached", reached).
+		Bool("known", known).
+		Msg("peer-reach")
+	return reached, known
+}
+
 // setPresent tells the pathfinder which upstreams are in use.
 func (g *Gateway) setPresent(fleet placer.Fleet) {
 	present := make(map[units.Service][]units.IncarnationID, len(fleet))
@@ -42,8 +64,8 @@
 			present[service] = append(present[service], units.NewIncarnationID(c.Name, c.Incarnation))
 		}
 	}
-	for _, reach := range g.pathfinder.SetPresent(present) {
-		g.logReach(reach)
+	for _, reach := range g.pathfinder.SetPresent(timekeeper.Now(), present) {
+		g.changeReach(reach)
 	}
 }
 
@@ -54,6 +76,7 @@
 		g.Log.Info().
 			Str("service", string(reach.Service)).
 			Int("unreached", reach.Unreached).
+			Int("down", reach.Down).
 			Int("present", reach.Present).
 			Msg("service-reached")
 		return
@@ -62,6 +85,7 @@
 	g.Log.Warn().
 		Str("service", string(reach.Service)).
 		Int("unreached", reach.Unreached).
+		Int("down", reach.Down).
 		Int("present", reach.Present).
 		Int("ejected", ejected).
 		Int("silent", silent).
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -112,7 +112,7 @@
 		if result.Kind == dispatcher.Answered {
 			g.trafficStats.exchangeAnswered(call.Service, timekeeper.Now().Sub(startedAt))
 		}
-		if !result.ConnectFailed || !g.pathfinder.IsPartitioned(upstream.Service) {
+		if !result.ConnectFailed || !g.verifier.IsPartitioned(ctx, upstream.Service) {
 			return result
 		}
 	}
@@ -122,9 +122,14 @@
 	return g.sender.Exchange(ctx, call, attempt, upstream, stream)
 }
 
-// isRelayed reports whether calls to an upstream go through another entry. Connections that are known
-// to work are used as long as there are any.
+// isRelayed reports whether calls to an upstream go through another entry.
 func (g *Gateway) isRelayed(upstream *tracker.Upstream, id units.IncarnationID) bool {
+	return g.pathfinder.IsPartitioned(upstream.Service) && g.isUnreached(upstream, id)
+}
+
+// isUnreached reports whether this entry may be unable to connect to an upstream. Connections that are known to work
+// are used as long as there are any.
+func (g *Gateway) isUnreached(upstream *tracker.Upstream, id units.IncarnationID) bool {
 	return !g.pathfinder.DoubtfulSince(upstream.Service, id).IsZero() && !g.pool.HasIdle(upstream)
 }
 
@@ -166,7 +171,7 @@
 		return nil, refused
 	case withholder.Accepting, withholder.Recovering:
 	}
-	if !g.isRelayed(upstream, id) {
+	if !g.isUnreached(upstream, id) {
 		return upstream, nil
 	}
 	if g.pathfinder.IsPartitioned(service) {
@@ -228,6 +233,7 @@
 			}
 			return g.pool.Probe(ctx, upstream)
 		},
+		OnChange: g.changeReach,
 	}
 }
 
--- a/src/gateway/relay_test.go
+++ b/src/gateway/relay_test.go
@@ -60,7 +60,7 @@
 			g := newLimitedGateway(t, 0)
 			upstream := &tracker.Upstream{Name: "u", Service: "s", Local: &tracker.LocalState{}}
 			id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
-			g.pathfinder.SetPresent(map[units.Service][]units.IncarnationID{"s": {id}})
+			g.pathfinder.SetPresent(timekeeper.Now(), map[units.Service][]units.IncarnationID{"s": {id}})
 			g.pathfinder.RecordDial(pathfinder.Dial{Service: "s", Upstream: id, StartedAt: timekeeper.Now(), Failed: true})
 			if !g.pathfinder.IsPartitioned("s") {
 				t.Fatal("partitioned: got false, want the only upstream taken for a partition")
@@ -163,7 +163,7 @@
 			g.sender.SetPeers([]relayer.Peer{startCarryingPeer(t, upstreams)})
 			upstream := &tracker.Upstream{Name: "u", Service: "s", Release: "v1", Incarnation: 1, Local: &tracker.LocalState{}}
 			id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
-			g.pathfinder.SetPresent(map[units.Service][]units.IncarnationID{"s": {id}})
+			g.pathfinder.SetPresent(timekeeper.Now(), map[units.Service][]units.IncarnationID{"s": {id}})
 			if c.partitioned || c.returned {
 				g.recordDial(upstream, now, errUpstreamGone)
 			}
@@ -219,3 +219,54 @@
 		Address: listener.Addr().String(),
 	}
 }
+
+// Guards against upstreams that get no calls for long after they could not be connected to, although they can again.
+func TestReachedUpstreamsAreReadmitted(t *testing.T) {
+	g := newLimitedGateway(t, time.Minute)
+	g.Settings = &parser.PlatformSettings{HeartbeatInterval: time.Second}
+	upstream := &tracker.Upstream{Name: "u", Service: "s", Local: &tracker.LocalState{}}
+	g.placer = &placer.Placer{Now: timekeeper.Now}
+	candidate := g.placer.NewCandidate(upstream, false, false)
+	other := g.placer.NewCandidate(&tracker.Upstream{Name: "v", Service: "s", Local: &tracker.LocalState{}}, false, false)
+	g.placer.Fleet = func() placer.Fleet { return placer.Fleet{"s": {candidate, other}} }
+	for range 20 {
+		g.placer.Observe(upstream, dispatcher.Result{Kind: dispatcher.NotRun, ConnectFailed: true, Unsent: true})
+	}
+	if !g.placer.Assess(candidate).Ejected {
+		t.Fatal("ejected after 20 failures: got false, want true")
+	}
+	g.recordDial(upstream, timekeeper.Now(), nil)
+	if g.placer.Assess(candidate).Ejected {
+		t.Error("ejected after a connection: got true, want false")
+	}
+}
+
+// Guards against calls that go through another entry to an upstream that none can reach, while this one reaches others.
+func TestCallsAreRelayedInAPartitionAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed int
+		want   bool
+	}{
+		"one is unreached": {failed: 1},
+		"two are":          {failed: 2},
+		"a partition":      {failed: 3, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newLimitedGateway(t, time.Minute)
+			g.pool = &exchanger.Pool{}
+			upstream := &tracker.Upstream{Name: "u", Service: "s", Local: &tracker.LocalState{}}
+			first := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+			ids := []units.IncarnationID{first, 1, 2, 3}
+			g.pathfinder.SetPresent(timekeeper.Now(), map[units.Service][]units.IncarnationID{"s": ids})
+			for _, id := range ids[:c.failed] {
+				g.pathfinder.RecordDial(pathfinder.Dial{Service: "s", Upstream: id, StartedAt: timekeeper.Now(), Failed: true})
+			}
+			if got := g.isRelayed(upstream, first); got != c.want {
+				t.Errorf("relayed: got %t, want %t", got, c.want)
+			}
+			if !g.isUnreached(upstream, first) {
+				t.Error("unreached: got false, want true")
+			}
+		})
+	}
+}
--- a/src/gateway/traffic_stats_test.go
+++ b/src/gateway/traffic_stats_test.go
@@ -63,6 +63,7 @@
 		retryBudget:  &retrier.Budget{Window: time.Second, Now: timekeeper.Now},
 		sender:       &relayer.Sender{Client: &connector.Client{}},
 	}
+	g.verifier.Pathfinder = &g.pathfinder
 	g.snapshot.Store(&snapshot{
 		lease: timekeeper.Now().Add(lease),
 		table: matcher.NewTable(&matcher.Configuration{
--- a/src/pathfinder/pathfinder.go
+++ b/src/pathfinder/pathfinder.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,11 +14,27 @@
 // unreached for the service to count as partitioned from this entry.
 const partitionThreshold = 3
 
+const (
+	// maxDenials is how many upstreams of a suspected service other entries must not reach either before the failures
+	// of all are ignored, for denialTime.
+	maxDenials = 3
+	denialTime = time.Second
+	// A partition that is reported is kept for reportHold, or for longHold where it is the third one or a later one
+	// within reportWindow: upstreams that fail and return by turns must not change the state with each of them. Attempts
+	// to connect are not held.
+	reportHold   = 10 * time.Second
+	longHold     = 30 * time.Second
+	reportWindow = time.Minute
+)
+
 // Pathfinder records the connections that this entry makes to upstreams; it is safe for
 // concurrent use. The zero value is ready for use.
 type Pathfinder struct {
 	// Random returns a number in [0, 1); nil selects the process's own source.
 	Random func() float64
+	// AsksPeers is set if other entries are asked before a service counts as partitioned (Verifier); it is set before
+	// use.
+	AsksPeers bool
 
 	// doubts is the number of services with unreached upstreams, which lets callers return early.
 	doubts atomic.Int64
@@ -34,9 +51,26 @@
 	// and began at that time. connectedTo holds when the last successful one to each upstream began.
 	failedAt    map[units.IncarnationID]time.Time
 	connectedTo map[units.IncarnationID]time.Time
-	// partitionedSince is when the first of the failed attempts began, zero while the service is not
-	// partitioned from this entry.
+	// failingSince is when the first of the failed attempts in a row began.
+	failingSince map[units.IncarnationID]time.Time
+	// down are the unreached upstreams that failed while others were reached. Their failures say nothing about
+	// a partition.
+	down map[units.IncarnationID]bool
+	// suspectedSince is when the first of the failed attempts began that look like a partition, zero if none do.
+	suspectedSince time.Time
+	// confirmed is set once another entry reaches an upstream that this one does not, or no other entry can tell.
+	// denied are the upstreams that others do not reach either, and deniedUntil is until when that is believed.
+	confirmed   bool
+	denied      map[units.IncarnationID]bool
+	deniedUntil time.Time
+	// partitionedSince is suspectedSince of a confirmed partition, zero while the service is not partitioned from
+	// this entry.
 	partitionedSince time.Time
+	// reported is the state that is logged and told to the leader, reportedAt when it became partitioned within
+	// reportWindow, and holdUntil until when it stays so.
+	reported   bool
+	reportedAt []time.Time
+	holdUntil  time.Time
 	// probeAt is when the next probe is due, and probeDelay what it was delayed by.
 	probeAt    time.Time
 	probeDelay time.Duration
@@ -48,11 +82,13 @@
 type Reach struct {
 	Service units.Service
 	// Partitioned is set while the entry cannot connect to most of the upstreams that it has tried
-	// to connect to since the first failure.
+	// to connect to since the first failure, and for a while after that if it happens often.
 	Partitioned bool
 	// Unreached is the number of upstreams, of Present, to which the last attempt to connect failed.
 	Unreached int
 	Present   int
+	// Down is the number of unreached upstreams that failed while others were reached.
+	Down int
 	// Since is when the partition began, zero if there is none.
 	Since time.Time
 }
@@ -72,22 +108,61 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(d.Service)
-	wasPartitioned := !s.partitionedSince.IsZero()
 	if d.Failed {
 		s.recordFailure(d)
 	} else {
 		s.recordConnection(d)
 	}
-	s.assess()
+	s.assess(p.AsksPeers)
 	p.countDoubts()
-	reach = s.reach(d.Service)
-	return reach, reach.Partitioned != wasPartitioned
+	changed = s.report(d.StartedAt)
+	return s.reach(d.Service), changed
+}
+
+// Settle returns the reach of the services whose reported partition ends, as it has been kept for long enough.
+func (p *Pathfinder) Settle(now time.Time) []Reach {
+	if p.doubts.Load() == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ended []Reach
+	for name, s := range p.services {
+		if s.report(now) {
+			ended = append(ended, s.reach(name))
+		}
+	}
+	p.countDoubts()
+	return ended
+}
+
+// report updates the reported state, and returns whether it has changed.
+func (s *service) report(now time.Time) (changed bool) {
+	partitioned := !s.partitionedSince.IsZero()
+	if partitioned == s.reported || !partitioned && now.Before(s.holdUntil) {
+		return false
+	}
+	s.reported = partitioned
+	if !partitioned {
+		return true
+	}
+	s.reportedAt = slices.DeleteFunc(s.reportedAt, func(at time.Time) bool { return now.Sub(at) >= reportWindow })
+	s.reportedAt = append(s.reportedAt, now)
+	switch len(s.reportedAt) {
+	case 1:
+		s.holdUntil = now
+	case 2:
+		s.holdUntil = now.Add(reportHold)
+	default:
+		s.holdUntil = now.Add(longHold)
+	}
+	return true
 }
 
 func (p *Pathfinder) countDoubts() {
 	count := 0
 	for _, s := range p.services {
-		if len(s.failedAt) > 0 {
+		if len(s.failedAt) > 0 || s.reported {
 			count++
 		}
 	}
@@ -98,7 +173,13 @@
 	if d.StartedAt.Before(s.connectedTo[d.Upstream]) || d.StartedAt.Before(s.failedAt[d.Upstream]) {
 		return
 	}
-	if len(s.failedAt) == 0 || s.returning {
+	if _, isFailing := s.failingSince[d.Upstream]; !isFailing {
+		s.failingSince[d.Upstream] = d.StartedAt
+		if len(s.failedAt) == len(s.down) {
+			s.probeAt, s.probeDelay = d.StartedAt, 0
+		}
+	}
+	if s.returning {
 		s.probeAt, s.probeDelay = d.StartedAt, 0
 	}
 	s.returning = false
@@ -112,25 +193,28 @@
 	at, unreached := s.failedAt[d.Upstream]
 	if unreached && d.StartedAt.After(at) {
 		delete(s.failedAt, d.Upstream)
+		delete(s.failingSince, d.Upstream)
+		delete(s.down, d.Upstream)
 	}
-	if unreached || !s.partitionedSince.IsZero() {
+	if unreached || !s.suspectedSince.IsZero() {
 		// Others may be reached again as well.
 		s.returning = true
 		s.probeAt, s.probeDelay = d.StartedAt, 0
 	}
 }
 
-// assess decides whether the service is partitioned from this entry. Upstreams that were last
-// connected to before the first failure say nothing about the time since.
-func (s *service) assess() {
-	s.partitionedSince = time.Time{}
-	if len(s.failedAt) < max(1, min(partitionThreshold, len(s.present))) {
-		return
-	}
-	first := time.Time{}
-	for _, at := range s.failedAt {
-		if first.IsZero() || at.Before(first) {
-			first = at
+// assess decides whether the service is partitioned from this entry, and which upstreams are down. Upstreams that
+// were last connected to before the first failure say nothing about the time since.
+func (s *service) assess(asksPeers bool) {
+	s.suspectedSince, s.partitionedSince = time.Time{}, time.Time{}
+	first, failing := time.Time{}, 0
+	for id, since := range s.failingSince {
+		if s.down[id] {
+			continue
+		}
+		failing++
+		if first.IsZero() || since.Before(first) {
+			first = since
 		}
 	}
 	reached := 0
@@ -139,24 +223,77 @@
 			reached++
 		}
 	}
-	if len(s.failedAt) > reached {
-		s.partitionedSince = first
+	switch {
+	case failing == 0:
+	case reached >= max(1, min(failing, partitionThreshold, len(s.present)-len(s.failedAt))):
+		for id := range s.failingSince {
+			s.down[id] = true
+		}
+	case failing >= max(1, min(partitionThreshold, len(s.present)-len(s.down))):
+		s.suspectedSince = first
+	}
+	if s.suspectedSince.IsZero() {
+		s.confirmed = false
+		clear(s.denied)
+	}
+	if s.confirmed || !asksPeers {
+		s.partitionedSince = s.suspectedSince
+	}
+}
+
+// Question returns the upstream of a service to ask another entry about, to tell a partition of this one from upstreams
+// that have crashed; false if nothing is to be asked.
+func (p *Pathfinder) Question(now time.Time, name units.Service) (units.IncarnationID, bool) {
+	if !p.AsksPeers || p.doubts.Load() == 0 {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[name]
+	if s == nil || s.suspectedSince.IsZero() || s.confirmed || now.Before(s.deniedUntil) {
+		return 0, false
+	}
+	asked := maps.Clone(s.denied)
+	maps.Copy(asked, s.down)
+	id := firstOf(s.failingSince, time.Time.After, asked)
+	return id, id != 0
+}
+
+// RecordAnswer records whether another entry reaches an upstream that this one does not; known is false if none can tell.
+func (p *Pathfinder) RecordAnswer(now time.Time, name units.Service, id units.IncarnationID, reached, known bool) (reach Reach, changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[name]
+	if s == nil || s.suspectedSince.IsZero() {
+		return Reach{}, false
+	}
+	if reached || !known {
+		s.confirmed = true
+	} else {
+		s.denied[id] = true
+		if len(s.denied) >= min(maxDenials, len(s.failingSince)-len(s.down)) {
+			s.deniedUntil = now.Add(denialTime)
+			clear(s.denied)
+		}
 	}
+	s.assess(p.AsksPeers)
+	changed = s.report(now)
+	return s.reach(name), changed
 }
 
 // SetPresent replaces the upstreams of all services, and returns the reach of those whose partition
-// has ended because their upstreams are gone.
-func (p *Pathfinder) SetPresent(present map[units.Service][]units.IncarnationID) []Reach {
+// has begun or ended because upstreams are gone.
+func (p *Pathfinder) SetPresent(now time.Time, present map[units.Service][]units.IncarnationID) []Reach {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var ended []Reach
+	var changed []Reach
 	for name, s := range p.services {
 		if len(present[name]) > 0 {
 			continue
 		}
 		delete(p.services, name)
-		if !s.partitionedSince.IsZero() {
-			ended = append(ended, Reach{Service: name})
+		if s.reported {
+			changed = append(changed, Reach{Service: name})
 		}
 	}
 	for name, ids := range present {
@@ -168,14 +305,17 @@
 		}
 		isGone := func(id units.IncarnationID, _ time.Time) bool { return !known[id] }
 		maps.DeleteFunc(s.failedAt, isGone)
+		maps.DeleteFunc(s.failingSince, isGone)
 		maps.DeleteFunc(s.connectedTo, isGone)
-		wasPartitioned := !s.partitionedSince.IsZero()
-		if s.assess(); wasPartitioned && s.partitionedSince.IsZero() {
-			ended = append(ended, s.reach(name))
+		maps.DeleteFunc(s.down, func(id units.IncarnationID, _ bool) bool { return !known[id] })
+		maps.DeleteFunc(s.denied, func(id units.IncarnationID, _ bool) bool { return !known[id] })
+		s.assess(p.AsksPeers)
+		if s.report(now) {
+			changed = append(changed, s.reach(name))
 		}
 	}
 	p.countDoubts()
-	return ended
+	return changed
 }
 
 // DoubtfulSince returns the time since which this entry may be unable to connect to an upstream, zero
@@ -216,7 +356,7 @@
 	defer p.mu.Unlock()
 	var found []Reach
 	for name, s := range p.services {
-		if len(s.failedAt) > 0 {
+		if len(s.failedAt) > 0 || s.reported {
 			found = append(found, s.reach(name))
 		}
 	}
@@ -230,8 +370,11 @@
 			p.services = make(map[units.Service]*service)
 		}
 		s = &service{
-			failedAt:    make(map[units.IncarnationID]time.Time),
-			connectedTo: make(map[units.IncarnationID]time.Time),
+			failedAt:     make(map[units.IncarnationID]time.Time),
+			failingSince: make(map[units.IncarnationID]time.Time),
+			connectedTo:  make(map[units.IncarnationID]time.Time),
+			down:         make(map[units.IncarnationID]bool),
+			denied:       make(map[units.IncarnationID]bool),
 		}
 		p.services[name] = s
 	}
@@ -241,7 +384,8 @@
 func (s *service) reach(name units.Service) Reach {
 	return Reach{
 		Service:     name,
-		Partitioned: !s.partitionedSince.IsZero(),
+		Partitioned: s.reported,
+		Down:        len(s.down),
 		Unreached:   len(s.failedAt),
 		Present:     len(s.present),
 		Since:       s.partitionedSince,
--- a/src/pathfinder/pathfinder_test.go
+++ b/src/pathfinder/pathfinder_test.go
@@ -45,7 +45,7 @@
 			for i := range present {
 				present[i] = units.IncarnationID(i + 1)
 			}
-			p.SetPresent(map[units.Service][]units.IncarnationID{llm: present})
+			p.SetPresent(time.UnixMilli(0), map[units.Service][]units.IncarnationID{llm: present})
 			var got Reach
 			for _, s := range c.steps {
 				got, _ = p.RecordDial(Dial{
@@ -68,14 +68,14 @@
 // Guards against a partition that outlives the upstreams by which it was seen.
 func TestPartitionEndsWithItsUpstreams(t *testing.T) {
 	p := &Pathfinder{}
-	p.SetPresent(map[units.Service][]units.IncarnationID{llm: {1, 2}})
+	p.SetPresent(time.UnixMilli(0), map[units.Service][]units.IncarnationID{llm: {1, 2}})
 	for id := units.IncarnationID(1); id <= 2; id++ {
 		p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: time.UnixMilli(int64(id)), Failed: true})
 	}
 	if got := p.Unreached(); len(got) != 1 || !got[0].Partitioned {
 		t.Fatalf("reach: got %+v, want one partitioned service", got)
 	}
-	ended := p.SetPresent(map[units.Service][]units.IncarnationID{llm: {3, 4}})
+	ended := p.SetPresent(time.UnixMilli(3), map[units.Service][]units.IncarnationID{llm: {3, 4}})
 	if len(ended) != 1 || ended[0].Partitioned {
 		t.Errorf("ended partitions: got %+v, want one", ended)
 	}
@@ -92,7 +92,7 @@
 	for i := range present {
 		present[i] = units.IncarnationID(i + 1)
 	}
-	p.SetPresent(map[units.Service][]units.IncarnationID{llm: present})
+	p.SetPresent(time.UnixMilli(0), map[units.Service][]units.IncarnationID{llm: present})
 	for _, id := range present[:failed] {
 		p.RecordDial(Dial{Service: llm, Upstream: id, StartedAt: at, Failed: true})
 	}
--- a/src/pathfinder/probe.go
+++ b/src/pathfinder/probe.go
@@ -15,6 +15,13 @@
 	maxProbeDelay  = time.Second
 	probeGrowth    = 1.1
 	probeExtension = 1.0 / 3
+	// downProbeGrowth and maxDownProbeDelay take the place of probeGrowth and maxProbeDelay while all unreached
+	// upstreams are down.
+	downProbeGrowth   = 1.2
+	maxDownProbeDelay = 4 * time.Second
+	// shortSilence is how long the delay does not grow after the failure of another upstream: sound ones are silent
+	// for a second at times.
+	shortSilence = 2 * time.Second
 )
 
 // Probe is an upstream to which a connection should be attempted now.
@@ -58,30 +65,69 @@
 	if len(s.failedAt) == 0 || now.Before(s.probeAt) {
 		return 0, false
 	}
-	s.probeDelay = min(maxProbeDelay, max(minProbeDelay, time.Duration(probeGrowth*float64(s.probeDelay))))
+	growth, most := probeGrowth, maxProbeDelay
+	if len(s.down) == len(s.failedAt) {
+		growth, most = downProbeGrowth, maxDownProbeDelay
+	}
+	if len(s.lately(now)) > 0 {
+		growth = 1
+	}
+	s.probeDelay = min(most, max(minProbeDelay, time.Duration(growth*float64(s.probeDelay))))
 	s.probeAt = now.Add(s.probeDelay + time.Duration(probeExtension*p.random()*float64(s.probeDelay)))
-	return s.nextProbe(), true
+	return s.nextProbe(now), true
 }
 
 // nextProbe returns the upstream to probe next: the unreached one whose last attempt is the longest
-// ago. In a partition, those that were not tried since it began come first, as most upstreams are
-// then taken for unreached by the failures of a few; but after a success, the next one shows whether
-// the partition is over.
-func (s *service) nextProbe() units.IncarnationID {
-	if !s.partitionedSince.IsZero() && !s.returning {
-		for _, id := range s.present {
-			if _, unreached := s.failedAt[id]; !unreached && !s.connectedTo[id].After(s.partitionedSince) {
-				return id
-			}
+// ago, at first of those that have failed lately. In what looks like a partition, those that were not tried since it began come first, as most upstreams are
+// then taken for unreached by the failures of a few, and those that were down before it are left out. After a
+// success, the one that has failed for the shortest time shows whether the partition is over.
+func (s *service) nextProbe(now time.Time) units.IncarnationID {
+	if s.returning {
+		return firstOf(s.failingSince, time.Time.After, nil)
+	}
+	if s.suspectedSince.IsZero() {
+		return firstOf(s.attempts(s.lately(now)), time.Time.Before, nil)
+	}
+	for _, id := range s.present {
+		if _, unreached := s.failedAt[id]; !unreached && !s.connectedTo[id].After(s.suspectedSince) {
+			return id
+		}
+	}
+	return firstOf(s.failedAt, time.Time.Before, s.down)
+}
+
+// lately returns the upstreams that have failed for no longer than shortSilence.
+func (s *service) lately(now time.Time) []units.IncarnationID {
+	var found []units.IncarnationID
+	for id, since := range s.failingSince {
+		if now.Sub(since) < shortSilence {
+			found = append(found, id)
 		}
 	}
-	oldest, oldestAt := units.IncarnationID(0), time.Time{}
-	for id, at := range s.failedAt {
-		if oldestAt.IsZero() || at.Before(oldestAt) {
-			oldest, oldestAt = id, at
+	return found
+}
+
+// attempts returns the last failed attempts at some of the unreached upstreams, or at all if none are given.
+func (s *service) attempts(some []units.IncarnationID) map[units.IncarnationID]time.Time {
+	if len(some) == 0 {
+		return s.failedAt
+	}
+	found := make(map[units.IncarnationID]time.Time, len(some))
+	for _, id := range some {
+		found[id] = s.failedAt[id]
+	}
+	return found
+}
+
+// firstOf returns the upstream whose time comes before that of all others that are not left out, 0 if there is none.
+func firstOf(times map[units.IncarnationID]time.Time, before func(a, b time.Time) bool, leftOut map[units.IncarnationID]bool) units.IncarnationID {
+	found, foundAt := units.IncarnationID(0), time.Time{}
+	for id, at := range times {
+		if !leftOut[id] && (foundAt.IsZero() || before(at, foundAt)) {
+			found, foundAt = id, at
 		}
 	}
-	return oldest
+	return found
 }
 
 func (p *Pathfinder) random() float64 {
--- a/src/pathfinder/prober.go
+++ b/src/pathfinder/prober.go
@@ -17,6 +17,8 @@
 	// Connect attempts a connection, records its outcome in the pathfinder, and returns why none was
 	// made.
 	Connect func(ctx context.Context, service units.Service, id units.IncarnationID) error
+	// OnChange is called when a partition that was reported has ended without an attempt to connect.
+	OnChange func(reach Reach)
 }
 
 // Run starts the probes that are due until ctx ends.
@@ -28,7 +30,11 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, probe := range p.Pathfinder.DueProbes(timekeeper.Now()) {
+			now := timekeeper.Now()
+			for _, reach := range p.Pathfinder.Settle(now) {
+				p.OnChange(reach)
+			}
+			for _, probe := range p.Pathfinder.DueProbes(now) {
 				go p.probe(ctx, probe)
 			}
 		}
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -129,6 +129,8 @@
 	Entries  func() int
 	// IsRelayed reports whether calls to an upstream go through another entry; it may be nil.
 	IsRelayed func(upstream *tracker.Upstream, id units.IncarnationID) bool
+	// IsUnreached reports whether this entry may be unable to connect to an upstream; it may be nil.
+	IsUnreached func(upstream *tracker.Upstream, id units.IncarnationID) bool
 	// MayHaveChanged reports whether an upstream may run another software version than it is known for; it may
 	// be nil.
 	MayHaveChanged func(now time.Time, u *tracker.Upstream, id units.IncarnationID) bool
@@ -484,7 +486,7 @@
 		score += coldPenalty
 	}
 	switch {
-	case p.IsRelayed != nil && p.IsRelayed(c.Upstream, c.incarnationID):
+	case p.isRelayed(c):
 		score += relayPenalty
 	case c.Local.IdleConnections.Load() <= 0:
 		score += connectPenalty
@@ -579,7 +581,7 @@
 		if slices.Contains(tried, c.Name) || int(c.Local.InFlight.Load()) >= p.MaxInFlight(c.Upstream) {
 			continue
 		}
-		if state == withholder.Recovering || p.isEjected(now, c.Upstream) || c.Silent && !c.hasAnsweredRecently(now) {
+		if state == withholder.Recovering || p.isEjected(now, c.Upstream) || c.Silent && !c.hasAnsweredRecently(now) || p.isDown(c) {
 			suspect = append(suspect, c)
 			continue
 		}
@@ -591,6 +593,15 @@
 	return suspect
 }
 
+// isDown reports whether this entry cannot connect to an upstream, and others are taken not to reach it either.
+func (p *Placer) isDown(c *Candidate) bool {
+	return p.IsUnreached != nil && p.IsUnreached(c.Upstream, c.incarnationID) && !p.isRelayed(c)
+}
+
+func (p *Placer) isRelayed(c *Candidate) bool {
+	return p.IsRelayed != nil && p.IsRelayed(c.Upstream, c.incarnationID)
+}
+
 func (p *Placer) stateOf(now time.Time, c *Candidate) withholder.State {
 	if p.Withholder == nil {
 		return withholder.Accepting
--- a/src/relayer/version_test.go
+++ b/src/relayer/version_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/tracker"
-	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Guards against a stream that a peer continues at another software version, and against new streams that
@@ -47,7 +46,7 @@
 			if refused := errors.As(got.Err, &uncertain); refused == c.wantRun {
 				t.Errorf("result: got %+v, want it refused %t", got, !c.wantRun)
 			}
-			if !c.wantRun && (got.Kind != dispatcher.NotRun || !got.Unsent || got.NoPath || uncertain.Upstream != units.Upstream(testUpstream.Name)) {
+			if !c.wantRun && (got.Kind != dispatcher.NotRun || !got.Unsent || got.NoPath || uncertain.Upstream != testUpstream.Name) {
 				t.Errorf("result: got %+v, want another upstream tried", got)
 			}
 		})
