Let streams wait where all upstreams of their version may have started again

Cause: an entry whose connections to all upstreams of a service had failed lately took itself for the one that had been out of reach, and went on anywhere. A stream that began at such an upstream was bound to the version that the upstream was known for. And an entry without a response of the leader went by a table of any age.

Attempts through another entry are not concerned, as that one judges.

--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -392,7 +392,7 @@
 // started stream waits for one until the deadline, since its caller has part of the answer.
 func (d *Dispatcher) chooseUpstream(ctx context.Context, call *Call, stream *Stream, state *attemptState) (*tracker.Upstream, error) {
 	release, isBound := stream.Release()
-	if target := state.moveTarget; target != nil && (!isBound || target.Release == release) {
+	if target := state.moveTarget; target != nil && (!isBound || target.Release == release && !stream.isDoubted) {
 		return target, nil
 	}
 	for {
@@ -411,9 +411,14 @@
 	}
 }
 
-// pick picks an upstream of the version that the stream is bound to, or any if it is not bound.
+// pick picks an upstream of the version that the stream is bound to, or any if it is not bound; gone reports that there
+// is none, or that the version is not known.
 func (d *Dispatcher) pick(call *Call, stream *Stream, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
-	if release, isBound := stream.Release(); isBound {
+	release, isBound := stream.Release()
+	switch {
+	case isBound && stream.isDoubted:
+		return nil, true
+	case isBound:
 		return d.Router.PickRelease(call, release, tried)
 	}
 	return d.Router.Pick(call, tried), false
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -32,6 +32,9 @@
 	// release is the software version of the events that the caller has; isBound is set once it has any.
 	release units.Release
 	isBound bool
+	// isDoubted is set if the upstream of the attempt under way, or once the stream is bound that of its first event,
+	// may run another version than it is known for.
+	isDoubted bool
 }
 
 // VersionError is the error for output that does not continue a stream.
@@ -90,6 +93,14 @@
 // Release returns the software version that the stream is bound to, false if it is not bound yet.
 func (s *Stream) Release() (units.Release, bool) { return s.release, s.isBound }
 
+// SetDoubted sets whether the upstream of the next attempt may run another software version than it is known for. A
+// stream that begins there goes on nowhere else.
+func (s *Stream) SetDoubted(isDoubted bool) {
+	if !s.isBound {
+		s.isDoubted = isDoubted
+	}
+}
+
 // HasEvents reports whether an event was sent.
 func (s *Stream) HasEvents() bool { return s.eventSent }
 
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -55,19 +55,20 @@
 )
 
 // recordAttempt remembers at which version a stream begins if an attempt of this entry's own brings its first event.
-func (g *Gateway) recordAttempt(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream) {
+func (g *Gateway) recordAttempt(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream) {
 	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
-	g.recordOrigin(ctx, call, upstream, g.mayHaveChanged(timekeeper.Now(), upstream, id))
+	g.recordOrigin(ctx, call, upstream, stream, g.mayHaveChanged(timekeeper.Now(), upstream, id))
 }
 
 // recordOrigin remembers at which version a stream begins, unless the upstream may have changed. It does so before the
 // upstream has sent the first event, so that the leader knows it by then. Another attempt before that event replaces
 // it, and waits until the leader knows that: it would name the wrong version if this entry ended first.
-func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, mayHaveChanged bool) {
+func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, mayHaveChanged bool) {
 	t, known := call.Trace.(*callTrace)
 	if !known || !call.Stream {
 		return
 	}
+	stream.SetDoubted(mayHaveChanged && len(g.snapshot.Load().releases[upstream.Service]) > 1)
 	now := timekeeper.Now()
 	origin := binder.Origin{
 		Service: upstream.Service,
--- a/src/gateway/relay.go
+++ b/src/gateway/relay.go
@@ -105,7 +105,7 @@
 	g := p.gateway
 	if !g.isRelayed(upstream, units.NewIncarnationID(upstream.Name, upstream.Incarnation)) {
 		if _, isBound := stream.Release(); !isBound {
-			g.recordAttempt(ctx, call, upstream)
+			g.recordAttempt(ctx, call, upstream, stream)
 		}
 		startedAt := timekeeper.Now()
 		result := p.direct.Exchange(ctx, call, attempt, upstream, stream)
--- a/src/gateway/returns.go
+++ b/src/gateway/returns.go
@@ -70,5 +70,9 @@
 	if upstream.Incarnation == 0 {
 		return false
 	}
-	return g.returns.isRecent(now, id, time.Duration(announcedAfter*float64(g.Settings.HeartbeatInterval)))
+	within := time.Duration(announcedAfter * float64(g.Settings.HeartbeatInterval))
+	snap := g.snapshot.Load()
+	// What control has heard since its last response has not arrived here.
+	isOutdated := len(snap.releases[upstream.Service]) > 1 && now.Sub(snap.leaderAt) >= within
+	return isOutdated || g.returns.isRecent(now, id, within)
 }
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -280,8 +280,7 @@
 			return c.Silent && !c.hasAnsweredRecently(now)
 		})
 		certain := p.certain(now, call, heard)
-		if len(certain) == 0 && len(p.certain(now, call, p.Fleet()[call.Service])) == 0 {
-			// This entry, and not its upstreams, has been out of reach.
+		if len(certain) == 0 && !hasSeveralReleases(p.Fleet()[call.Service]) {
 			certain = heard
 		}
 		// The caller has part of the answer: it is too late to refuse the rest.
@@ -289,15 +288,16 @@
 	}), false
 }
 
-// certain returns the candidates that are certain to run the software version that they are known for; for a
-// call without a stream all are.
+// certain returns the candidates that are certain to run the software version that they are known for, as far as this
+// entry can tell; for a call without a stream all are.
 func (p *Placer) certain(now time.Time, call *dispatcher.Call, candidates []*Candidate) []*Candidate {
 	if !call.Stream || p.MayHaveChanged == nil {
 		return candidates
 	}
 	certain := make([]*Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !p.MayHaveChanged(now, c.Upstream, c.incarnationID) {
+		// An entry that is asked to carry the attempt refuses it if it is not certain itself.
+		if p.isRelayed(c) || !p.MayHaveChanged(now, c.Upstream, c.incarnationID) {
 			certain = append(certain, c)
 		}
 	}
--- a/src/relayer/sender.go
+++ b/src/relayer/sender.go
@@ -43,7 +43,7 @@
 	OnAnswer func(upstream *tracker.Upstream, verdict exchanger.Verdict, sentAt time.Time)
 	// OnAccepted is called before an attempt that may bring a stream's first event is sent to a peer, with whether the
 	// upstream may run another software version than it is known for, as far as the peer knows; it may be nil.
-	OnAccepted func(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, mayHaveChanged bool)
+	OnAccepted func(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, mayHaveChanged bool)
 	// OnOffer is called with how an offer ended, nil if the peer has accepted it; it may be nil.
 	OnOffer func(peer Peer, call *dispatcher.Call, err error)
 
@@ -124,7 +124,7 @@
 		}
 		if err == nil {
 			if s.OnAccepted != nil && !isBound {
-				s.OnAccepted(ctx, call, upstream, mayHaveChanged)
+				s.OnAccepted(ctx, call, upstream, stream, mayHaveChanged)
 			}
 			result = s.send(ctx, peer, session, call, attempt, upstream, stream)
 			s.release(peer)
