Let streams wait for certain upstreams also while one version is known

Cause: all engines of a service ended together, one started again first, under its name and at the first other version. As the entries knew one version only, streams went on there at once; the exception for a single version, and that for new streams, go by what may be out of date.

Change: no exception. Streams that can be resumed prefer and await upstreams whose version is certain, whatever is known. All other calls do not avoid the uncertain ones: an answer without a stream, and a stream that goes on nowhere else, may come from any version. So the engine that was silent for a second is used at once.

Evidence: TestPickRelease with one version and TestOtherCallsDoNotAvoidUncertainVersions (in place of the test of the exception) failed before.

--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -68,7 +68,7 @@
 	if !known || !call.Stream {
 		return
 	}
-	stream.SetDoubted(mayHaveChanged && len(g.snapshot.Load().releases[upstream.Service]) > 1)
+	stream.SetDoubted(mayHaveChanged)
 	now := timekeeper.Now()
 	origin := binder.Origin{
 		Service: upstream.Service,
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -259,8 +259,7 @@
 		if len(candidates) == 0 {
 			candidates = p.eligible(now, fallback, tried)
 		}
-		// While one version serves, a stream that began anywhere goes on anywhere.
-		if certain := p.certain(now, call, candidates); len(certain) > 0 && hasSeveralReleases(candidates) {
+		if certain := p.certain(now, call, candidates); len(certain) > 0 {
 			candidates = certain
 		}
 		return p.best(now, call, candidates, len(tried) == 0)
@@ -279,19 +278,15 @@
 		heard := slices.DeleteFunc(p.eligible(now, same, tried), func(c *Candidate) bool {
 			return c.Silent && !c.hasAnsweredRecently(now)
 		})
-		certain := p.certain(now, call, heard)
-		if len(certain) == 0 && !hasSeveralReleases(p.Fleet()[call.Service]) {
-			certain = heard
-		}
 		// The caller has part of the answer: it is too late to refuse the rest.
-		return p.best(now, call, certain, false)
+		return p.best(now, call, p.certain(now, call, heard), false)
 	}), false
 }
 
 // certain returns the candidates that are certain to run the software version that they are known for, as far as this
-// entry can tell; for a call without a stream all are.
+// entry can tell; for a call that goes on nowhere else all are.
 func (p *Placer) certain(now time.Time, call *dispatcher.Call, candidates []*Candidate) []*Candidate {
-	if !call.Stream || p.MayHaveChanged == nil {
+	if !call.Stream || !call.Repeatable || p.MayHaveChanged == nil {
 		return candidates
 	}
 	certain := make([]*Candidate, 0, len(candidates))
@@ -304,10 +299,6 @@
 	return certain
 }
 
-func hasSeveralReleases(candidates []*Candidate) bool {
-	return slices.ContainsFunc(candidates, func(c *Candidate) bool { return c.Release != candidates[0].Release })
-}
-
 // admitted returns the first chosen upstream that the gate admits, nil if none is chosen.
 func (p *Placer) admitted(choose func(now time.Time) *Candidate) *tracker.Upstream {
 	now := p.Now()
--- a/src/placer/release_test.go
+++ b/src/placer/release_test.go
@@ -68,7 +68,7 @@
 			},
 		},
 		"all of the only version may have changed": {
-			release: "v2", want: true,
+			release: "v2",
 			change: func(f *fixture) {
 				f.fleet["s"] = f.fleet["s"][2:]
 				f.mayHaveChanged("v2-0", "v2-1")
@@ -82,7 +82,7 @@
 				c.change(f)
 			}
 			for range 50 {
-				u, gone := f.PickRelease(&dispatcher.Call{Service: "s", Stream: true}, c.release, c.tried)
+				u, gone := f.PickRelease(&dispatcher.Call{Service: "s", Stream: true, Repeatable: true}, c.release, c.tried)
 				if (u != nil) != c.want || gone != c.gone {
 					t.Fatalf("upstream: got %v, gone %t, want one %t, gone %t", u, gone, c.want, c.gone)
 				}
@@ -104,7 +104,7 @@
 	f.mayHaveChanged("v1-0", "v1-1", "v2-0")
 	used := make(map[units.Upstream]bool)
 	for range 200 {
-		if got := f.Pick(&dispatcher.Call{Service: "s", Stream: true}, nil); got.Name != "v2-1" {
+		if got := f.Pick(&dispatcher.Call{Service: "s", Stream: true, Repeatable: true}, nil); got.Name != "v2-1" {
 			t.Fatalf("stream: got %s, want v2-1", got.Name)
 		}
 		used[f.Pick(&dispatcher.Call{Service: "s"}, nil).Name] = true
@@ -114,18 +114,24 @@
 	}
 }
 
-// Guards against upstreams that get no streams for seconds after they were silent for one, while all run the same
-// version.
-func TestUpstreamsOfTheOnlyVersionAreNotAvoided(t *testing.T) {
-	f := newReleaseFixture(nil)
-	f.fleet["s"] = f.fleet["s"][:2]
-	f.mayHaveChanged("v1-0")
-	used := make(map[units.Upstream]bool)
-	for range 200 {
-		used[f.Pick(&dispatcher.Call{Service: "s", Stream: true}, nil).Name] = true
-	}
-	if len(used) != 2 {
-		t.Errorf("upstreams of streams: got %d, want both", len(used))
+// Guards against upstreams that get no calls for seconds after they were silent for one, though a stream that cannot be
+// resumed, or an answer without one, may come from any version.
+func TestOtherCallsDoNotAvoidUncertainVersions(t *testing.T) {
+	for name, call := range map[string]dispatcher.Call{
+		"answer":                           {Service: "s", Repeatable: true},
+		"stream that goes on nowhere else": {Service: "s", Stream: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newReleaseFixture(nil)
+			f.mayHaveChanged("v1-0", "v1-1", "v2-0")
+			used := make(map[units.Upstream]bool)
+			for range 200 {
+				used[f.Pick(&call, nil).Name] = true
+			}
+			if len(used) != 4 {
+				t.Errorf("upstreams: got %d, want all 4", len(used))
+			}
+		})
 	}
 }
 
