--- a/src/pathfinder/dead_test.go
+++ b/src/pathfinder/dead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -294,14 +295,14 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := newPartition(timekeeper.Now(), 8, 3)
 				p.AsksPeers = true
-				changes := 0
+				var changes atomic.Int64
 				v := &Verifier{
 					Pathfinder: p,
 					Ask: func(context.Context, units.Service, units.IncarnationID) (reached, known bool) {
 						time.Sleep(c.takes)
 						return c.reached, true
 					},
-					OnChange: func(Reach) { changes++ },
+					OnChange: func(Reach) { changes.Add(1) },
 				}
 				p.RecordDial(Dial{Service: llm, Upstream: 4, StartedAt: timekeeper.Now(), Failed: true})
 				v.Verify(llm)
@@ -314,8 +315,8 @@
 					t.Errorf("waited: got %v, want at most %v", took, c.most)
 				}
 				time.Sleep(time.Second) // The answers have come by then.
-				if want := map[bool]int{true: 1}[c.reached]; changes != want {
-					t.Errorf("changes of state: got %d, want %d", changes, want)
+				if got, want := changes.Load(), map[bool]int64{true: 1}[c.reached]; got != want {
+					t.Errorf("changes of state: got %d, want %d", got, want)
 				}
 			})
 		})
