--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,11 @@
 	go build -o bin/failures ./src/cmd/failures
 	go build -o bin/measure ./src/cmd/measure
 
-# All tests except the known failures, with the race detector; .ci/proofs reads the log.
+# All tests except the known failures, with the race detector; .ci/proofs reads the log. The seeds of the
+# soak take five minutes of the platform's tests.
 test:
 	@mkdir -p bin
-	@set -o pipefail; go test -race -v $(if $(RED),-skip '$(RED)') ./... 2>&1 | tee bin/test.log \
+	@set -o pipefail; go test -race -v -timeout 20m $(if $(RED),-skip '$(RED)') ./... 2>&1 | tee bin/test.log \
 		| grep -vE '^(=== |[ ]*--- PASS|PASS|\?)' || { grep -E '^(FAIL|panic)' bin/test.log; exit 1; }
 
 # Only the tests that are known to fail.
