Ask an upstream for its incarnation before a part of a stream is sent to it

What callers saw: streams with events of two software versions.

A new connection is now asked which incarnation is at its other end (/v1/report states it, as heartbeats do) before a stream that can be resumed is sent on it. The answer holds for all connections that were open then: a connection leads to one process until it ends. Another incarnation gets no part of a stream unless the caller's stream is known to begin at an uncertain version; upstreams that do not state their incarnation are believed, as before.

--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// IsDoubted reports whether the stream begins at an upstream that may run another software version than it is known
+// for.
+func (s *Stream) IsDoubted() bool { return s.isDoubted && !s.isBound }
+
 // HasEvents reports whether an event was sent.
 func (s *Stream) HasEvents() bool { return s.eventSent }
 
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -80,6 +80,10 @@
 	RequestHeader(call *dispatcher.Call, sending RequestInfo) http.Header
 	// CheckAnswer checks the head of an answer.
 	CheckAnswer(call *dispatcher.Call, upstream *tracker.Upstream, status int, header http.Header) Verdict
+	// IdentityPath returns the path at which upstreams state their incarnation.
+	IdentityPath() string
+	// ParseIdentity returns the incarnation that an answer from that path states, false for none.
+	ParseIdentity(status int, body []byte) (units.Incarnation, bool)
 }
 
 // Guard decides whether a call may still be sent to an upstream.
@@ -119,6 +123,12 @@
 	// HasEnded reports whether an upstream that refuses a connection from this entry has ended; nil
 	// takes each such upstream for ended.
 	HasEnded func(ctx context.Context, upstream *tracker.Upstream) bool
+	// OnIdentity is called with the answer of an upstream that was asked for its incarnation, before the
+	// part of a stream that can be resumed is sent to it; an error keeps it from being sent. With nil
+	// upstreams are not asked.
+	OnIdentity func(call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, identity Identity) error
+
+	identities identities
 }
 
 // InvalidAnswerError is the error for received bytes that do not answer the attempt.
@@ -155,7 +165,7 @@
 	}
 	// Ends blocking reads and writes at once when the caller leaves or the deadline passes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	result := e.run(ctx)
+	result := e.runIdentified(ctx)
 	result.Receipt = e.receipt
 	stopped := stop()
 	switch {
@@ -192,6 +202,21 @@
 	receipt         framer.Receipt
 }
 
+// runIdentified runs the attempt unless the upstream is another incarnation than the known one.
+func (e *exchange) runIdentified(ctx context.Context) dispatcher.Result {
+	err := e.identify(ctx, e.conn, e.call, e.upstream, e.stream)
+	if err == nil {
+		return e.run(ctx)
+	}
+	var replaced *ReplacedError
+	return dispatcher.Result{
+		Kind:          dispatcher.NotRun,
+		ConnectFailed: !errors.As(err, &replaced) && ctx.Err() == nil,
+		Unsent:        true,
+		Err:           err,
+	}
+}
+
 func (e *exchange) run(ctx context.Context) dispatcher.Result {
 	sentAt := timekeeper.Now()
 	if result, ok := e.send(); !ok {
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -137,6 +137,13 @@
 	}
 }
 
+func (fakeDialect) IdentityPath() string { return "/identity" }
+
+func (fakeDialect) ParseIdentity(status int, body []byte) (units.Incarnation, bool) {
+	number, err := strconv.ParseUint(string(body), 10, 64)
+	return units.Incarnation(number), status == http.StatusOK && err == nil
+}
+
 // fakeGuard refuses calls with err if it is set.
 type fakeGuard struct{ err error }
 
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -87,6 +87,8 @@
 	reader *bufio.Reader
 	key    hostKey
 	live   *tracker.LocalState
+	// openedAt is when the connection was open.
+	openedAt time.Time
 	// reused is set where the connection has served an earlier call.
 	reused bool
 	// idleSince is on the clock that counts suspension.
@@ -146,6 +148,7 @@
 		reader:      bufio.NewReaderSize(c, readBuffer),
 		key:         key,
 		live:        upstream.Local,
+		openedAt:    timekeeper.Now(),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -76,6 +76,7 @@
 	trafficStats  *trafficStats
 	rolloutStats  rolloutStats
 	pool          *exchanger.Pool
+	direct        *exchanger.Exchanger
 	dispatcher    *dispatcher.Dispatcher
 	evidence      quarantiner.Evidence
 	quarantine    quarantine
@@ -145,14 +146,16 @@
 		},
 	}
 	direct := &exchanger.Exchanger{
-		Pool:      g.pool,
-		Dialect:   g.Dialect,
-		Guard:     (*attemptGuard)(g),
-		Donor:     g.placer.Donor,
-		OnStarted: g.countCall,
-		OnAnswer:  g.recordAnswer,
-		HasEnded:  g.hasEnded,
+		Pool:       g.pool,
+		Dialect:    g.Dialect,
+		Guard:      (*attemptGuard)(g),
+		Donor:      g.placer.Donor,
+		OnStarted:  g.countCall,
+		OnAnswer:   g.recordAnswer,
+		HasEnded:   g.hasEnded,
+		OnIdentity: g.recordIdentity,
 	}
+	g.direct = direct
 	g.prepareRelays(direct)
 	g.dispatcher = &dispatcher.Dispatcher{
 		Limiter:  (*accountLimiter)(g),
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -391,6 +391,7 @@
 	}
 	p.gateway.withholder.Retain(now, func(id units.IncarnationID) bool { return known[id] })
 	p.gateway.returns.retain(known)
+	p.gateway.direct.RetainIdentities(known)
 }
 
 // upstreamChanges returns the changes of the table in a response. A page that cannot be decoded
--- a/src/gateway/returns.go
+++ b/src/gateway/returns.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -20,6 +22,8 @@
 	// one could be made again.
 	unreached  map[units.IncarnationID]bool
 	returnedAt map[units.IncarnationID]time.Time
+	// replaced are the incarnations whose place another one has taken, as that has stated.
+	replaced map[units.IncarnationID]bool
 }
 
 // recordDial records the outcome of an attempt to connect to an upstream.
@@ -40,12 +44,28 @@
 	}
 }
 
-// isRecent reports whether an upstream is not reached, or is again for less than a time.
+// recordIdentity records whether an upstream that was asked is still the known incarnation.
+func (r *returns) recordIdentity(id units.IncarnationID, identity exchanger.Identity) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch identity {
+	case exchanger.Confirmed:
+		delete(r.returnedAt, id)
+	case exchanger.Replaced:
+		if r.replaced == nil {
+			r.replaced = make(map[units.IncarnationID]bool)
+		}
+		r.replaced[id] = true
+	case exchanger.Untold:
+	}
+}
+
+// isRecent reports whether an upstream is not reached, is again for less than a time, or was replaced.
 func (r *returns) isRecent(now time.Time, id units.IncarnationID, within time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, found := r.returnedAt[id]
-	return r.unreached[id] || found && now.Sub(at) < within
+	return r.unreached[id] || r.replaced[id] || found && now.Sub(at) < within
 }
 
 // retain forgets the upstreams that are no longer known.
@@ -62,6 +82,35 @@
 			delete(r.returnedAt, id)
 		}
 	}
+	for id := range r.replaced {
+		if !known[id] {
+			delete(r.replaced, id)
+		}
+	}
+}
+
+// recordIdentity records what an upstream has answered that was asked for its incarnation before a part of a stream
+// is sent to it. The error keeps that from being sent: the version at which the stream would begin or go on is not
+// the recorded one.
+func (g *Gateway) recordIdentity(call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, identity exchanger.Identity) error {
+	g.trafficStats.identified(identity)
+	g.returns.recordIdentity(units.NewIncarnationID(upstream.Name, upstream.Incarnation), identity)
+	if identity != exchanger.Replaced {
+		return nil
+	}
+	g.Log.Warn().
+		Str("call", string(call.ID)).
+		Str("upstream", string(upstream.Name)).
+		Uint64("born", uint64(upstream.Incarnation)).
+		Bool("doubted", stream.IsDoubted()).
+		Msg("upstream-replaced")
+	if stream.IsDoubted() {
+		return nil
+	}
+	return &exchanger.ReplacedError{
+		Upstream: upstream.Name,
+		Known:    upstream.Incarnation,
+	}
 }
 
 // mayHaveChanged reports whether an upstream may run another version of its software than control has told.
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/framer"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/meter"
@@ -288,6 +289,11 @@
 	t.scope.Tagged(map[string]string{"accepted": strconv.FormatBool(accepted)}).Counter("relay_offers").Inc(1)
 }
 
+// identified counts an answer of an upstream that was asked for its incarnation.
+func (t *trafficStats) identified(identity exchanger.Identity) {
+	t.scope.Tagged(map[string]string{"identity": identity.String()}).Counter("upstream_identities").Inc(1)
+}
+
 // carried counts a call of another entry by its result.
 func (t *trafficStats) carried(result dispatcher.Result) {
 	t.scope.Tagged(map[string]string{"end": result.Kind.String()}).Counter("relayed_calls").Inc(1)
