Find the stream that a call resumes without naming it by the content of its request

What callers saw: while upstreams of several versions served, each call that resumed a stream without Resumes was refused (unknown-stream).

Cause: only the call's id led to the version at which a stream began.

Entries record the version under the content of the request too (account, host, path, body), and the leader puts all entries' records together. Streams of one content that began at several versions are not told apart: refused, as before.

Tests changed: a stand-in client sends one body in all tries of a stream; what an entry asks for an unnamed stream may be reported a moment later, so it asks until then; numbers of records are two for each attempt; a stream's id 7 became 70, as odd ids are those of requests.

--- a/src/binder/binder_test.go
+++ b/src/binder/binder_test.go
@@ -114,6 +114,79 @@
 	})
 }
 
+// sharedStream is one of several streams with the same request.
+type sharedStream struct {
+	entry  int
+	record Record
+}
+
+// Guards against a stream that goes on at the version of another stream with the same request, at the same entry or
+// another one, and against one that is not found although all streams with its request began at one version.
+func TestStreamsOfOneRequestAreToldApart(t *testing.T) {
+	request := NewRequestID(units.Fingerprint(77))
+	rapid.Check(t, func(t *rapid.T) {
+		journals := []*Journal{{MaxRecords: 100}, {MaxRecords: 100}}
+		reported := []Number{0, 0}
+		ledger := &Ledger{MaxStreams: 1000}
+		now := start
+		report := func(entry int) {
+			records, last := journals[entry].After(now, reported[entry], 100)
+			ledger.Record(now, records)
+			reported[entry] = last
+		}
+		var began []sharedStream
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			entry := rapid.IntRange(0, 1).Draw(t, "entry")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				record := drawRecord(t, now)
+				record.Stream = request
+				journals[entry].Add(now, record)
+				began = append(began, sharedStream{entry: entry, record: record})
+			case 2:
+				report(entry)
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "passed")) * time.Millisecond)
+			}
+		}
+		report(0)
+		report(1)
+		ledger.Record(now, nil)
+		checkShared(t, now, ledger, request, began)
+	})
+}
+
+func checkShared(t *rapid.T, now time.Time, ledger *Ledger, request StreamID, began []sharedStream) {
+	live, all := make(map[Origin]bool), make(map[Origin]bool)
+	for _, s := range began {
+		all[s.record.Origin] = true
+		if now.Before(s.record.Until) {
+			live[s.record.Origin] = true
+		}
+	}
+	got, found := ledger.Find(now, request)
+	switch {
+	case len(live) > 1:
+		if !found || got != Unknown {
+			t.Fatalf("streams at %d origins: got %v (known %t), want %v", len(live), got, found, Unknown)
+		}
+	case len(live) == 1 && !live[got] && (len(all) == 1 || got != Unknown || !found):
+		t.Fatalf("streams at %v: got %v (known %t)", live, got, found)
+	}
+}
+
+// Guards against requests that are taken for streams, which keep their latest origin.
+func TestIDsOfStreamsAndRequestsDiffer(t *testing.T) {
+	for i := range 1000 {
+		if NewStreamID(units.CallID(fmt.Sprint(i))).isRequest() {
+			t.Errorf("call %d: got the id of a request", i)
+		}
+		if !NewRequestID(units.Fingerprint(i)).isRequest() {
+			t.Errorf("request %d: got the id of a stream", i)
+		}
+	}
+}
+
 // Guards against an entry or a leader that runs out of memory because of many streams.
 func TestMemoryOfStreamsIsBounded(t *testing.T) {
 	const maxRecords = 100
--- a/src/binder/journal.go
+++ b/src/binder/journal.go
@@ -29,6 +29,11 @@
 		j.latest = make(map[StreamID]Number)
 	}
 	j.drop(now)
+	if earlier := j.latest[record.Stream]; earlier != 0 && record.Stream.isRequest() {
+		if known := j.records[earlier-j.dropped-1]; now.Before(known.Until) {
+			record = record.merge(known.Origin, known.Until)
+		}
+	}
 	j.records = append(j.records, record)
 	number := j.dropped + Number(len(j.records))
 	j.latest[record.Stream] = number
--- a/src/binder/ledger.go
+++ b/src/binder/ledger.go
@@ -30,6 +30,11 @@
 		if !now.Before(record.Until) {
 			continue
 		}
+		if record.Stream.isRequest() {
+			if origin, until := l.find(now, record.Stream); until > 0 {
+				record = record.merge(origin, time.Unix(until-1, 0))
+			}
+		}
 		index := l.indexOf(record.Origin)
 		second := record.Until.Unix() + 1
 		generation := l.generations[second]
@@ -90,13 +95,19 @@
 // Find returns the origin of a stream, false if it is not known. Where records disagree, the one that is kept
 // longest is the latest.
 func (l *Ledger) Find(now time.Time, stream StreamID) (Origin, bool) {
+	origin, until := l.find(now, stream)
+	return origin, until > 0
+}
+
+// find returns the origin of a stream and the second in which it is forgotten, 0 if it is not known.
+func (l *Ledger) find(now time.Time, stream StreamID) (Origin, int64) {
 	found, until := Origin{}, int64(0)
 	for second, generation := range l.generations {
 		if index, known := generation[stream]; known && second > max(until, now.Unix()) {
 			found, until = l.origins[index], second
 		}
 	}
-	return found, until > 0
+	return found, until
 }
 
 // Len returns the number of streams.
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -19,9 +19,9 @@
 const (
 	// maxResumeTime bounds how long a stream is remembered, whatever its caller says.
 	maxResumeTime = time.Minute
-	// maxJournal bounds the streams of this entry that are remembered.
-	maxJournal = 1 << 14
-	// maxStreamsPerPoll bounds the streams in one poll, to some kilobytes.
+	// maxJournal bounds the records of this entry's streams that are remembered, two for each.
+	maxJournal = 1 << 15
+	// maxStreamsPerPoll bounds the records of streams in one poll, to some kilobytes.
 	maxStreamsPerPoll = 512
 	// findTimeout is how long the origin of a stream is asked for; most elections are over by then.
 	// findFraction is the fraction of the caller's time that it may take.
@@ -78,6 +78,11 @@
 		origin = binder.Unknown
 	}
 	earlier, isReplaced := g.journal.Find(now, t.stream)
+	g.journal.Add(now, binder.Record{
+		Stream: t.request,
+		Origin: origin,
+		Until:  t.streamUntil,
+	})
 	number := g.journal.Add(now, binder.Record{
 		Stream: t.stream,
 		Origin: origin,
@@ -112,6 +117,9 @@
 // findOrigin sets where the stream began that a call resumes, or returns why the call is refused.
 func (g *Gateway) findOrigin(ctx context.Context, r *Request, route *matcher.Route, call *dispatcher.Call) error {
 	stream, until := streamOf(r)
+	if r.Resumes == "" {
+		stream = binder.NewRequestID(call.Fingerprint)
+	}
 	startedAt := timekeeper.Now()
 	origin, source := g.originOf(ctx, r, route, stream)
 	served := source != sourceNone && origin != binder.Unknown && slices.ContainsFunc(route.Splits, func(s matcher.Split) bool { return s.Service == origin.Service })
@@ -146,17 +154,14 @@
 	return newRefusal(http.StatusServiceUnavailable, dispatcher.ProblemUnknownStream, detail, 0)
 }
 
-// originOf returns where a stream began, and from what that is known.
+// originOf returns where a stream began, and from what that is known. Only the leader knows all streams of a request.
 func (g *Gateway) originOf(ctx context.Context, r *Request, route *matcher.Route, stream binder.StreamID) (binder.Origin, originSource) {
 	if r.Resumes != "" {
 		if origin, known := g.journal.Find(timekeeper.Now(), stream); known {
 			return origin, sourceOwn
 		}
 	}
-	request := &messages.FindStream{}
-	if r.Resumes != "" {
-		request.Stream = uint64(stream)
-	}
+	request := &messages.FindStream{Stream: uint64(stream)}
 	for _, split := range route.Splits {
 		request.Services = append(request.Services, string(split.Service))
 	}
@@ -188,8 +193,7 @@
 			limit = min(limit, findUnknownTimeout)
 		case messages.StreamKnowledge_STREAM_KNOWLEDGE_UNSPECIFIED:
 		}
-		unnamed := answered && request.GetStream() == 0
-		if unnamed || ctx.Err() != nil || timekeeper.Now().Sub(startedAt)+findInterval > limit {
+		if ctx.Err() != nil || timekeeper.Now().Sub(startedAt)+findInterval > limit {
 			return binder.Origin{}, sourceNone, answered
 		}
 		sleep(ctx, findInterval)
--- a/src/gateway/origins_test.go
+++ b/src/gateway/origins_test.go
@@ -105,7 +105,10 @@
 		"began at an uncertain version":    {answers: []*messages.FindStreamResponse{found(reported, "", "")}, refused: true, maxQuestions: 1},
 		"not known":                        {answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, releases: two, maxQuestions: 8},
 		"not known, one version here":      {answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, releases: one, maxQuestions: 8},
-		"not named":                        {unnamed: true, answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, maxQuestions: 1},
+		"not named":                        {unnamed: true, answers: []*messages.FindStreamResponse{found(unknown, "", "")}, refused: true, maxQuestions: 8},
+		"not named, reported":              {unnamed: true, answers: []*messages.FindStreamResponse{found(reported, "s", "v2")}, want: binder.Origin{Service: "s", Release: "v2"}, maxQuestions: 1},
+		"not named, several of its kind":   {unnamed: true, own: true, answers: []*messages.FindStreamResponse{found(reported, "", "")}, refused: true, maxQuestions: 1},
+		"not named, no leader":             {unnamed: true, own: true, answers: []*messages.FindStreamResponse{nothing}, releases: two, refused: true, maxQuestions: 20},
 		"not named, only one version":      {unnamed: true, answers: []*messages.FindStreamResponse{found(only, "s", "v1")}, want: binder.Origin{Service: "s", Release: "v1"}, maxQuestions: 1},
 		"no leader, one version":           {answers: []*messages.FindStreamResponse{nothing}, releases: one, want: binder.Origin{Service: "s", Release: "v1"}, maxQuestions: 20},
 		"no answer, one version":           {answers: []*messages.FindStreamResponse{nil}, releases: one, want: binder.Origin{Service: "s", Release: "v1"}, maxQuestions: 5},
@@ -132,11 +135,7 @@
 				wantsStreams: c.wantsStreams,
 				releases:     map[units.Service][]units.Release{"s": c.releases},
 			})
-			request := &Request{ID: "second", Resumes: "first", ResumeOffset: 3, Arrived: now, CallerTimeout: 2 * time.Second}
-			if c.unnamed {
-				request.Resumes = ""
-			}
-			stream, until := streamOf(request)
+			request, stream, until := resumingRequest(now, c.unnamed)
 			if c.own {
 				g.journal.Add(now, binder.Record{Stream: stream, Origin: binder.Origin{Service: "s", Release: "v2"}, Until: until})
 			}
@@ -165,6 +164,17 @@
 	}
 }
 
+// resumingRequest returns a request that resumes a stream, the id by which that is found, and until when.
+func resumingRequest(now time.Time, unnamed bool) (*Request, binder.StreamID, time.Time) {
+	request := &Request{ID: "second", Resumes: "first", ResumeOffset: 3, Arrived: now, CallerTimeout: 2 * time.Second}
+	stream, until := streamOf(request)
+	if unnamed {
+		request.Resumes = ""
+		stream = binder.NewRequestID(0)
+	}
+	return request, stream, until
+}
+
 // Guards against a stream that is looked for at an instance that no longer leads.
 func TestOriginIsAskedOfTheLeaderThatIsNamed(t *testing.T) {
 	leader, questions := startFinder(t, found(messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, "s", "v2"))
--- a/src/gateway/reports_test.go
+++ b/src/gateway/reports_test.go
@@ -65,14 +65,14 @@
 				defer cancel()
 				if c.first != nil {
 					g.recordAttempt(ctx, call, c.first, &dispatcher.Stream{})
-					g.originReports.set(1)
+					g.originReports.set(2)
 				}
 				if c.callerGone {
 					cancel()
 				}
 				if !c.noLeader {
-					time.AfterFunc(reportedAfter/2, func() { g.originReports.set(1) })
-					time.AfterFunc(reportedAfter, func() { g.originReports.set(2) })
+					time.AfterFunc(reportedAfter/2, func() { g.originReports.set(3) })
+					time.AfterFunc(reportedAfter, func() { g.originReports.set(4) })
 				}
 				startedAt := time.Now()
 				g.recordAttempt(ctx, call, c.second, &dispatcher.Stream{})
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -87,6 +87,7 @@
 	}
 	call.Trace = t
 	t.stream, t.streamUntil = streamOf(r)
+	t.request = binder.NewRequestID(call.Fingerprint)
 	if call.Stream && call.ResumeOffset > 0 {
 		err = g.findOrigin(ctx, r, route, call)
 	}
@@ -298,6 +299,8 @@
 	// stream is the stream that the call begins or resumes, and streamUntil when its caller gives up.
 	stream      binder.StreamID
 	streamUntil time.Time
+	// request is the id by which a call finds the stream that does not name it.
+	request binder.StreamID
 }
 
 // RecordStep records an attempt that has ended.
--- a/src/governor/origins.go
+++ b/src/governor/origins.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxStreams bounds the streams that the leader remembers. A thousand entries begin some 40,000 a second,
-	// and callers try for some ten seconds.
-	maxStreams = 1 << 20
+	// maxStreams bounds the records that the leader remembers, two for each stream. A thousand entries begin
+	// some 40,000 a second, and callers try for some ten seconds.
+	maxStreams = 1 << 21
 	// knownHeartbeats is how many heartbeat intervals after its start an instance has heard of all
 	// upstreams that are up.
 	knownHeartbeats = 2.5
--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -69,11 +69,11 @@
 		want        messages.StreamKnowledge
 		wantRelease string
 	}{
-		"reported":                         {up: long, releases: two, change: report(recordOf(7, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"reported, of a version that left": {up: long, releases: two, change: report(recordOf(7, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
-		"reported again":                   {up: long, releases: two, change: report(recordOf(7, "v1", short), recordOf(7, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"another one reported":             {up: long, releases: two, change: report(recordOf(8, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"caller has given up":              {up: long, releases: two, change: report(recordOf(7, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"reported":                         {up: long, releases: two, change: report(recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"reported, of a version that left": {up: long, releases: two, change: report(recordOf(70, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
+		"reported again":                   {up: long, releases: two, change: report(recordOf(70, "v1", short), recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"another one reported":             {up: long, releases: two, change: report(recordOf(80, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"caller has given up":              {up: long, releases: two, change: report(recordOf(70, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 		"one version":                      {up: long, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
 		"one version, recalled":            {up: 10 * time.Second, recalled: true, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
 		"one version, up for a moment":     {up: 10 * time.Second, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
@@ -95,7 +95,7 @@
 			if services == nil {
 				services = []string{"s"}
 			}
-			got := leader.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 7, Services: services})
+			got := leader.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 70, Services: services})
 			if got.GetKnowledge() != c.want || got.GetRelease() != c.wantRelease {
 				t.Errorf("got %s of version %q, want %s of %q", got.GetKnowledge(), got.GetRelease(), c.want, c.wantRelease)
 			}
@@ -139,11 +139,11 @@
 // reported other versions.
 func TestNewLeadershipKnowsNoStreams(t *testing.T) {
 	c := newLeaderOfVersions(t, time.Hour, false, "v1", "v2")
-	c.poll(streamsPoll(recordOf(7, "v1", time.Minute)))
+	c.poll(streamsPoll(recordOf(70, "v1", time.Minute)))
 	c.leaderSince = time.Time{}
 	c.isLeader(timekeeper.Now())
 	c.allocator.Since = timekeeper.Now().Add(-time.Minute)
-	if got := c.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 7, Services: []string{"s"}}); got.GetKnowledge() != messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN {
+	if got := c.origins.find(timekeeper.Now(), &messages.FindStream{Stream: 70, Services: []string{"s"}}); got.GetKnowledge() != messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN {
 		t.Errorf("got %s, want the stream unknown until it is reported again", got.GetKnowledge())
 	}
 	if !c.poll(streamsPoll()).GetWantsStreams() {
