Do not ask an upstream for its incarnation while it has asked for a back-off or is leaving

Found by reading: the question was sent before the check that keeps calls from upstreams that must get none. An answer that is longer than what is read would have left its rest on the connection, where it was taken for the next answer; the connection is closed. Failing first: 'must not be asked' and 'answer that is too long' of TestStreamsAreSentToTheKnownIncarnation, and TestWithheldUpstreamsAreNotAsked; three mutants.

--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -123,9 +123,10 @@
 	// HasEnded reports whether an upstream that refuses a connection from this entry has ended; nil
 	// takes each such upstream for ended.
 	HasEnded func(ctx context.Context, upstream *tracker.Upstream) bool
+	// MayAsk reports whether an upstream may be asked for its incarnation now; nil asks none.
+	MayAsk func(upstream *tracker.Upstream) bool
 	// OnIdentity is called with the answer of an upstream that was asked for its incarnation, before the
-	// part of a stream that can be resumed is sent to it; an error keeps it from being sent. With nil
-	// upstreams are not asked.
+	// part of a stream that can be resumed is sent to it; an error keeps it from being sent.
 	OnIdentity func(call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, identity Identity) error
 
 	identities identities
--- a/src/exchanger/identity.go
+++ b/src/exchanger/identity.go
@@ -129,11 +129,11 @@
 // identify checks that a connection leads to the incarnation that is known, where the call depends on its software
 // version. The error is why the call must not be sent on this connection.
 func (x *Exchanger) identify(ctx context.Context, c *conn, call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream) error {
-	if x.OnIdentity == nil || !call.Stream || !call.Repeatable || upstream.Incarnation == 0 {
+	if x.MayAsk == nil || !call.Stream || !call.Repeatable || upstream.Incarnation == 0 {
 		return nil
 	}
 	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
-	if x.identities.isConfirmed(id, c) || x.identities.isUntold(id) {
+	if x.identities.isConfirmed(id, c) || x.identities.isUntold(id) || !x.MayAsk(upstream) {
 		return nil
 	}
 	askedAt := timekeeper.Now()
@@ -161,10 +161,13 @@
 		return Untold, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes+1))
 	if err != nil {
 		return Untold, err
 	}
+	if len(body) > maxIdentityBytes {
+		return Untold, errTooLong
+	}
 	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return Untold, errClosesConnection
 	}
@@ -183,5 +186,9 @@
 	}
 }
 
-// errClosesConnection is the error for an upstream that ends the connection with its answer.
-var errClosesConnection = errors.New("it closes the connection after its answer")
+var (
+	// errClosesConnection is the error for an upstream that ends the connection with its answer.
+	errClosesConnection = errors.New("it closes the connection after its answer")
+	// errTooLong is the error for an answer of which a rest is left on the connection.
+	errTooLong = fmt.Errorf("its answer is longer than %d bytes", maxIdentityBytes)
+)
--- a/src/exchanger/identity_test.go
+++ b/src/exchanger/identity_test.go
@@ -31,8 +31,8 @@
 		identity string
 		// change changes the call and its upstream.
 		change func(call *dispatcher.Call, upstream *tracker.Upstream)
-		// accept is set if the hook accepts another incarnation.
-		accept bool
+		// accept is set if the hook accepts another incarnation, withheld if the upstream must not be asked.
+		accept, withheld bool
 		// wantAsked is how many of three attempts, one after another, ask.
 		wantAsked int
 		want      []Identity
@@ -43,6 +43,8 @@
 		"another incarnation, doubted":   {identity: statedIdentity(8), accept: true, wantAsked: 3, want: []Identity{Replaced, Replaced, Replaced}, wantRun: true},
 		"states none":                    {identity: noReport, wantAsked: 1, want: []Identity{Untold}, wantRun: true},
 		"closes the connection":          {identity: "", wantAsked: maxUnanswered},
+		"must not be asked":              {identity: statedIdentity(8), withheld: true, wantRun: true},
+		"answer that is too long":        {identity: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxIdentityBytes+1, strings.Repeat("7", maxIdentityBytes+1)), wantAsked: maxUnanswered},
 		"not a stream":                   {change: func(c *dispatcher.Call, _ *tracker.Upstream) { c.Stream = false }, wantRun: true},
 		"stream that cannot be resumed":  {change: func(c *dispatcher.Call, _ *tracker.Upstream) { c.Repeatable = false }, wantRun: true},
 		"new name at each start":         {change: func(_ *dispatcher.Call, u *tracker.Upstream) { u.Incarnation = 0 }, wantRun: true},
@@ -64,6 +66,7 @@
 			}
 			var got []Identity
 			x := newExchanger(&fakeGuard{})
+			x.MayAsk = func(*tracker.Upstream) bool { return !c.withheld }
 			x.OnIdentity = func(_ *dispatcher.Call, upstream *tracker.Upstream, _ *dispatcher.Stream, identity Identity) error {
 				got = append(got, identity)
 				if identity == Replaced && !c.accept {
@@ -115,6 +118,7 @@
 	call := newCall()
 	call.Stream, call.Repeatable = true, true
 	x := newExchanger(&fakeGuard{})
+	x.MayAsk = func(*tracker.Upstream) bool { return true }
 	x.OnIdentity = func(*dispatcher.Call, *tracker.Upstream, *dispatcher.Stream, Identity) error { return nil }
 	for n := range maxUnanswered + 2 {
 		result := x.Exchange(t.Context(), call, 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -153,6 +153,7 @@
 		OnStarted:  g.countCall,
 		OnAnswer:   g.recordAnswer,
 		HasEnded:   g.hasEnded,
+		MayAsk:     g.mayAsk,
 		OnIdentity: g.recordIdentity,
 	}
 	g.direct = direct
--- a/src/gateway/returns.go
+++ b/src/gateway/returns.go
@@ -6,6 +6,7 @@
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -89,6 +90,11 @@
 	}
 }
 
+// mayAsk reports whether an upstream takes requests now, also if they are no calls.
+func (g *Gateway) mayAsk(upstream *tracker.Upstream) bool {
+	return !g.withholder.StateOf(timekeeper.Now(), units.NewIncarnationID(upstream.Name, upstream.Incarnation)).Withheld()
+}
+
 // recordIdentity records what an upstream has answered that was asked for its incarnation before a part of a stream
 // is sent to it. The error keeps that from being sent: the version at which the stream would begin or go on is not
 // the recorded one.
--- a/src/gateway/returns_test.go
+++ b/src/gateway/returns_test.go
@@ -76,3 +76,26 @@
 		})
 	}
 }
+
+// Guards against questions to upstreams that have asked for a back-off or are leaving.
+func TestWithheldUpstreamsAreNotAsked(t *testing.T) {
+	upstream := &tracker.Upstream{Name: "u", Service: "s", Incarnation: 1}
+	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+	cases := map[string]struct {
+		change func(g *Gateway)
+		want   bool
+	}{
+		"takes calls":         {change: func(*Gateway) {}, want: true},
+		"asked for a backoff": {change: func(g *Gateway) { g.withholder.RecordBackoff(timekeeper.Now(), id, time.Minute) }},
+		"is leaving":          {change: func(g *Gateway) { g.withholder.RecordLeaving(timekeeper.Now(), id) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newLimitedGateway(t, time.Minute)
+			c.change(g)
+			if got := g.mayAsk(upstream); got != c.want {
+				t.Errorf("asked: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
