Report streams that begin at an upstream of uncertain version also to a leader that wants none

Cause (kept logs): two of three engines refused connections, the third had started again, at v3, and was known to have (upstream-replaced, doubted). The streams that it began were of unknown origin at their entries, but the leader, which knew v1 alone, wanted no reports, and told other entries that v1 is the only version (stream-origin, only-version). They went on at v1.

--- a/src/binder/journal.go
+++ b/src/binder/journal.go
@@ -19,6 +19,8 @@
 	// dropped is the number of records before the first that is kept.
 	dropped Number
 	latest  map[StreamID]Number
+	// uncertainUntil is when the last stream is forgotten of which the version is not certain.
+	uncertainUntil time.Time
 }
 
 // Add adds a record and returns its number.
@@ -34,6 +36,9 @@
 			record = record.merge(known.Origin, known.Until)
 		}
 	}
+	if record.Origin == Unknown && record.Until.After(j.uncertainUntil) {
+		j.uncertainUntil = record.Until
+	}
 	j.records = append(j.records, record)
 	number := j.dropped + Number(len(j.records))
 	j.latest[record.Stream] = number
@@ -85,6 +90,13 @@
 	return found, number
 }
 
+// HoldsUncertain reports whether a stream is remembered of which the version is not certain.
+func (j *Journal) HoldsUncertain(now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return now.Before(j.uncertainUntil)
+}
+
 // Len returns the number of records.
 func (j *Journal) Len() int {
 	j.mu.Lock()
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -62,7 +62,8 @@
 
 // recordOrigin remembers at which version a stream begins, unless the upstream may have changed. It does so before the
 // upstream has sent the first event, so that the leader knows it by then. Another attempt before that event replaces
-// it, and waits until the leader knows that: it would name the wrong version if this entry ended first.
+// it, and waits until the leader knows that: it would name the wrong version if this entry ended first. So does a stream
+// that begins at an uncertain version, of which the leader may not know yet that there is one.
 func (g *Gateway) recordOrigin(ctx context.Context, call *dispatcher.Call, upstream *tracker.Upstream, stream *dispatcher.Stream, mayHaveChanged bool) {
 	t, known := call.Trace.(*callTrace)
 	if !known || !call.Stream {
@@ -88,7 +89,8 @@
 		Origin: origin,
 		Until:  t.streamUntil,
 	})
-	if !isReplaced || earlier == origin || !g.snapshot.Load().wantsStreams {
+	mustWait := isReplaced && earlier != origin && g.snapshot.Load().wantsStreams
+	if !mustWait && !mayHaveChanged {
 		return
 	}
 	reported := g.originReports.wait(ctx, number, replaceTimeout)
@@ -96,6 +98,7 @@
 		Str("call", string(call.ID)).
 		Str("release", string(origin.Release)).
 		Str("before", string(earlier.Release)).
+		Bool("uncertain", mayHaveChanged).
 		Bool("reported", reported).
 		Int64("took-ms", timekeeper.Now().Sub(now).Milliseconds()).
 		Msg("stream-origin-replaced")
@@ -264,10 +267,11 @@
 	sent     binder.Number
 }
 
-// report adds the streams that the leader does not know to a poll, while it wants them.
+// report adds the streams that the leader does not know to a poll, while it wants them or the version of one is not
+// certain: the leader would take it for the only one that it knows.
 func (o *originSync) report(now time.Time, wanted bool, journal *binder.Journal, poll *messages.EntryPoll) {
 	o.sent = o.reported
-	if !wanted {
+	if !wanted && !journal.HoldsUncertain(now) {
 		return
 	}
 	var records []binder.Record
@@ -277,9 +281,9 @@
 
 // handleResponse applies the leader's response. A leader that wants no streams forgets none, but those that begin
 // meanwhile are not reported: once it wants them again, it gets all.
-func (o *originSync) handleResponse(response *messages.EntryPollResponse) {
+func (o *originSync) handleResponse(now time.Time, journal *binder.Journal, response *messages.EntryPollResponse) {
 	o.reported = o.sent
-	if !response.GetWantsStreams() {
+	if !response.GetWantsStreams() && !journal.HoldsUncertain(now) {
 		o.reported = 0
 	}
 }
--- a/src/gateway/origins_test.go
+++ b/src/gateway/origins_test.go
@@ -207,7 +207,7 @@
 	respond := func(leadership uint64, wants bool) {
 		r := &messages.EntryPollResponse{Leads: true, Leadership: leadership, WantsStreams: wants}
 		p.updateSuspects(now, r)
-		p.originSync.handleResponse(r)
+		p.originSync.handleResponse(now, journal, r)
 		p.snapshot.wantsStreams = wants
 	}
 	add(1)
@@ -243,6 +243,47 @@
 	}
 }
 
+// Guards against a stream that goes on at the only version that the leader knows, although it began at an upstream of
+// uncertain version at another entry.
+func TestUncertainStreamsAreReportedUnasked(t *testing.T) {
+	journal := &binder.Journal{MaxRecords: 10}
+	now := timekeeper.Now()
+	o := &originSync{}
+	certain := binder.Origin{Service: "s", Release: "v1"}
+	steps := []struct {
+		what   string
+		begin  binder.StreamID
+		origin binder.Origin
+		after  time.Duration
+		want   []uint64
+	}{
+		{what: "a certain one begins", begin: 2, origin: certain},
+		{what: "an uncertain one begins", begin: 4, origin: binder.Unknown, want: []uint64{2, 4}},
+		{what: "the leader has them"},
+		{what: "a certain one begins meanwhile", begin: 6, origin: certain, want: []uint64{6}},
+		{what: "all are forgotten", after: 2 * time.Minute},
+		{what: "a certain one begins then", begin: 8, origin: certain},
+		{what: "an uncertain one begins again", begin: 10, origin: binder.Unknown, want: []uint64{8, 10}},
+	}
+	for _, step := range steps {
+		now = now.Add(step.after)
+		if step.begin > 0 {
+			journal.Add(now, binder.Record{Stream: step.begin, Origin: step.origin, Until: now.Add(time.Minute)})
+		}
+		poll := &messages.EntryPoll{}
+		o.report(now, false, journal, poll)
+		var got []uint64
+		for _, m := range poll.GetStreamOrigins() {
+			got = append(got, m.GetStreams()...)
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, step.want) {
+			t.Fatalf("%s: got %v reported, want %v", step.what, got, step.want)
+		}
+		o.handleResponse(now, journal, &messages.EntryPollResponse{Leads: true})
+	}
+}
+
 // Guards against a resumed stream that is recorded as one of its own, and against one that is remembered for
 // longer than its caller tries.
 func TestStreamOfARequest(t *testing.T) {
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -420,7 +420,7 @@
 	p.gateway.retryBudget.SetEntries(p.snapshot.entries)
 	p.applyPeers(r.GetPeers())
 	applyBrittleness(now, &p.gateway.rationer, r)
-	p.originSync.handleResponse(r)
+	p.originSync.handleResponse(now, &p.gateway.journal, r)
 	p.gateway.originReports.set(p.originSync.reported)
 	p.snapshot.leaderAt = sentAt
 	p.snapshot.wantsStreams = r.GetWantsStreams()
