Log what entries spend of the retry budget

A line a second for each service with further attempts: how many were allowed and refused, the window by which the entry judges, its part of the slack and among how many entries it is divided. Counter retries.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -205,6 +205,10 @@
 		g.prober().Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		g.reportRetries(ctx)
+		return nil
+	})
 	group.Go(func() error { return g.runRelays(ctx) })
 	if g.Metrics != nil {
 		group.Go(func() error {
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -289,6 +289,12 @@
 	t.scope.Tagged(map[string]string{"accepted": strconv.FormatBool(accepted)}).Counter("relay_offers").Inc(1)
 }
 
+// retried counts further attempts that the retry budget has allowed, and those that it has refused.
+func (t *trafficStats) retried(allowed, refused int64) {
+	t.scope.Tagged(map[string]string{"allowed": "true"}).Counter("retries").Inc(allowed)
+	t.scope.Tagged(map[string]string{"allowed": "false"}).Counter("retries").Inc(refused)
+}
+
 // identified counts an answer of an upstream that was asked for its incarnation.
 func (t *trafficStats) identified(identity exchanger.Identity) {
 	t.scope.Tagged(map[string]string{"identity": identity.String()}).Counter("upstream_identities").Inc(1)
--- a/src/retrier/budget.go
+++ b/src/retrier/budget.go
@@ -42,6 +42,8 @@
 	firstBucket int64
 	calls       [bucketCount]float64
 	extra       [bucketCount]float64
+	// allowed and refused count the further attempts since the last report.
+	allowed, refused int64
 }
 
 // SetEntries sets the number of entries that the slack is divided among.
@@ -84,13 +86,62 @@
 		calls += c.calls[i]
 		extra += c.extra[i]
 	}
-	if extra+1 > fraction*(b.Ratio*calls+b.Slack/float64(max(1, b.entries))) {
+	if extra+1 > fraction*(b.Ratio*calls+b.slackShare()) {
+		c.refused++
 		return false
 	}
 	c.extra[bucket]++
+	c.allowed++
 	return true
 }
 
+// slackShare returns this entry's part of the slack.
+func (b *Budget) slackShare() float64 { return b.Slack / float64(max(1, b.entries)) }
+
+// Report is what one service has used of the budget.
+type Report struct {
+	Service units.Service
+	// Calls and Attempts are the numbers of calls and of further attempts in the window, and
+	// Bound is the number of further attempts that its calls and the slack allow.
+	Calls    float64
+	Attempts float64
+	Bound    float64
+	// SlackShare is the entry's part of the slack, as the slack is divided among Entries.
+	SlackShare float64
+	Entries    int
+	// Allowed and Refused count the further attempts since the last report.
+	Allowed int64
+	Refused int64
+}
+
+// Reports returns a report on each service that has asked for further attempts since the last one.
+func (b *Budget) Reports() []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var reports []Report
+	for service := range b.services {
+		c, _ := b.counts(service)
+		if c.allowed+c.refused == 0 {
+			continue
+		}
+		report := Report{
+			Service:    service,
+			SlackShare: b.slackShare(),
+			Entries:    b.entries,
+			Allowed:    c.allowed,
+			Refused:    c.refused,
+		}
+		for i := range bucketCount {
+			report.Calls += c.calls[i]
+			report.Attempts += c.extra[i]
+		}
+		report.Bound = b.Ratio*report.Calls + report.SlackShare
+		c.allowed, c.refused = 0, 0
+		reports = append(reports, report)
+	}
+	return reports
+}
+
 // counts returns a service's counts, with expired buckets cleared, and the index of the current
 // bucket.
 func (b *Budget) counts(service units.Service) (c *counts, bucket int) {
@@ -105,7 +156,11 @@
 	}
 	for c.firstBucket+bucketCount <= current {
 		if c.firstBucket+2*bucketCount <= current {
-			*c = counts{firstBucket: current - bucketCount + 1}
+			*c = counts{
+				firstBucket: current - bucketCount + 1,
+				allowed:     c.allowed,
+				refused:     c.refused,
+			}
 			break
 		}
 		old := c.firstBucket % bucketCount
--- a/src/retrier/budget_test.go
+++ b/src/retrier/budget_test.go
@@ -106,3 +106,32 @@
 		t.Errorf("retries in the next window: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a report that misses attempts, or repeats those of an earlier report.
+func TestReportsCountAttemptsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Budget{
+		Window: 10 * time.Second,
+		Ratio:  0.2,
+		Slack:  8,
+		Now:    func() time.Time { return now },
+	}
+	for b.AllowRetry("s") {
+		continue
+	}
+	b.RecordCall("quiet")
+	want := Report{
+		Service:    "s",
+		Attempts:   6,
+		Bound:      8,
+		SlackShare: 8,
+		Allowed:    6,
+		Refused:    1,
+	}
+	if got := b.Reports(); len(got) != 1 || got[0] != want {
+		t.Errorf("reports: got %+v, want %+v", got, want)
+	}
+	if got := b.Reports(); len(got) != 0 {
+		t.Errorf("reports of no further attempts: got %+v, want none", got)
+	}
+}
