Keep to the fleet's retry budget while entries end and start again

Cause: a bound of the fleet was kept by lives that end. The window of what was spent is in the process, so that an entry that started again had its whole part of the slack anew while what its earlier life had sent still counted; and the slack was divided among the entries that poll the leader now, so that parts grew at once when others were lost, or stopping.

Change: an entry divides the slack by the largest number of entries that leaders have stated in the last window and a few seconds, and uses its own part only after it has been in contact for as long, and while it is. Then whoever spends within one window of another has been counted by it. An entry that starts, is out of contact or stops still has the fraction of its own calls.

--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -124,6 +124,7 @@
 		Window: g.Settings.Retries.Window,
 		Ratio:  g.Settings.Retries.Ratio,
 		Slack:  g.Settings.Retries.Slack,
+		Lease:  g.Settings.RevocationTimeout,
 		Now:    timekeeper.Now,
 	}
 	g.pathfinder.AsksPeers = true
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -417,7 +417,7 @@
 	p.snapshot.trueTimeOffset = time.Unix(0, r.GetTrueTimeNs()).Sub(now)
 	p.updateSuspects(now, r)
 	p.snapshot.entries = entryCount(p.snapshot.entries, r)
-	p.gateway.retryBudget.SetEntries(p.snapshot.entries)
+	p.gateway.recordContact(sentAt, int(r.GetEntries()))
 	p.applyPeers(r.GetPeers())
 	applyBrittleness(now, &p.gateway.rationer, r)
 	p.originSync.handleResponse(now, &p.gateway.journal, r)
--- a/src/gateway/retries.go
+++ b/src/gateway/retries.go
@@ -8,6 +8,14 @@
 // retryReportInterval is how often the use of the retry budget is logged.
 const retryReportInterval = time.Second
 
+// recordContact records a response of the leader, and how many entries it counts, for the retry budget. The
+// leader does not count an entry that is stopping, so that one gives up its part of the slack.
+func (g *Gateway) recordContact(sentAt time.Time, entries int) {
+	if !g.stopping.Load() {
+		g.retryBudget.RecordContact(sentAt, entries)
+	}
+}
+
 // reportRetries logs and counts the use of the retry budget until ctx ends. Services without further
 // attempts since the last report have no line.
 func (g *Gateway) reportRetries(ctx context.Context) {
--- a/src/retrier/budget.go
+++ b/src/retrier/budget.go
@@ -12,13 +12,14 @@
 	// streams in progress, whose callers have received part of an answer.
 	retryFraction = 0.75
 	// resumeFraction is the fraction that retries and resumed streams together may use. The
-	// rest covers attempts made while control updates the number of entries, and those that
-	// arrive late.
+	// rest covers attempts that arrive late.
 	resumeFraction = 0.9
 	// bucketsPerWindow is how many buckets the window is divided into. One more bucket is
 	// kept, since the oldest one is only partly within the window.
 	bucketsPerWindow = 20
 	bucketCount      = bucketsPerWindow + 1
+	// maxContactTimeout is longer than an election of a leader and its first response.
+	maxContactTimeout = 2 * time.Second
 )
 
 // Budget counts the calls and the further attempts of each service in a sliding window. It
@@ -29,10 +30,12 @@
 	Window time.Duration
 	Ratio  float64
 	Slack  float64
-	Now    func() time.Time
+	// Lease is how long the leader counts an entry after its last poll.
+	Lease time.Duration
+	Now   func() time.Time
 
 	mu       sync.Mutex
-	entries  int
+	members  membership
 	services map[units.Service]*counts
 }
 
@@ -46,13 +49,22 @@
 	allowed, refused int64
 }
 
-// SetEntries sets the number of entries that the slack is divided among.
-func (b *Budget) SetEntries(entries int) {
+// RecordContact records a response of the leader to a poll that was sent at the given time, and how many
+// entries the leader counts. An entry that is stopping is not counted, and must not call it.
+func (b *Budget) RecordContact(sentAt time.Time, entries int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = entries
+	b.members.record(sentAt, entries, b.contactTimeout(), b.membershipTime())
 }
 
+// contactTimeout is how long this entry counts itself among the entries after its last contact.
+func (b *Budget) contactTimeout() time.Duration { return min(maxContactTimeout, b.Lease) }
+
+// membershipTime is how long an entry must have been in contact before it uses its part of the slack: a window,
+// in which the part may have been used by an earlier life or by another entry, and the time until all entries
+// that use theirs have been told of this one.
+func (b *Budget) membershipTime() time.Duration { return b.Window + 2*b.contactTimeout() }
+
 // RecordCall records a call's first attempt.
 func (b *Budget) RecordCall(service units.Service) {
 	b.mu.Lock()
@@ -95,8 +107,14 @@
 	return true
 }
 
-// slackShare returns this entry's part of the slack.
-func (b *Budget) slackShare() float64 { return b.Slack / float64(max(1, b.entries)) }
+// slackShare returns the part of the slack that this entry may use.
+func (b *Budget) slackShare() float64 {
+	now := b.Now()
+	if !b.members.isMember(now, b.contactTimeout(), b.membershipTime()) {
+		return 0
+	}
+	return b.Slack / float64(max(1, b.members.most(now, b.membershipTime())))
+}
 
 // Report is what one service has used of the budget.
 type Report struct {
@@ -106,7 +124,8 @@
 	Calls    float64
 	Attempts float64
 	Bound    float64
-	// SlackShare is the entry's part of the slack, as the slack is divided among Entries.
+	// SlackShare is the part of the slack that the entry may use, 0 if it has not been in contact with the
+	// leader for long enough, and Entries the number of entries among which the slack is divided.
 	SlackShare float64
 	Entries    int
 	// Allowed and Refused count the further attempts since the last report.
@@ -127,7 +146,7 @@
 		report := Report{
 			Service:    service,
 			SlackShare: b.slackShare(),
-			Entries:    b.entries,
+			Entries:    b.members.most(b.Now(), b.membershipTime()),
 			Allowed:    c.allowed,
 			Refused:    c.refused,
 		}
--- a/src/retrier/budget_test.go
+++ b/src/retrier/budget_test.go
@@ -7,6 +7,20 @@
 	"pgregory.net/rapid"
 )
 
+// startTime is longer than entries with a window of ten seconds must be in contact before they use their parts
+// of the slack.
+const startTime = 20 * time.Second
+
+// stayInContact lets budgets be in contact with a leader for some time.
+func stayInContact(now *time.Time, passed time.Duration, entries int, budgets ...*Budget) {
+	for end := now.Add(passed); now.Before(end); {
+		*now = now.Add(100 * time.Millisecond)
+		for _, b := range budgets {
+			b.RecordContact(*now, entries)
+		}
+	}
+}
+
 // Upstreams refuse most calls for a while. At all entries together, no window may contain more
 // further attempts than the bound allows, under any load.
 func TestRetriesStayWithinBound(t *testing.T) {
@@ -18,9 +32,15 @@
 		now := time.Unix(1000, 0)
 		budgets := make([]*Budget, entries)
 		for i := range budgets {
-			budgets[i] = &Budget{Window: window, Ratio: ratio, Slack: slack, Now: func() time.Time { return now }}
-			budgets[i].SetEntries(entries)
+			budgets[i] = &Budget{
+				Window: window,
+				Ratio:  ratio,
+				Slack:  slack,
+				Lease:  entryLease,
+				Now:    func() time.Time { return now },
+			}
 		}
+		stayInContact(&now, startTime, entries, budgets...)
 		type event struct {
 			at      time.Time
 			further bool
@@ -28,6 +48,9 @@
 		var events []event
 		for range rapid.IntRange(50, 600).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "passes")) * time.Millisecond)
+			for _, b := range budgets {
+				b.RecordContact(now, entries)
+			}
 			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
 			b.RecordCall("s")
 			events = append(events, event{at: now})
@@ -64,7 +87,14 @@
 // Streams in progress must still be resumed once retries have used up their fraction.
 func TestStreamsResumeWhenRetriesAreExhausted(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := &Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 20, Now: func() time.Time { return now }}
+	b := &Budget{
+		Window: 10 * time.Second,
+		Ratio:  0.2,
+		Slack:  20,
+		Lease:  entryLease,
+		Now:    func() time.Time { return now },
+	}
+	stayInContact(&now, startTime, 1, b)
 	for b.AllowRetry("s") {
 		continue
 	}
@@ -86,7 +116,14 @@
 // Once the window has passed, old counts must be cleared and the slack available again.
 func TestOldCountsExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := &Budget{Window: 10 * time.Second, Ratio: 0.2, Slack: 8, Now: func() time.Time { return now }}
+	b := &Budget{
+		Window: 10 * time.Second,
+		Ratio:  0.2,
+		Slack:  8,
+		Lease:  entryLease,
+		Now:    func() time.Time { return now },
+	}
+	stayInContact(&now, startTime, 1, b)
 	spend := func() int {
 		n := 0
 		for b.AllowRetry("s") {
@@ -97,11 +134,11 @@
 	if got, want := spend(), 6; got != want {
 		t.Errorf("retries in the first window: got %d, want %d", got, want)
 	}
-	now = now.Add(5 * time.Second)
+	stayInContact(&now, 5*time.Second, 1, b)
 	if got, want := spend(), 0; got != want {
 		t.Errorf("further retries in the same window: got %d, want %d", got, want)
 	}
-	now = now.Add(6 * time.Second)
+	stayInContact(&now, 6*time.Second, 1, b)
 	if got, want := spend(), 6; got != want {
 		t.Errorf("retries in the next window: got %d, want %d", got, want)
 	}
@@ -114,13 +151,16 @@
 		Window: 10 * time.Second,
 		Ratio:  0.2,
 		Slack:  8,
+		Lease:  entryLease,
 		Now:    func() time.Time { return now },
 	}
+	stayInContact(&now, startTime, 1, b)
 	for b.AllowRetry("s") {
 		continue
 	}
 	b.RecordCall("quiet")
 	want := Report{
+		Entries:    1,
 		Service:    "s",
 		Attempts:   6,
 		Bound:      8,
@@ -135,3 +175,53 @@
 		t.Errorf("reports of no further attempts: got %+v, want none", got)
 	}
 }
+
+// Guards against entries that use what others, or their own earlier lives, have spent already, and against a
+// part of the slack that is never used again.
+func TestSlackShareFollowsMembership(t *testing.T) {
+	const slack = 24.0
+	type step struct {
+		// passed is how long the entry is in contact with a leader that counts this many entries, or out of
+		// contact if there are none.
+		passed  time.Duration
+		entries int
+	}
+	cases := map[string]struct {
+		steps []step
+		want  float64
+	}{
+		"never in contact":                      {want: 0},
+		"just started":                          {steps: []step{{passed: 5 * time.Second, entries: 4}}, want: 0},
+		"in contact for long":                   {steps: []step{{passed: startTime, entries: 4}}, want: 6},
+		"others were lost a moment ago":         {steps: []step{{passed: startTime, entries: 4}, {passed: 5 * time.Second, entries: 2}}, want: 6},
+		"others were lost long ago":             {steps: []step{{passed: startTime, entries: 4}, {passed: startTime, entries: 2}}, want: 12},
+		"others have joined":                    {steps: []step{{passed: startTime, entries: 4}, {passed: 200 * time.Millisecond, entries: 8}}, want: 3},
+		"a new leader has heard few":            {steps: []step{{passed: startTime, entries: 4}, {passed: 200 * time.Millisecond, entries: 1}}, want: 6},
+		"an election":                           {steps: []step{{passed: startTime, entries: 4}, {passed: 1500 * time.Millisecond}, {passed: 200 * time.Millisecond, entries: 4}}, want: 6},
+		"out of contact":                        {steps: []step{{passed: startTime, entries: 4}, {passed: 3 * time.Second}}, want: 0},
+		"back in contact":                       {steps: []step{{passed: startTime, entries: 4}, {passed: 3 * time.Second}, {passed: 5 * time.Second, entries: 4}}, want: 0},
+		"back in contact for long":              {steps: []step{{passed: startTime, entries: 4}, {passed: 3 * time.Second}, {passed: startTime, entries: 4}}, want: 6},
+		"out of contact while others were lost": {steps: []step{{passed: startTime, entries: 4}, {passed: startTime}, {passed: startTime, entries: 2}}, want: 12},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			b := &Budget{
+				Window: 10 * time.Second,
+				Slack:  slack,
+				Lease:  entryLease,
+				Now:    func() time.Time { return now },
+			}
+			for _, s := range c.steps {
+				if s.entries == 0 {
+					now = now.Add(s.passed)
+					continue
+				}
+				stayInContact(&now, s.passed, s.entries, b)
+			}
+			if got := b.slackShare(); got != c.want {
+				t.Errorf("part of the slack: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/src/retrier/fleet_test.go
+++ b/src/retrier/fleet_test.go
@@ -13,9 +13,7 @@
 	fleetRatio  = 0.2
 	fleetSlack  = 30.0
 	// entryLease is how long the leader counts an entry after its last poll.
-	entryLease = 4400 * time.Millisecond
-	// leaderSettleDelay is how long a new leader has not heard from all entries.
-	leaderSettleDelay = 800 * time.Millisecond
+	entryLease = 5 * time.Second
 )
 
 // fleet is a simulated fleet of entries with one leader.
@@ -34,18 +32,18 @@
 type fleetEntry struct {
 	name     string
 	budget   *Budget
-	entries  int
 	returns  time.Time
 	cutUntil time.Time
 	stopping bool
 }
 
 func (f *fleet) start(e *fleetEntry) {
-	e.entries, e.stopping = 0, false
+	e.stopping = false
 	e.budget = &Budget{
 		Window: fleetWindow,
 		Ratio:  fleetRatio,
 		Slack:  fleetSlack,
+		Lease:  entryLease,
 		Now:    func() time.Time { return f.now },
 	}
 }
@@ -70,12 +68,9 @@
 			count++
 		}
 	}
-	count = max(1, count)
-	if f.now.Sub(f.leaderSince) < leaderSettleDelay {
-		count = max(e.entries, count)
+	if !e.stopping {
+		e.budget.RecordContact(f.now, max(1, count))
 	}
-	e.entries = count
-	e.budget.SetEntries(count)
 }
 
 // step lets time pass and every entry poll.
