Let an entry that no leader has counted use no upstream's limit

An entry that starts while there is no leader divided a stated limit by one, so that several of them together use a multiple of it.

--- a/src/pacer/gate.go
+++ b/src/pacer/gate.go
@@ -234,8 +234,12 @@
 }
 
 // accrueLeaderless updates and returns how many calls may be sent without a leader. No calls
-// accrue while there is one, because all entries lose it at the same time.
+// accrue while there is one, because all entries lose it at the same time, nor at an entry that no
+// leader has told how many share the limit.
 func (g *Gate) accrueLeaderless(now time.Time, known *upstreamGate) float64 {
+	if g.entryCount == 0 {
+		return 0
+	}
 	lostAt := g.leaderContactAt.Add(leaderTimeout)
 	if now.Before(lostAt) {
 		known.leaderlessCalls = 0
@@ -245,7 +249,7 @@
 		known.leaderlessAt = lostAt
 		known.leaderlessCalls = 0
 	}
-	rate := leaderlessFraction * effectiveRate(known.Rate) / float64(max(1, g.entryCount))
+	rate := leaderlessFraction * effectiveRate(known.Rate) / float64(g.entryCount)
 	known.leaderlessCalls = min(1, known.leaderlessCalls+rate*now.Sub(known.leaderlessAt).Seconds())
 	known.leaderlessAt = now
 	return known.leaderlessCalls
--- a/src/pacer/pacer_test.go
+++ b/src/pacer/pacer_test.go
@@ -318,6 +318,30 @@
 	}
 }
 
+// Guards against entries that start again while there is no leader, and each use a limit as if they were alone.
+func TestEntryWithoutAnyLeaderUsesNoLimit(t *testing.T) {
+	g := &Gate{}
+	now := time.Unix(1000, 0)
+	g.RecordObservation(Observation{
+		IncarnationID: 1,
+		HasLimit:      true,
+		Rate:          10,
+		AnsweredAt:    now,
+		SentAt:        now,
+	})
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		if g.Admit(now, 1) {
+			t.Fatal("call of an entry that no leader has counted: got admitted, want denied")
+		}
+	}
+	g.RecordLeaderContact(now, 2)
+	now = now.Add(leaderTimeout + time.Second)
+	if !g.Admit(now, 1) {
+		t.Error("call of an entry that has lost its leader: got denied, want admitted")
+	}
+}
+
 // Guards against an upstream that lowers its limit but gets the calls of the higher limit until
 // the permits expire, whether the entry receives the lower limit in a response or from the
 // leader.
