Log the shared parts of a call's prompt

Without them the logs do not tell whether the calls under which upstreams end share a part of their prompts, or only their account.

--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -75,6 +75,7 @@
 	l.gateway.Log.Warn().
 		Str("call", string(call.ID)).
 		Stringer("fingerprint", call.Fingerprint).
+		Str("parts", partsText(call)).
 		Str("upstream", string(upstream.Name)).
 		Uint64("born", uint64(upstream.Incarnation)).
 		Int("attempt", int(attempt)).
