Quarantine parts of prompts that crash upstreams

Cause: requests were told apart by all that they ask for (account, method, host, path, body). These requests share one part of their prompts and differ in all else, so that each loss was the first of its request, and no evidence ever added up.

Change: entries report with each lost call the shared parts of its prompt that have not run lately, and which suspected parts have run.

--- a/src/dispatcher/call.go
+++ b/src/dispatcher/call.go
@@ -93,6 +93,16 @@
 	return min(shared, c.PromptTokens)
 }
 
+// SharedParts returns the parts of the prompt that other calls may share, in order.
+func (c *Call) SharedParts() []units.PromptPart {
+	shared := c.Prefixes[:max(0, len(c.Prefixes)-1)]
+	parts := make([]units.PromptPart, 0, len(shared))
+	for _, prefix := range shared {
+		parts = append(parts, units.PromptPart(prefix.ID))
+	}
+	return parts
+}
+
 // UncachedTokens returns how many prompt tokens an upstream is expected to prefill because they
 // are not cached.
 func (c *Call) UncachedTokens() units.Tokens {
--- a/src/gateway/loss_detector.go
+++ b/src/gateway/loss_detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// minRunTime is how long an answer must have been streaming to show that its request
 	// crashes no upstream: a request that does, does so when it starts to run.
 	minRunTime = 2 * time.Second
+	// minPartRunTime is the same for the parts of its prompt. It is shorter, as more depends on it: harmless
+	// parts must be known as such before the evidence of crashes is enough.
+	minPartRunTime = time.Second
 )
 
 // lossDetector detects calls whose upstream crashes while running them.
@@ -44,12 +48,16 @@
 	stream *dispatcher.Stream,
 ) dispatcher.Result {
 	startedAt := timekeeper.Now()
+	offsetBefore := stream.Offset()
 	result := l.Exchanger.Exchange(ctx, call, attempt, upstream, stream)
 	now := timekeeper.Now()
 	t, known := call.Trace.(*callTrace)
 	if known {
 		t.recordAttempt(upstream, result)
 	}
+	if hasWritten(result, stream, offsetBefore) {
+		l.gateway.recordPartsRun(now, call)
+	}
 	switch {
 	case result.Kind == dispatcher.Answered, result.Kind == dispatcher.Failed, result.AnswerDuration >= minRunTime:
 		if l.gateway.evidence.RecordRun(now, call.Fingerprint) {
@@ -61,6 +69,7 @@
 				Request:       call.Fingerprint,
 				IncarnationID: units.NewIncarnationID(upstream.Name, upstream.Incarnation),
 				Answering:     result.AnswerDuration > 0,
+				Parts:         call.SharedParts(),
 			},
 			id: call.ID,
 		})
@@ -75,7 +84,7 @@
 	l.gateway.Log.Warn().
 		Str("call", string(call.ID)).
 		Stringer("fingerprint", call.Fingerprint).
-		Str("parts", partsText(call)).
+		Str("parts", textOf(call.SharedParts())).
 		Str("upstream", string(upstream.Name)).
 		Uint64("born", uint64(upstream.Incarnation)).
 		Int("attempt", int(attempt)).
@@ -88,6 +97,30 @@
 	return result
 }
 
+// hasWritten reports whether an upstream has written a successful answer, or enough of one to show that the
+// request crashes no upstream. An error shows nothing, as it may come before the upstream reads the prompt.
+func hasWritten(result dispatcher.Result, stream *dispatcher.Stream, offsetBefore units.Tokens) bool {
+	if result.Kind != dispatcher.Answered {
+		return result.AnswerDuration >= minPartRunTime
+	}
+	if result.Answer != nil {
+		return result.Answer.Status < http.StatusMultipleChoices
+	}
+	return stream.Offset() > offsetBefore
+}
+
+// recordPartsRun records that the parts of a call's prompt crash no upstream.
+func (g *Gateway) recordPartsRun(now time.Time, call *dispatcher.Call) {
+	parts := call.SharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	g.quarantine.recordPartsRun(now, parts)
+	if cleared := g.evidence.RecordPartsRun(now, parts); len(cleared) > 0 {
+		g.Log.Info().Str("call", string(call.ID)).Str("parts", textOf(cleared)).Msg("parts-ran")
+	}
+}
+
 // connectionCut keeps a lost call until it is known whether its upstream has crashed. Upstreams
 // that are leaving are not checked, as they are expected to terminate.
 func (l *lossDetector) connectionCut(ctx context.Context, upstream *tracker.Upstream, lost lostCall) {
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -286,17 +286,22 @@
 	var reports []*messages.UpstreamLoss
 	for _, n := range p.gateway.evidence.ObservationsAfter(now, p.ackedObservation, maxLossesPerPoll) {
 		p.sentObservation = n.Number
-		reports = append(reports, &messages.UpstreamLoss{
+		report := &messages.UpstreamLoss{
 			Request:   uint64(n.Loss.Request),
 			Life:      uint64(n.Loss.IncarnationID),
 			Answering: n.Loss.Answering,
 			Ran:       n.Ran,
-		})
+			AgeNs:     int64(now.Sub(n.ObservedAt)),
+		}
+		for _, part := range n.Loss.Parts {
+			report.Parts = append(report.Parts, uint64(part))
+		}
+		reports = append(reports, report)
 	}
 	return reports
 }
 
-// updateSuspects applies the leader's list of suspected requests.
+// updateSuspects applies the leader's list of suspected requests and parts of prompts.
 func (p *poller) updateSuspects(now time.Time, r *messages.EntryPollResponse) {
 	if r.GetLeadership() != p.leadership {
 		p.leadership = r.GetLeadership()
@@ -315,6 +320,11 @@
 		suspects = append(suspects, units.Fingerprint(request))
 	}
 	p.gateway.evidence.SetSuspects(now, suspects)
+	parts := make([]units.PromptPart, 0, len(r.GetSuspects().GetParts()))
+	for _, part := range r.GetSuspects().GetParts() {
+		parts = append(parts, units.PromptPart(part))
+	}
+	p.gateway.evidence.SetSuspectParts(now, parts)
 }
 
 // report returns the loads in flight for the next poll, and keeps them under its number.
@@ -348,7 +358,10 @@
 		}
 	}
 	p.snapshot.rollouts = p.snapshot.rollouts.updated(sentAt, r)
-	p.gateway.evidence.ReportRecentRuns(now, p.gateway.quarantine.update(r.GetQuarantines()))
+	if requests, parts, updated := p.gateway.quarantine.update(r.GetQuarantines()); updated {
+		p.gateway.evidence.ReportRecentRuns(now, requests)
+		p.gateway.evidence.SetQuarantinedParts(now, parts)
+	}
 	if r.GetLeads() {
 		p.handleLeaderResponse(now, sentAt, r)
 	}
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -395,16 +394,6 @@
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
-// partsText returns the ids of the parts of a call's prompt that other calls may share.
-func partsText(call *dispatcher.Call) string {
-	shared := call.Prefixes[:max(0, len(call.Prefixes)-1)]
-	ids := make([]string, 0, maxLoggedParts)
-	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
-		ids = append(ids, strconv.FormatUint(part.ID, 16))
-	}
-	return strings.Join(ids, ",")
-}
-
 // finishCall writes the call's log line, counts the call, and refunds its charge if it has not
 // run.
 func (g *Gateway) finishCall(snap *snapshot, call *dispatcher.Call, route *matcher.Route, t *callTrace, s *timedSink, err error) {
@@ -438,7 +427,7 @@
 		event.Float64("slowdown", t.slowdown)
 	}
 	if len(call.Prefixes) > 1 {
-		event.Str("parts", partsText(call))
+		event.Str("parts", textOf(call.SharedParts()))
 	}
 	if t.connectionCut || refusal != nil && refusal.Kind == dispatcher.ProblemQuarantined {
 		event.Stringer("fingerprint", call.Fingerprint)
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -28,8 +28,10 @@
 // QuarantineDump is one quarantined request in a dump.
 type QuarantineDump struct {
 	Fingerprint string `yaml:"fingerprint"`
-	Strikes     uint32 `yaml:"strikes"`
-	Upstreams   uint32 `yaml:"upstreams"`
+	// Parts are the parts of prompts that are quarantined together, none for a single request.
+	Parts     []string `yaml:"parts,omitempty"`
+	Strikes   uint32   `yaml:"strikes"`
+	Upstreams uint32   `yaml:"upstreams"`
 	// RemainingMs is the remaining time of the quarantine, negative once it is over.
 	RemainingMs int64 `yaml:"left-ms"`
 }
@@ -72,6 +74,7 @@
 	for _, m := range c.state.quarantineList().GetRequests() {
 		d.Quarantines = append(d.Quarantines, QuarantineDump{
 			Fingerprint: units.Fingerprint(m.GetRequest()).String(),
+			Parts:       textsOf(decodeParts(m.GetParts())),
 			Strikes:     m.GetStrikes(),
 			Upstreams:   m.GetUpstreams(),
 			RemainingMs: time.Unix(0, m.GetUntilNs()).Sub(trueNow).Milliseconds(),
--- a/src/quarantiner/evidence.go
+++ b/src/quarantiner/evidence.go
@@ -23,9 +23,10 @@
 type Observation struct {
 	Number Number
 	Loss   Loss
-	// Ran reports that Loss.Request has run, and that nothing was lost.
+	// Ran reports that Loss.Request or, if it is 0, the parts in Loss.Parts have run, and that nothing
+	// was lost.
 	Ran        bool
-	observedAt time.Time
+	ObservedAt time.Time
 }
 
 // Evidence holds what one entry has observed of requests and lost upstreams, for the current
@@ -35,8 +36,12 @@
 	observations []Observation
 	lastNumber   Number
 	recentRuns   [recentRunBuckets]recentRun
-	// suspects are the requests with which any entry has lost an upstream.
-	suspects map[units.Fingerprint]bool
+	recentParts  [recentRunBuckets]recentPart
+	// suspects are the requests with which any entry has lost an upstream, suspectParts the parts of
+	// their prompts, and quarantinedParts those that are quarantined together with others.
+	suspects         map[units.Fingerprint]bool
+	suspectParts     map[units.PromptPart]bool
+	quarantinedParts map[units.PromptPart]bool
 }
 
 // recentRun is a request that has run.
@@ -45,6 +50,12 @@
 	at      time.Time
 }
 
+// recentPart is a part of a prompt that has run.
+type recentPart struct {
+	part units.PromptPart
+	at   time.Time
+}
+
 // RecordLoss records that an upstream was lost with a request. It returns false, and records
 // nothing, where the request ran recently: such a request does not crash upstreams.
 func (e *Evidence) RecordLoss(now time.Time, loss Loss) bool {
@@ -54,9 +65,12 @@
 		return false
 	}
 	e.addSuspect(loss.Request)
+	loss.Parts = slices.DeleteFunc(slices.Clone(loss.Parts), func(part units.PromptPart) bool { return e.partRanRecently(now, part) })
+	loss.Parts = loss.Parts[:min(len(loss.Parts), maxLossParts)]
+	e.addSuspectParts(loss.Parts)
 	e.record(Observation{
 		Loss:       loss,
-		observedAt: now,
+		ObservedAt: now,
 	})
 	return true
 }
@@ -76,6 +90,52 @@
 	return true
 }
 
+// RecordPartsRun records that a request with these parts in its prompt has run, and returns those of them that
+// were suspected.
+func (e *Evidence) RecordPartsRun(now time.Time, parts []units.PromptPart) []units.PromptPart {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var cleared []units.PromptPart
+	for _, part := range parts {
+		e.recentParts[uint64(part)%recentRunBuckets] = recentPart{
+			part: part,
+			at:   now,
+		}
+		if e.suspectParts[part] || e.quarantinedParts[part] {
+			cleared = append(cleared, part)
+		}
+	}
+	e.clearParts(now, cleared)
+	return cleared
+}
+
+// SetSuspectParts replaces the parts of prompts with which any entry has lost an upstream. Those that ran here
+// recently are reported as run instead.
+func (e *Evidence) SetSuspectParts(now time.Time, suspects []units.PromptPart) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.suspectParts = nil
+	e.addSuspectParts(suspects)
+	for _, o := range e.observations {
+		if !o.Ran {
+			e.addSuspectParts(o.Loss.Parts)
+		}
+	}
+	e.clearRecentParts(now, suspects)
+}
+
+// SetQuarantinedParts replaces the parts that are quarantined together with others. Those that ran here recently
+// are reported as run.
+func (e *Evidence) SetQuarantinedParts(now time.Time, parts []units.PromptPart) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.quarantinedParts = make(map[units.PromptPart]bool, len(parts))
+	for _, part := range parts {
+		e.quarantinedParts[part] = true
+	}
+	e.clearRecentParts(now, parts)
+}
+
 // SetSuspects replaces the requests with which any entry has lost an upstream. Those that ran
 // here recently are reported as run instead.
 func (e *Evidence) SetSuspects(now time.Time, suspects []units.Fingerprint) {
@@ -111,7 +171,7 @@
 func (e *Evidence) ObservationsAfter(now time.Time, number Number, limit int) []Observation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.observations = slices.DeleteFunc(e.observations, func(o Observation) bool { return now.Sub(o.observedAt) >= suspectTTL })
+	e.observations = slices.DeleteFunc(e.observations, func(o Observation) bool { return now.Sub(o.ObservedAt) >= suspectTTL })
 	first := slices.IndexFunc(e.observations, func(o Observation) bool { return o.Number > number })
 	if first < 0 {
 		return nil
@@ -124,6 +184,52 @@
 	return run.request == request && !run.at.IsZero() && now.Sub(run.at) < ranTTL
 }
 
+func (e *Evidence) partRanRecently(now time.Time, part units.PromptPart) bool {
+	run := e.recentParts[uint64(part)%recentRunBuckets]
+	return run.part == part && !run.at.IsZero() && now.Sub(run.at) < ranTTL
+}
+
+func (e *Evidence) addSuspectParts(parts []units.PromptPart) {
+	if e.suspectParts == nil {
+		e.suspectParts = make(map[units.PromptPart]bool)
+	}
+	for _, part := range parts {
+		e.suspectParts[part] = true
+	}
+}
+
+// clearRecentParts records those of the parts that ran here recently as run.
+func (e *Evidence) clearRecentParts(now time.Time, parts []units.PromptPart) {
+	var cleared []units.PromptPart
+	for _, part := range parts {
+		if e.partRanRecently(now, part) {
+			cleared = append(cleared, part)
+		}
+	}
+	e.clearParts(now, cleared)
+}
+
+// clearParts records that parts have run, and removes them from the earlier observations.
+func (e *Evidence) clearParts(now time.Time, parts []units.PromptPart) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, part := range parts {
+		delete(e.suspectParts, part)
+		delete(e.quarantinedParts, part)
+	}
+	for i, o := range e.observations {
+		if !o.Ran {
+			e.observations[i].Loss.Parts = slices.DeleteFunc(slices.Clone(o.Loss.Parts), func(part units.PromptPart) bool { return slices.Contains(parts, part) })
+		}
+	}
+	e.record(Observation{
+		Loss:       Loss{Parts: parts},
+		Ran:        true,
+		ObservedAt: now,
+	})
+}
+
 func (e *Evidence) addSuspect(request units.Fingerprint) {
 	if e.suspects == nil {
 		e.suspects = make(map[units.Fingerprint]bool)
@@ -138,7 +244,7 @@
 	e.record(Observation{
 		Loss:       Loss{Request: request},
 		Ran:        true,
-		observedAt: now,
+		ObservedAt: now,
 	})
 }
 
--- a/src/quarantiner/quarantiner.go
+++ b/src/quarantiner/quarantiner.go
@@ -16,6 +16,9 @@
 	// Answering reports that part of the answer had been received. A request that crashes an
 	// upstream does so when it starts to run, mostly before the first byte of the answer.
 	Answering bool
+	// Parts are the parts of the request's prompt that other requests may share and that have not run
+	// lately.
+	Parts []units.PromptPart
 }
 
 // Points weigh the evidence against a request.
--- a/src/units/units.go
+++ b/src/units/units.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,6 +67,12 @@
 // String returns the fingerprint in hexadecimal, as logs show it.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// PromptPart identifies a part of a prompt that the prompts of other requests may share.
+type PromptPart uint64
+
+// String returns the part in hexadecimal, as callers write it.
+func (p PromptPart) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // CallRate is a number of calls per second.
 type CallRate float64
 
