--- a/src/parser/deployment.go
+++ b/src/parser/deployment.go
@@ -31,8 +31,10 @@
 	// LostDisks is the number of simultaneous disk losses to tolerate.
 	LostDisks int `yaml:"lost-disks"`
 	// MemoryLimitMiB is the memory limit of a process in MiB.
-	MemoryLimitMiB    int           `yaml:"memory"`
-	Descriptors       int           `yaml:"descriptors"`
+	MemoryLimitMiB int `yaml:"memory"`
+	Descriptors    int `yaml:"descriptors"`
+	// LinkMbps is what the instance's link carries in each direction, in Mbit/s; 0 if unknown.
+	LinkMbps          float64       `yaml:"link-mbps"`
 	HeartbeatInterval time.Duration `yaml:"heartbeat-interval"`
 	// ContactPeriod is how long an instance must be reachable before its guarantees apply again.
 	ContactPeriod time.Duration `yaml:"contact"`
