--- a/src/retrier/budget_test.go
+++ b/src/retrier/budget_test.go
@@ -193,6 +193,7 @@
 	}{
 		"first start of the fleet":              {steps: []step{{passed: 3 * time.Second, entries: 4}}, firstStart: true, want: 6},
 		"never in contact":                      {want: 0},
+		"a window has passed since the start":   {steps: []step{{passed: 10 * time.Second, entries: 4}}, want: 0},
 		"just started":                          {steps: []step{{passed: 5 * time.Second, entries: 4}}, want: 0},
 		"in contact for long":                   {steps: []step{{passed: startTime, entries: 4}}, want: 6},
 		"others were lost a moment ago":         {steps: []step{{passed: startTime, entries: 4}, {passed: 5 * time.Second, entries: 2}}, want: 6},
