Keep a call to the upstreams that its route allows

A stream that had begun was allowed four attempts, each elsewhere, on the guess that the upstreams it had lost have ended.

A call now runs at no more upstreams than its route allows, those excepted that have ended, which is asked when the limit is reached. A stream at its limit goes on where it has run before, or its answer ends and its caller resumes it. Attempts that brought events and are reported as not run count as well.

--- a/src/dispatcher/attempts_test.go
+++ b/src/dispatcher/attempts_test.go
@@ -26,8 +26,6 @@
 	incarnations [fleetSize]units.Incarnation
 	// ran are the incarnations that may have run the call.
 	ran map[upstreamIncarnation]bool
-	// exchanges counts the attempts.
-	exchanges int
 }
 
 func newRunningFleet(t *rapid.T) *runningFleet {
@@ -129,8 +127,11 @@
 	return f.choose(tried, nil), false
 }
 
+func (f *runningFleet) PickAgain(_ *Call, _ units.Release, ran, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return f.choose(tried, ran), false
+}
+
 func (f *runningFleet) Exchange(_ context.Context, call *Call, _ units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
-	f.exchanges++
 	kinds := []ResultKind{NotRun, OutcomeUnknown, OutcomeUnknown, Failed}
 	if call.Stream {
 		kinds = append(kinds, Moved, OutcomeUnknown, OutcomeUnknown)
@@ -194,6 +195,7 @@
 				Recorder:  f,
 				Router:    f,
 				Exchanger: f,
+				HasEnded:  f.hasEnded,
 			}
 			err := d.Do(context.Background(), call, sink{sim: &simulation{call: call}})
 			var refusal *Refusal
@@ -206,3 +208,97 @@
 		})
 	})
 }
+
+// losingFleet loses each attempt after one event, until the last one completes the stream.
+type losingFleet struct {
+	simulation
+	// attempts are the upstreams of the attempts.
+	attempts []units.Upstream
+	// lossesLeft is how many further attempts are lost.
+	lossesLeft int
+	// refuses is set if upstreams refuse calls that they have run.
+	refuses bool
+}
+
+func (f *losingFleet) BeforeDispatch(context.Context, *Call, units.Attempt, units.Upstream) error {
+	return nil
+}
+
+// PickAgain prefers the latest upstream that ran.
+func (f *losingFleet) PickAgain(call *Call, release units.Release, ran, tried []units.Upstream) (*tracker.Upstream, bool) {
+	latestFirst := slices.Clone(ran)
+	slices.Reverse(latestFirst)
+	return f.simulation.PickAgain(call, release, latestFirst, tried)
+}
+
+func (f *losingFleet) Exchange(_ context.Context, _ *Call, _ units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
+	if f.refuses && slices.Contains(f.attempts, upstream.Name) {
+		f.attempts = append(f.attempts, upstream.Name)
+		return Result{Kind: NotRun}
+	}
+	f.attempts = append(f.attempts, upstream.Name)
+	_ = stream.Begin(nil, upstream, "1")
+	_ = stream.Event(stream.Offset()+1, nil, nil)
+	if f.lossesLeft == 0 {
+		return Result{Kind: Answered}
+	}
+	f.lossesLeft--
+	return Result{Kind: OutcomeUnknown}
+}
+
+// Guards against streams that end although they may go on: elsewhere where the upstreams that they lost have ended, else
+// where they have run before.
+func TestStreamsGoOnWithinTheirLimit(t *testing.T) {
+	scenarios := map[string]struct {
+		maxAttempts  int
+		losses       int
+		ends         bool
+		refuses      bool
+		want         []units.Upstream
+		wantComplete bool
+	}{
+		"one attempt, upstreams end":                {maxAttempts: 1, losses: 3, ends: true, want: []units.Upstream{"0", "1", "2", "3"}, wantComplete: true},
+		"two attempts, upstreams end":               {maxAttempts: 2, losses: 3, ends: true, want: []units.Upstream{"0", "1", "2", "3"}, wantComplete: true},
+		"one attempt, upstreams serve on":           {maxAttempts: 1, losses: 3, want: []units.Upstream{"0", "0", "0", "0"}, wantComplete: true},
+		"two attempts, upstreams serve on":          {maxAttempts: 2, losses: 3, want: []units.Upstream{"0", "1", "0", "1"}, wantComplete: true},
+		"five attempts, upstreams serve on":         {maxAttempts: 5, losses: 4, want: []units.Upstream{"0", "1", "2", "3", "4"}, wantComplete: true},
+		"no limit":                                  {losses: 4, want: []units.Upstream{"0", "1", "2", "3", "4"}, wantComplete: true},
+		"two attempts, lost too often":              {maxAttempts: 2, losses: 4, want: []units.Upstream{"0", "1", "0", "1"}},
+		"two attempts, refused where they have run": {maxAttempts: 2, losses: 2, refuses: true, want: []units.Upstream{"0", "1", "0", "1"}},
+	}
+	for name, scenario := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &losingFleet{
+					lossesLeft: scenario.losses,
+					refuses:    scenario.refuses,
+				}
+				call := &Call{
+					ID:          "call-1",
+					Deadline:    time.Now().Add(time.Minute),
+					MaxAttempts: scenario.maxAttempts,
+					Repeatable:  true,
+					Stream:      true,
+				}
+				d := &Dispatcher{
+					Limiter:   f,
+					Recorder:  f,
+					Router:    f,
+					Exchanger: f,
+					HasEnded:  func(context.Context, *tracker.Upstream) bool { return scenario.ends },
+				}
+				startedAt := time.Now()
+				err := d.Do(t.Context(), call, sink{sim: &f.simulation})
+				if got, want := err == nil, scenario.wantComplete; got != want {
+					t.Errorf("complete: got %t (%v), want %t", got, err, want)
+				}
+				if got, want := f.attempts, scenario.want; !slices.Equal(got, want) {
+					t.Errorf("upstreams of the attempts: got %v, want %v", got, want)
+				}
+				if got, limit := time.Since(startedAt), time.Second; got > limit {
+					t.Errorf("time until the end: got %v, want at most %v, as nothing is waited for", got, limit)
+				}
+			})
+		})
+	}
+}
--- a/src/dispatcher/backoff_test.go
+++ b/src/dispatcher/backoff_test.go
@@ -42,6 +42,10 @@
 	return r.Pick(call, tried), false
 }
 
+func (r *refusingUpstreams) PickAgain(*Call, units.Release, []units.Upstream, []units.Upstream) (*tracker.Upstream, bool) {
+	return nil, false
+}
+
 func (r *refusingUpstreams) Exchange(context.Context, *Call, units.Attempt, *tracker.Upstream, *Stream) Result {
 	r.attempts++
 	if r.attempts <= r.unsent {
--- a/src/dispatcher/dispatcher.go
+++ b/src/dispatcher/dispatcher.go
@@ -101,6 +101,8 @@
 	// PickRelease is Pick among the upstreams of one software version; gone reports that only upstreams
 	// of other versions are left.
 	PickRelease(call *Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool)
+	// PickAgain is PickRelease among those upstreams that have run the call.
+	PickAgain(call *Call, release units.Release, ran, tried []units.Upstream) (upstream *tracker.Upstream, gone bool)
 }
 
 // Exchanger runs one attempt at an upstream.
@@ -130,6 +132,8 @@
 	// a back-off, 0 where one accepts it. It may be nil; refusals then pass on the longest wait
 	// that an upstream asked for.
 	BackoffLeft func(call *Call) time.Duration
+	// HasEnded reports whether an upstream that may have run a call has ended since; nil takes none for ended.
+	HasEnded func(ctx context.Context, upstream *tracker.Upstream) bool
 	// QueueTime returns how long the upstreams' queues keep a refused call from being served on time, 0 where
 	// they do not; nil returns 0.
 	QueueTime func(call *Call) time.Duration
@@ -250,41 +254,30 @@
 	// noPath says that the last attempt found no way to any upstream, for a caller that has nothing of
 	// the answer; another attempt would end alike.
 	noPath bool
-	// possibleRuns counts the attempts that may have run the call.
-	possibleRuns int
+	// runs are the attempts that may have run the call.
+	runs runs
+	// sinceProgress are the upstreams of the attempts since the last one that made progress.
+	sinceProgress []units.Upstream
 	// upstreamFailure is an error response from an upstream. It is returned instead of a
 	// refusal if no later attempt succeeds.
 	upstreamFailure *Answer
 }
 
-// maxResumes is how often a started stream may resume at another upstream even where
-// MaxAttempts allows fewer attempts: the upstreams that it lost have ended, and its caller
-// has part of the answer.
-const maxResumes = 3
-
-// exhausted reports whether the call must not make another attempt: it has no path, or has reached
-// its maximum number of attempts. Attempts that provably did not run do not count.
-func (a *attemptState) exhausted(call *Call, stream *Stream) bool {
-	if a.noPath {
-		return true
-	}
-	limit := call.MaxAttempts
-	if stream.Offset() > call.ResumeOffset {
-		limit = max(limit, 1+maxResumes)
-	}
-	return call.MaxAttempts > 0 && a.possibleRuns >= limit
-}
-
 func (d *Dispatcher) runAttempts(ctx context.Context, call *Call, stream *Stream) (*Answer, error) {
 	state := &attemptState{
 		executed:    ExecutedNo,
 		refusalWait: retryAfter,
 	}
 	for attempt := units.Attempt(1); state.failures < maxFailures; attempt++ {
-		if state.exhausted(call, stream) || !d.mayRetry(call, state) || !d.awaitRetry(ctx, call, stream, state) {
+		if state.exhausted(call, stream) || !d.mayRetry(call, state) {
 			break
 		}
-		upstream, err := d.chooseUpstream(ctx, call, stream, state)
+		// An upstream that has ended may have started again by the end of a wait.
+		isLimited := d.isLimited(ctx, call, state)
+		if !d.awaitRetry(ctx, call, stream, state) {
+			break
+		}
+		upstream, err := d.chooseUpstream(ctx, call, stream, state, isLimited)
 		if err != nil {
 			return nil, err
 		}
@@ -302,7 +295,7 @@
 		if err := state.recordResult(ctx, call, upstream, result); err != nil {
 			return nil, err
 		}
-		state.recordProgress(call, stream, offsetBefore, result)
+		state.recordProgress(call, upstream, stream, offsetBefore, result)
 	}
 	if state.upstreamFailure != nil && !hasPart(call, stream) {
 		return state.upstreamFailure, nil
@@ -340,19 +333,16 @@
 	case Unresumable:
 		return outcomeUnknownRefusal()
 	case Moved:
-		a.possibleRuns++
 		a.executed = ExecutedUnknown
 		a.moveTarget = result.MoveTarget
 	case NotRun:
 		a.refusalWait = max(a.refusalWait, result.RetryAfter)
 	case OutcomeUnknown:
-		a.possibleRuns++
 		a.executed = ExecutedUnknown
 		if !call.Repeatable {
 			return outcomeUnknownRefusal()
 		}
 	case Failed, Answered:
-		a.possibleRuns++
 		a.executed = ExecutedUnknown
 		a.upstreamFailure = result.Answer
 		if !call.Repeatable {
@@ -364,12 +354,18 @@
 
 // recordProgress records what the caller got of a failed attempt, before which it had the stream up
 // to an offset.
-func (a *attemptState) recordProgress(call *Call, stream *Stream, offsetBefore units.Tokens, result Result) {
+func (a *attemptState) recordProgress(call *Call, upstream *tracker.Upstream, stream *Stream, offsetBefore units.Tokens, result Result) {
 	a.failures++
+	a.sinceProgress = append(a.sinceProgress, upstream.Name)
 	// An attempt that brought events was sent, even if its last connection was not made.
-	a.lastUnsent = result.Unsent && stream.Offset() == offsetBefore
-	if stream.Offset() > offsetBefore || result.Kind == Moved {
+	broughtEvents := stream.Offset() > offsetBefore
+	a.lastUnsent = result.Unsent && !broughtEvents
+	if broughtEvents || result.Kind == Moved {
 		a.failures = 0
+		a.sinceProgress = nil
+	}
+	if broughtEvents || result.Kind != NotRun {
+		a.runs.add(upstream)
 	}
 	a.refused = result.Kind == NotRun && !result.Unsent
 	a.noPath = result.NoPath && stream.Offset() == call.ResumeOffset
@@ -399,12 +395,15 @@
 }
 
 // chooseUpstream returns the upstream for the next attempt, or nil if none is available. A
-// started stream waits for one until the deadline, since its caller has part of the answer.
-func (d *Dispatcher) chooseUpstream(ctx context.Context, call *Call, stream *Stream, state *attemptState) (*tracker.Upstream, error) {
-	release, isBound := stream.Release()
-	if target := state.moveTarget; target != nil && (!isBound || target.Release == release && !stream.isDoubted) {
+// started stream waits for one until the deadline, since its caller has part of the answer, unless it is limited to those
+// that have run it.
+func (d *Dispatcher) chooseUpstream(ctx context.Context, call *Call, stream *Stream, state *attemptState, isLimited bool) (*tracker.Upstream, error) {
+	if target := state.moveTarget; target != nil && stream.mayGoOnAt(target) && (!isLimited || state.runs.include(target)) {
 		return target, nil
 	}
+	if isLimited {
+		return d.chooseAgain(call, stream, state)
+	}
 	for {
 		if err := state.contextError(ctx); err != nil {
 			return nil, err
--- a/src/dispatcher/dispatcher_test.go
+++ b/src/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +84,18 @@
 	return s.Pick(call, tried), false
 }
 
+func (s *simulation) PickAgain(_ *Call, _ units.Release, ran, tried []units.Upstream) (*tracker.Upstream, bool) {
+	for _, name := range ran {
+		if !slices.Contains(tried, name) {
+			return &tracker.Upstream{
+				Name:  name,
+				Local: &tracker.LocalState{},
+			}, false
+		}
+	}
+	return nil, false
+}
+
 func (s *simulation) Exchange(ctx context.Context, call *Call, attempt units.Attempt, upstream *tracker.Upstream, stream *Stream) Result {
 	s.exchanges++
 	if s.recordedAttempt != attempt {
--- a/src/dispatcher/stream.go
+++ b/src/dispatcher/stream.go
@@ -99,6 +99,11 @@
 // Release returns the software version that the stream is bound to, false if it is not bound yet.
 func (s *Stream) Release() (units.Release, bool) { return s.release, s.isBound }
 
+// mayGoOnAt reports whether an upstream runs the software version that the stream is bound to, if it is bound.
+func (s *Stream) mayGoOnAt(upstream *tracker.Upstream) bool {
+	return !s.isBound || upstream.Release == s.release && !s.isDoubted
+}
+
 // SetDoubted sets whether the upstream of the next attempt may run another software version than it is known for. A
 // stream that begins there goes on nowhere else.
 func (s *Stream) SetDoubted(isDoubted bool) {
--- a/src/dispatcher/trace.go
+++ b/src/dispatcher/trace.go
@@ -14,6 +14,11 @@
 	StepCandidate    Step = "candidate"
 	StepAttempt      Step = "attempt"
 	StepAttemptEnded Step = "attempt-ended"
+	// StepUpstreamEnded is an upstream of an earlier attempt that has ended, so that its run does not count towards
+	// MaxAttempts.
+	StepUpstreamEnded Step = "upstream-ended"
+	// StepAttemptLimit is a choice among the upstreams that have run the call, as they are as many as MaxAttempts.
+	StepAttemptLimit Step = "attempt-limit"
 	StepOutcome      Step = "outcome"
 )
 
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -206,6 +206,7 @@
 		BackoffLeft: func(call *dispatcher.Call) time.Duration {
 			return spreadWait(g.placer.BackoffLeft(call))
 		},
+		HasEnded:  g.hasEndedSince,
 		QueueTime: g.placer.RetryAfter,
 	}
 }
--- a/src/gateway/quarantine_test.go
+++ b/src/gateway/quarantine_test.go
@@ -42,6 +42,10 @@
 	return f.Pick(call, tried), false
 }
 
+func (f fixedRouter) PickAgain(call *dispatcher.Call, _ units.Release, _, tried []units.Upstream) (*tracker.Upstream, bool) {
+	return f.Pick(call, tried), false
+}
+
 // quarantineMessage is the leader's quarantine of one request.
 func quarantineMessage(number uint64, request units.Fingerprint, remaining time.Duration) *messages.Quarantines {
 	return &messages.Quarantines{
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -303,8 +303,6 @@
 	receipt framer.Receipt
 	// releases are the software versions of the upstreams of all attempts, in order.
 	releases []string
-	// ranAt are the upstreams that may have run the call.
-	ranAt map[units.IncarnationID]bool
 	// resumes is the call that brought the caller the stream's first event, "" if not known.
 	resumes units.CallID
 	// stream is the stream that the call begins or resumes, and streamUntil when its caller gives up.
@@ -313,10 +311,12 @@
 	// request is the id by which a call finds the stream that does not name it.
 	request binder.StreamID
 	deferralTrace
+	attemptTrace
 }
 
-// RecordStep records an attempt that has ended.
+// RecordStep records an attempt that has ended, and what the limit on attempts decides.
 func (t *callTrace) RecordStep(step dispatcher.Step, upstream units.Upstream, detail string) {
+	t.recordLimit(step, upstream)
 	if step != dispatcher.StepAttemptEnded {
 		return
 	}
@@ -331,12 +331,7 @@
 // recordAttempt records at which upstream and software version an attempt ran and how its answer arrived.
 func (t *callTrace) recordAttempt(upstream *tracker.Upstream, result dispatcher.Result) {
 	t.releases = append(t.releases, string(upstream.Release))
-	if result.Kind != dispatcher.NotRun {
-		if t.ranAt == nil {
-			t.ranAt = make(map[units.IncarnationID]bool)
-		}
-		t.ranAt[units.NewIncarnationID(upstream.Name, upstream.Incarnation)] = true
-	}
+	t.recordRun(upstream, result)
 	if result.Receipt.Framing != "" {
 		t.receipt = result.Receipt
 	}
@@ -430,9 +425,6 @@
 		g.quota.Refund(call.Account.Name, call.LimitCost)
 	}
 	g.trafficStats.served(call, outcome, s.firstByte, t)
-	if len(t.ranAt) > call.MaxAttempts {
-		g.trafficStats.attemptLimitExceeded(call.Service)
-	}
 	event.Str("call", string(call.ID)).
 		Str("route", route.Name).
 		Str("service", string(call.Service)).
@@ -443,9 +435,8 @@
 		Int64("target-ms", route.Target.Milliseconds()).
 		Int64("gap-ms", route.EventGap.Milliseconds()).
 		Int64("took-ms", now.Sub(s.startedAt).Milliseconds()).
-		Int64("connection-ms", t.connectionAge.Milliseconds()).
-		Int("max-attempts", call.MaxAttempts).
-		Int("ran-at", len(t.ranAt))
+		Int64("connection-ms", t.connectionAge.Milliseconds())
+	t.logAttempts(event, call)
 	if t.slowdown > 0 {
 		event.Float64("slowdown", t.slowdown)
 	}
--- a/src/gateway/traffic_stats.go
+++ b/src/gateway/traffic_stats.go
@@ -124,6 +124,9 @@
 		t.calls[outcome] = counter
 	}
 	counter.Inc(1)
+	if trace.limited {
+		t.scope.Tagged(serviceTag(call.Service)).Counter("calls_at_attempt_limit").Inc(1)
+	}
 	if firstByte > 0 {
 		t.firstByteHistogram(call.Service).RecordDuration(firstByte)
 	}
@@ -324,12 +327,6 @@
 	t.scope.Tagged(map[string]string{"allowed": "false"}).Counter("retries").Inc(refused)
 }
 
-// attemptLimitExceeded counts a call that may have run at more upstreams than its route allows, also if some of them have
-// ended.
-func (t *trafficStats) attemptLimitExceeded(service units.Service) {
-	t.scope.Tagged(serviceTag(service)).Counter("calls_over_attempt_limit").Inc(1)
-}
-
 // identified counts an answer of an upstream that was asked for its incarnation.
 func (t *trafficStats) identified(identity exchanger.Identity) {
 	t.scope.Tagged(map[string]string{"identity": identity.String()}).Counter("upstream_identities").Inc(1)
--- a/src/placer/placer.go
+++ b/src/placer/placer.go
@@ -279,17 +279,29 @@
 // nil if there is none; gone reports that only upstreams of other versions take calls.
 func (p *Placer) PickRelease(call *dispatcher.Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
 	same, gone := p.releaseCandidates(call.Service, release)
-	if len(same) == 0 {
-		return nil, gone
+	return p.pickResumption(call, same, tried), gone
+}
+
+// PickAgain is PickRelease among those upstreams that have run the call.
+func (p *Placer) PickAgain(call *dispatcher.Call, release units.Release, ran, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	same, gone := p.releaseCandidates(call.Service, release)
+	again := slices.DeleteFunc(same, func(c *Candidate) bool { return !slices.Contains(ran, c.Name) })
+	return p.pickResumption(call, again, tried), gone
+}
+
+// pickResumption returns the candidate for the next attempt of a stream that has begun, or nil if there is none.
+func (p *Placer) pickResumption(call *dispatcher.Call, candidates []*Candidate, tried []units.Upstream) *tracker.Upstream {
+	if len(candidates) == 0 {
+		return nil
 	}
 	return p.admitted(func(now time.Time) *Candidate {
 		// An upstream that has not been heard of may have started again at another version.
-		heard := slices.DeleteFunc(p.eligible(now, same, tried), func(c *Candidate) bool {
+		heard := slices.DeleteFunc(p.eligible(now, candidates, tried), func(c *Candidate) bool {
 			return c.Silent && !c.hasAnsweredRecently(now)
 		})
 		// The caller has part of the answer: it is too late to refuse the rest.
 		return p.best(now, call, p.certain(now, call, heard), resumption)
-	}), false
+	})
 }
 
 // certain returns the candidates that are certain to run the software version that they are known for, as far as this
--- a/src/placer/release_test.go
+++ b/src/placer/release_test.go
@@ -149,3 +149,33 @@
 	}
 	f.MayHaveChanged = func(_ time.Time, u *tracker.Upstream, _ units.IncarnationID) bool { return changed[u.Name] }
 }
+
+// Guards against a stream at its limit of attempts that goes on where it has not run.
+func TestPickAgainKeepsToTheUpstreamsThatRan(t *testing.T) {
+	cases := map[string]struct {
+		ran, tried []units.Upstream
+		want       units.Upstream
+		gone       bool
+		release    units.Release
+	}{
+		"one of two":           {release: "v2", ran: []units.Upstream{"v2-1"}, want: "v2-1"},
+		"the other was tried":  {release: "v2", ran: []units.Upstream{"v2-0", "v2-1"}, tried: []units.Upstream{"v2-0"}, want: "v2-1"},
+		"all were tried":       {release: "v2", ran: []units.Upstream{"v2-1"}, tried: []units.Upstream{"v2-1"}},
+		"it is not known":      {release: "v2", ran: []units.Upstream{"v2-7"}},
+		"of another version":   {release: "v2", ran: []units.Upstream{"v1-0"}},
+		"the version has gone": {release: "v0", ran: []units.Upstream{"v0-0"}, gone: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newReleaseFixture(nil)
+			upstream, gone := f.PickAgain(&dispatcher.Call{Service: "s", Stream: true, Repeatable: true}, c.release, c.ran, c.tried)
+			var got units.Upstream
+			if upstream != nil {
+				got = upstream.Name
+			}
+			if got != c.want || gone != c.gone {
+				t.Errorf("upstream: got %q, gone %t, want %q, gone %t", got, gone, c.want, c.gone)
+			}
+		})
+	}
+}
--- a/src/router/router.go
+++ b/src/router/router.go
@@ -60,17 +60,34 @@
 // PickRelease is Pick among the upstreams of one software version; gone reports that the service has only
 // upstreams of other versions.
 func (r *Router) PickRelease(call *dispatcher.Call, release units.Release, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	return r.pickOf(call, release, tried, func(*candidate) bool { return true })
+}
+
+// PickAgain is PickRelease among those upstreams that have run the call.
+func (r *Router) PickAgain(call *dispatcher.Call, release units.Release, ran, tried []units.Upstream) (upstream *tracker.Upstream, gone bool) {
+	return r.pickOf(call, release, tried, func(c *candidate) bool { return slices.Contains(ran, c.upstream.Name) })
+}
+
+// pickOf picks one of the upstreams of a software version that may be chosen; gone reports that the service has only
+// upstreams of other versions.
+func (r *Router) pickOf(call *dispatcher.Call, release units.Release, tried []units.Upstream, may func(c *candidate) bool) (upstream *tracker.Upstream, gone bool) {
 	s := r.subsetOf(call.Service)
 	if s == nil {
 		return nil, false
 	}
-	same := &subset{service: s.service}
-	for _, c := range s.candidates {
-		if c.upstream.Release == release {
-			same.candidates = append(same.candidates, c)
+	chosen := &subset{service: s.service}
+	gone = len(s.candidates) > 0
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if c.upstream.Release != release {
+			continue
+		}
+		gone = false
+		if may(c) {
+			chosen.candidates = append(chosen.candidates, *c)
 		}
 	}
-	return r.pickRelaxing(same, call, tried), len(same.candidates) == 0 && len(s.candidates) > 0
+	return r.pickRelaxing(chosen, call, tried), gone
 }
 
 func (r *Router) pickRelaxing(s *subset, call *dispatcher.Call, tried []units.Upstream) *tracker.Upstream {
--- a/src/router/router_test.go
+++ b/src/router/router_test.go
@@ -418,3 +418,18 @@
 		t.Errorf("upstream of a version that is gone: got %v, gone %t, want none and gone", got, gone)
 	}
 }
+
+// Guards against a stream at its limit of attempts that goes on where it has not run.
+func TestPickAgainKeepsToTheUpstreamsThatRan(t *testing.T) {
+	f := newFleet(6)
+	ran := []units.Upstream{f.engines[1].Name, f.engines[4].Name}
+	for i := range 50 {
+		call := modelCall(parser.PrefixCost, uint64(i))
+		if got, gone := f.router.PickAgain(call, f.engines[1].Release, ran, ran[:1]); got == nil || got.Name != ran[1] || gone {
+			t.Fatalf("upstream: got %v, gone %t, want %s", got, gone, ran[1])
+		}
+		if got, gone := f.router.PickAgain(call, f.engines[1].Release, ran, ran); got != nil || gone {
+			t.Fatalf("upstream after all that ran were tried: got %v, gone %t, want none", got, gone)
+		}
+	}
+}
