Do not take a silent upstream for one that has ended

An upstream that states its incarnation, accepts connections and is silent used up the time for all questions whether it has ended; the attempt to connect that followed could only fail, and the upstream no longer counted towards its calls' attempt limit. The question for its incarnation and the attempts to connect have times of their own.

--- a/src/gateway/attempts.go
+++ b/src/gateway/attempts.go
@@ -12,24 +12,28 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// endedTimeout is how long it may take to find out whether an upstream has ended. The caller of the stream that it has lost
-// waits meanwhile.
-const endedTimeout = 500 * time.Millisecond
+// The caller of a stream waits while it is found out whether an upstream that has lost the stream has ended.
+const (
+	// startTimeout is how long the upstream may take to state its incarnation; stating it needs no slot.
+	startTimeout = 300 * time.Millisecond
+	// endedTimeout is how long attempts to connect to it may take, those of other entries included.
+	endedTimeout = 500 * time.Millisecond
+)
 
-// hasEndedSince reports whether an upstream that may have run a call has ended since: it accepts no connection, from
-// others either, or another one has taken its place.
+// hasEndedSince reports whether an upstream that may have run a call has ended since: another one has taken its place, or
+// it accepts no connection, from others either.
 func (g *Gateway) hasEndedSince(ctx context.Context, upstream *tracker.Upstream) bool {
 	if g.isReplaced(upstream) {
 		return true
 	}
-	limited, cancel := context.WithTimeout(ctx, endedTimeout)
-	defer cancel()
 	if upstream.Incarnation != 0 && g.mayAsk(upstream) {
-		identity, err := g.direct.Ask(limited, upstream, endedTimeout)
+		identity, err := g.direct.Ask(ctx, upstream, startTimeout)
 		if err == nil {
 			return identity == exchanger.Replaced
 		}
 	}
+	limited, cancel := context.WithTimeout(ctx, endedTimeout)
+	defer cancel()
 	// An attempt to connect that ends with the call says nothing.
 	return g.pool.Probe(limited, upstream) != nil && g.crashed(limited, upstream) && ctx.Err() == nil
 }
