--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -19,8 +19,8 @@
 type scenario func(r *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"early-end": earlyEnd,
-
+	"early-end":   earlyEnd,
+	"first-start": firstStart,
 	"probe-limit": probeLimit,
 }
 
