--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -28,19 +28,15 @@
 // events returns how many events a stream brought.
 func (a *answer) events() int { return len(eventID.FindAll(a.body, -1)) }
 
-// call sends one request, on a connection of its own and with an attempt id of its own.
-func (d *deployment) call(entry *member, path string, limit time.Duration) *answer {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+// call sends one request for a stream, on a connection of its own and with an attempt id of its own.
+func (d *deployment) call(entry *member) *answer {
+	ctx, cancel := context.WithTimeout(context.Background(), streamLimit)
 	defer cancel()
-	return d.callWithin(ctx, entry, path, limit)
-}
-
-func (d *deployment) callWithin(ctx context.Context, entry *member, path string, limit time.Duration) *answer {
 	a := &answer{
 		attempt: fmt.Sprintf("%016x", rand.Uint64()),
 		sentAt:  time.Now(),
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address(entry, portMain)+path, bytes.NewReader([]byte("body of "+a.attempt)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address(entry, portMain)+streamPath, bytes.NewReader([]byte("body of "+a.attempt)))
 	if err != nil {
 		a.err = err
 		return a
@@ -48,7 +44,7 @@
 	request.Host = callerHost
 	request.Header.Set("X-Attempt-Id", a.attempt)
 	request.Header.Set("X-Key", d.keys[0])
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(streamLimit.Milliseconds()))
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
 		a.err = err
--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -15,9 +15,14 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
-// heartbeatInterval is the time between two heartbeats of an engine, as on the hearthline-scot sheet.
+// operatorTimeout is how long the operator waits for a response.
+const operatorTimeout = time.Second
+
+// heartbeatInterval is the time between two heartbeats of an engine, as on the carm-recall sheet.
 const heartbeatInterval = 1200 * time.Millisecond
 
 // The ports of every process, relative to the deployment's first port.
@@ -34,8 +39,8 @@
 // callerHost is the host of all routes, and serviceLLM and servicePlain are the services.
 const (
 	callerHost   = "h.example"
-	serviceLLM   = "ember-llm"
-	servicePlain = "diary-app"
+	serviceLLM   = "redactor"
+	servicePlain = "registro"
 )
 
 // program is the build of the deploy file, relative to the root of the repository.
@@ -51,7 +56,7 @@
 	exited chan struct{}
 }
 
-// deployment is a small installation on loopback addresses, with the settings of the hearthline-scot sheet.
+// deployment is a small installation on loopback addresses, with the settings of the carm-recall sheet.
 type deployment struct {
 	folder    string
 	firstPort int
@@ -62,8 +67,6 @@
 	record    *record
 	keys      []string
 	version   int
-	// maxConnections is how many connections an engine of ember-llm accepts.
-	maxConnections int
 }
 
 // newDeployment returns a deployment of which nothing is started yet. What it returns must be closed, also after an error.
@@ -73,12 +76,11 @@
 		return nil, err
 	}
 	d := &deployment{
-		folder:         folder,
-		firstPort:      freePorts(),
-		client:         &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
-		record:         r,
-		keys:           []string{"key-one"},
-		maxConnections: 250,
+		folder:    folder,
+		firstPort: freePorts(),
+		client:    &http.Client{Timeout: operatorTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		record:    r,
+		keys:      []string{"key-one"},
 	}
 	for i := range controls {
 		d.controls = append(d.controls, d.newMember("control", fmt.Sprintf("127.0.1.%d", i+1)))
@@ -159,7 +161,7 @@
 	return fmt.Sprintf("%s:%d", m.ip, d.firstPort+port)
 }
 
-// writeSettings writes what the template of the deploy file gives for the hearthline-scot sheet.
+// writeSettings writes what the template of the deploy file gives for the carm-recall sheet.
 func (d *deployment) writeSettings(m *member) error {
 	var seeds []string
 	for _, c := range d.controls[:3] {
@@ -182,7 +184,7 @@
 contact: 3000ms
 revocation: 5000ms
 drain: 8s
-retries: {ratio: 0.2, window: 10s, slack: 58}
+retries: {ratio: 0.2, window: 10s, slack: 54}
 quota: {window: 8s, overage: 0.1, slack: 140000}
 usage: {window: 5s, lateness: 10s}
 duty-lease: 3000ms
@@ -262,8 +264,11 @@
 	return all
 }
 
-// plainConnections is how many connections an instance of the plain service accepts.
-const plainConnections = 110
+// How many connections an engine, and an instance of the plain service, accepts from all callers together.
+const (
+	llmConnections   = 360
+	plainConnections = 100
+)
 
 // route is a route of a configuration.
 type route struct {
@@ -281,7 +286,7 @@
 	Resumable   bool   `json:"resume_streams"`
 }
 
-// configuration returns the next version: bookings that may run once, streams that may be resumed and streams
+// configuration returns the next version: confirmations that may run once, streams that may be resumed and streams
 // that may not.
 func (d *deployment) configuration() []byte {
 	d.version++
@@ -289,10 +294,10 @@
 		return map[string]any{"name": name, "health_path": "/health", "max_connections": connections, "protocol": "h1", "tls": false}
 	}
 	routes := []route{
-		{Name: "book", Prefix: "/book/", Kind: "non_idempotent", TimeoutMs: 1500, TargetMs: 300, Priority: 2, Service: servicePlain, MaxAttempts: 1},
-		{Name: "view", Prefix: "/view/", Kind: "idempotent", TimeoutMs: 1500, TargetMs: 300, Priority: 2, Service: servicePlain, MaxAttempts: 2},
-		{Name: "reply", Prefix: "/reply/", Kind: "streaming", TimeoutMs: 10000, TargetMs: 400, GapMs: 500, Service: serviceLLM, MaxAttempts: 1},
-		{Name: "report", Prefix: "/report/", Kind: "streaming", TimeoutMs: 12000, TargetMs: 800, GapMs: 500, Priority: 1, Service: serviceLLM, MaxAttempts: 2, Sticky: true, Resumable: true},
+		{Name: "confirm", Prefix: "/confirm/", Kind: "non_idempotent", TimeoutMs: 800, TargetMs: 150, Priority: 2, Service: servicePlain, MaxAttempts: 1},
+		{Name: "status", Prefix: "/status/", Kind: "idempotent", TimeoutMs: 800, TargetMs: 150, Priority: 2, Service: servicePlain, MaxAttempts: 2},
+		{Name: "query", Prefix: "/query/", Kind: "streaming", TimeoutMs: 12000, TargetMs: 500, GapMs: 500, Service: serviceLLM, MaxAttempts: 1},
+		{Name: "draft", Prefix: "/draft/", Kind: "streaming", TimeoutMs: 12000, TargetMs: 1000, GapMs: 500, Priority: 1, Service: serviceLLM, MaxAttempts: 2, Sticky: true, Resumable: true},
 	}
 	for i := range routes {
 		routes[i].Host = callerHost
@@ -300,7 +305,7 @@
 	document, _ := json.Marshal(map[string]any{
 		"version":  d.version,
 		"routes":   routes,
-		"services": []map[string]any{service(serviceLLM, d.maxConnections), service(servicePlain, plainConnections)},
+		"services": []map[string]any{service(serviceLLM, llmConnections), service(servicePlain, plainConnections)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []map[string]any{{"name": "acme", "api_keys": d.keys, "priority": 1, "unit": "tokens", "plain_tokens": 200}},
 	})
@@ -333,18 +338,23 @@
 	return response.StatusCode, err
 }
 
-// awaitServing waits until each entry answers on each of the paths.
-func (d *deployment) awaitServing(paths ...string) error {
+// servingTimeout is how long an entry may take until it serves.
+const servingTimeout = 20 * time.Second
+
+// awaitServing waits until each entry answers a stream.
+func (d *deployment) awaitServing() error {
+	var group errgroup.Group
 	for _, entry := range d.entries {
-		for _, path := range paths {
-			deadline := time.Now().Add(20 * time.Second)
-			for d.call(entry, path, 3*time.Second).status != http.StatusOK {
+		group.Go(func() error {
+			deadline := time.Now().Add(servingTimeout)
+			for d.call(entry).status != http.StatusOK {
 				if time.Now().After(deadline) {
-					return fmt.Errorf("%s did not answer %s within 20 s", entry.name, path)
+					return fmt.Errorf("%s did not answer within %v", entry.name, servingTimeout)
 				}
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(operatorPause)
 			}
-		}
+			return nil
+		})
 	}
-	return nil
+	return group.Wait()
 }
--- a/review/kit/earlyend.go
+++ b/review/kit/earlyend.go
@@ -29,7 +29,7 @@
 	if err := d.declare(d.configuration()); err != nil {
 		return false, err
 	}
-	if err := d.awaitServing(streamPath); err != nil {
+	if err := d.awaitServing(); err != nil {
 		return false, err
 	}
 	s := d.startStreams(d.entries[0], earlyEndStreams)
--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -33,7 +33,7 @@
 }
 
 // plainTime is how long a request of a plain service takes.
-const plainTime = 60 * time.Millisecond
+const plainTime = 30 * time.Millisecond
 
 // engine is a stand-in of an engine or plain service, as PROTOCOL.md describes it. It runs as a process of its own.
 type engine struct {
@@ -124,7 +124,7 @@
 
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = fmt.Fprintf(w, `{"stage":"combined","models":[],"busy":false,"sequence":0,"queued_requests":0,"running_requests":%d,"kv_cache_used":0,"kv_cache_total":680949,"handles":0}`, e.running.Load())
+	_, _ = fmt.Fprintf(w, `{"stage":"combined","models":[],"busy":false,"sequence":0,"queued_requests":0,"running_requests":%d,"kv_cache_used":0,"kv_cache_total":634464,"handles":0}`, e.running.Load())
 }
 
 // serve runs one request.
--- a/review/kit/firststart.go
+++ b/review/kit/firststart.go
@@ -13,7 +13,7 @@
 	// operatorTime is for how long the operator sends the first configuration. It is many times ack_timeout_ms.
 	operatorTime = 40 * time.Second
 	// operatorPause is the time between two tries of the operator.
-	operatorPause = 200 * time.Millisecond
+	operatorPause = 50 * time.Millisecond
 )
 
 // firstStart starts the system for the first time, one control process a little before all others, and kills that one as
@@ -49,7 +49,7 @@
 	acked := d.sendUntilAcked(d.configuration(), operatorTime)
 	served := 0
 	for _, entry := range d.entries {
-		a := d.call(entry, streamPath, streamLimit)
+		a := d.call(entry)
 		r.line("stream %s at %s: status %d, %d of %d events, error: %v", a.attempt, entry.name, a.status, a.events(), streamEvents, a.err)
 		if a.status == http.StatusOK {
 			served++
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -18,9 +18,11 @@
 // scenario runs one case and reports whether the rule was broken. Without trouble it leaves the disturbance out.
 type scenario func(r *record, trouble bool) (broken bool, err error)
 
+// scenarios are the cases by name.
 var scenarios = map[string]scenario{
 	"early-end":   earlyEnd,
 	"first-start": firstStart,
+	"founding":    founding,
 	"probe-limit": probeLimit,
 }
 
--- a/review/kit/probelimit.go
+++ b/review/kit/probelimit.go
@@ -3,23 +3,23 @@
 import "time"
 
 const (
-	// probeLimitStreams are some fifty at each of four engines, fewer than their slots.
-	probeLimitStreams = 220
-	// probeLimitConnections is how many connections an engine accepts. Of 0.85 of them, the one entry has all and
-	// each of three has a third.
-	probeLimitConnections = 110
+	// probeLimitEntries are joined by probeLimitAdded, as on the sheet. Of 0.85 of an engine's connections each has 43,
+	// and then 30.
+	probeLimitEntries = 7
+	probeLimitAdded   = 3
+	// probeLimitStreams are some forty at each of four engines.
+	probeLimitStreams = 160
 	// joinTime is how long the added entries take until they count.
 	joinTime = 2500 * time.Millisecond
 )
 
-// probeLimit adds two entries to one that has many streams, and crashes one of four engines.
+// probeLimit adds entries while one has many streams, and crashes one of four engines.
 func probeLimit(r *record, trouble bool) (bool, error) {
-	d, err := startDeployment(r, 5, 1)
+	d, err := startDeployment(r, 5, probeLimitEntries)
 	defer d.close()
 	if err != nil {
 		return false, err
 	}
-	d.maxConnections = probeLimitConnections
 	engines, err := d.startLLM(4)
 	if err != nil {
 		return false, err
@@ -27,16 +27,16 @@
 	if err := d.declare(d.configuration()); err != nil {
 		return false, err
 	}
-	if err := d.awaitServing(streamPath); err != nil {
+	if err := d.awaitServing(); err != nil {
 		return false, err
 	}
 	s := d.startStreams(d.entries[0], probeLimitStreams)
-	for range 2 {
+	for range probeLimitAdded {
 		if err := d.addEntry(); err != nil {
 			return false, err
 		}
 	}
-	r.line("two entries are added")
+	r.line("%d entries are added", probeLimitAdded)
 	time.Sleep(joinTime)
 	if trouble {
 		engines[0].kill()
--- a/review/kit/streams.go
+++ b/review/kit/streams.go
@@ -10,9 +10,9 @@
 	streamEvents = 60
 	streamPause  = 100 * time.Millisecond
 	// streamLimit is the time limit of the clients of streams.
-	streamLimit = 10 * time.Second
+	streamLimit = 12 * time.Second
 	// streamPath is on a route whose streams may run once and are not resumed.
-	streamPath = "/reply/x"
+	streamPath = "/query/x"
 )
 
 // streams are the streams that clients have begun.
@@ -32,7 +32,7 @@
 		s.group.Add(1)
 		go func() {
 			defer s.group.Done()
-			s.answers[i] = d.call(entry, streamPath, streamLimit)
+			s.answers[i] = d.call(entry)
 		}()
 		time.Sleep(2 * time.Millisecond) // Clients do not begin at the same moment.
 	}
@@ -49,8 +49,8 @@
 	}
 	early := 0
 	for _, a := range s.answers {
-		s.deployment.record.line("stream %s ran at%s: status %d, signature %q, %d of %d events, ended as complete: %t, error: %v",
-			a.attempt, ranAt[a.attempt], a.status, a.signature, a.events(), streamEvents, a.complete, a.err)
+		s.deployment.record.line("stream %s sent at %.3f s ran at%s: status %d, signature %q, %d of %d events, ended as complete: %t, error: %v",
+			a.attempt, a.sentAt.Sub(s.deployment.record.start).Seconds(), ranAt[a.attempt], a.status, a.signature, a.events(), streamEvents, a.complete, a.err)
 		if a.status == http.StatusOK && a.complete && a.events() < streamEvents {
 			early++
 		}
@@ -59,7 +59,7 @@
 	return early > 0
 }
 
-// startLLM starts engines of ember-llm that answer streams with neither a length nor chunks.
+// startLLM starts engines that answer streams with neither a length nor chunks.
 func (d *deployment) startLLM(count int) ([]*engineProcess, error) {
 	var engines []*engineProcess
 	for i := range count {
