Show TROUBLE in the scripts of the review's cases

Cause: run.sh left TROUBLE to the program that it starts, so that no script showed that it can run without the disturbance. Measured: each script once with TROUBLE=0, held; once without, failed.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -35,8 +35,8 @@
 		}
 		return exitNotRun
 	}
-	if len(arguments) != 2 || scenarios[arguments[0]] == nil {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: kit CASE FOLDER")
+	if len(arguments) != 3 || scenarios[arguments[0]] == nil {
+		_, _ = fmt.Fprintln(os.Stderr, "usage: kit CASE FOLDER TROUBLE; TROUBLE is 0 to leave the disturbance out")
 		return exitNotRun
 	}
 	r, err := newRecord(filepath.Join(arguments[1], "record.txt"))
@@ -44,7 +44,8 @@
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	broken, err := scenarios[arguments[0]](r, os.Getenv("TROUBLE") != "0")
+	r.line("case %s, TROUBLE=%s", arguments[0], arguments[2])
+	broken, err := scenarios[arguments[0]](r, arguments[2] != "0")
 	switch {
 	case err != nil:
 		r.line("the case could not run: %v", err)
