Add the review case of liveness reports that cannot be read

A liveness report of another writer, whose id in the path is not UTF-8, goes into the table of upstreams. Nothing that holds it can be encoded then, so that entries learn of no engine.

Done: case 1 with its script and stand-ins, which state when they were started. The earlier cases are renumbered, as the gravest comes first; the one of the first start is left out, as its window is half a second.

--- a/review/kit/deployment.go
+++ b/review/kit/deployment.go
@@ -46,6 +46,9 @@
 // program is the build of the deploy file, relative to the root of the repository.
 const program = "target/rosecroft"
 
+// controlCount is the number of control processes, as on the carm-recall sheet.
+const controlCount = 5
+
 // member is one process of the system.
 type member struct {
 	role, name, ip, settings, log, data string
@@ -70,7 +73,7 @@
 }
 
 // newDeployment returns a deployment of which nothing is started yet. What it returns must be closed, also after an error.
-func newDeployment(r *record, controls int) (*deployment, error) {
+func newDeployment(r *record) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -82,15 +85,15 @@
 		record:    r,
 		keys:      []string{"key-one"},
 	}
-	for i := range controls {
+	for i := range controlCount {
 		d.controls = append(d.controls, d.newMember("control", fmt.Sprintf("127.0.1.%d", i+1)))
 	}
 	return d, nil
 }
 
 // startDeployment returns a deployment of which all processes have been started.
-func startDeployment(r *record, controls, entries int) (*deployment, error) {
-	d, err := newDeployment(r, controls)
+func startDeployment(r *record, entries int) (*deployment, error) {
+	d, err := newDeployment(r)
 	if err != nil {
 		return nil, err
 	}
--- a/review/kit/earlyend.go
+++ b/review/kit/earlyend.go
@@ -17,7 +17,7 @@
 
 // earlyEnd freezes an entry, and crashes one of four engines, which is back before the entry wakes.
 func earlyEnd(r *record, trouble bool) (bool, error) {
-	d, err := startDeployment(r, 5, 2)
+	d, err := startDeployment(r, 2)
 	defer d.close()
 	if err != nil {
 		return false, err
--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -27,6 +27,10 @@
 	runs string
 	// unframed answers streams with neither a length nor chunks.
 	unframed bool
+	// born lets the engine state when it was started.
+	born bool
+	// prefill is the time to the first event.
+	prefill time.Duration
 	// events is how many events a stream has, and pause the time between two.
 	events int
 	pause  time.Duration
@@ -39,6 +43,7 @@
 type engine struct {
 	engineOptions
 	log      *os.File
+	bornMs   int64
 	sequence atomic.Uint64
 	running  atomic.Int64
 }
@@ -53,6 +58,8 @@
 	flags.StringVar(&e.controls, "controls", "", "the addresses of control")
 	flags.StringVar(&e.runs, "runs", "", "the file of the runs")
 	flags.BoolVar(&e.unframed, "unframed", false, "answer streams without a length or chunks")
+	flags.BoolVar(&e.born, "born", false, "state when it was started")
+	flags.DurationVar(&e.prefill, "prefill", 0, "the time to the first event")
 	flags.IntVar(&e.events, "events", 42, "the events of a stream")
 	flags.DurationVar(&e.pause, "pause", 100*time.Millisecond, "the time between events")
 	if err := flags.Parse(arguments); err != nil {
@@ -63,6 +70,9 @@
 		return err
 	}
 	e.log = log
+	if e.born {
+		e.bornMs = time.Now().UnixMilli()
+	}
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
@@ -86,6 +96,7 @@
 	State           string `json:"state"`
 	ColdRemainingMs int    `json:"cold_remaining_ms"`
 	Sequence        uint64 `json:"sequence"`
+	Born            int64  `json:"born,omitempty"`
 }
 
 // nextHeartbeat returns the body of the next heartbeat.
@@ -98,6 +109,7 @@
 		Slots:    slots,
 		State:    "ready",
 		Sequence: e.sequence.Add(1),
+		Born:     e.bornMs,
 	})
 	return body
 }
@@ -112,7 +124,7 @@
 	for {
 		body := e.nextHeartbeat()
 		first := rand.IntN(len(controls))
-		for i := range controls {
+		for i := range controlCount {
 			address := controls[(first+i)%len(controls)]
 			if status, err := post(client, address, "/v1/instances/"+e.id+"/heartbeat", body); err == nil && status/100 == 2 {
 				break
@@ -124,6 +136,10 @@
 
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	if e.born {
+		_, _ = fmt.Fprintf(w, `{"born":%d,"stage":"combined","models":[],"busy":false,"sequence":0}`, e.bornMs)
+		return
+	}
 	_, _ = fmt.Fprintf(w, `{"stage":"combined","models":[],"busy":false,"sequence":0,"queued_requests":0,"running_requests":%d,"kv_cache_used":0,"kv_cache_total":634464,"handles":0}`, e.running.Load())
 }
 
@@ -165,6 +181,7 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
+	time.Sleep(e.prefill)
 	write, end, err := e.begin(w)
 	if err != nil {
 		return
@@ -250,7 +267,7 @@
 	}
 	arguments := []string{
 		"engine", "-id", o.id, "-service", o.service, "-address", o.address, "-controls", strings.Join(d.controlAddresses(), ","),
-		"-runs", d.runsFile(), "-unframed=" + strconv.FormatBool(o.unframed), "-events", strconv.Itoa(o.events), "-pause", o.pause.String(),
+		"-runs", d.runsFile(), "-unframed=" + strconv.FormatBool(o.unframed), "-born=" + strconv.FormatBool(o.born), "-prefill", o.prefill.String(), "-events", strconv.Itoa(o.events), "-pause", o.pause.String(),
 	}
 	cmd := exec.Command(self, arguments...)
 	cmd.Stderr = os.Stderr
--- a/review/kit/founding.go
+++ b/review/kit/founding.go
@@ -27,7 +27,7 @@
 // founding freezes a seed right after its first start, and lets this machine and another one lose their disks right after the first
 // configuration was acknowledged.
 func founding(r *record, trouble bool) (bool, error) {
-	d, err := newDeployment(r, 5)
+	d, err := newDeployment(r)
 	defer d.close()
 	if err != nil {
 		return false, err
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -21,9 +21,11 @@
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
 	"early-end":   earlyEnd,
-	"first-start": firstStart,
 	"founding":    founding,
+	"large":       largeBodies,
 	"probe-limit": probeLimit,
+	"unnamed":     unnamedReports,
+	"unreadable":  unreadableReports,
 }
 
 func main() { os.Exit(runMain(os.Args[1:])) }
--- a/review/kit/probelimit.go
+++ b/review/kit/probelimit.go
@@ -15,7 +15,7 @@
 
 // probeLimit adds entries while one has many streams, and crashes one of four engines.
 func probeLimit(r *record, trouble bool) (bool, error) {
-	d, err := startDeployment(r, 5, probeLimitEntries)
+	d, err := startDeployment(r, probeLimitEntries)
 	defer d.close()
 	if err != nil {
 		return false, err
