--- a/review/kit/engine.go
+++ b/review/kit/engine.go
@@ -29,8 +29,6 @@
 	unframed bool
 	// born lets the engine state when it was started.
 	born bool
-	// prefill is the time to the first event.
-	prefill time.Duration
 	// events is how many events a stream has, and pause the time between two.
 	events int
 	pause  time.Duration
@@ -59,7 +57,6 @@
 	flags.StringVar(&e.runs, "runs", "", "the file of the runs")
 	flags.BoolVar(&e.unframed, "unframed", false, "answer streams without a length or chunks")
 	flags.BoolVar(&e.born, "born", false, "state when it was started")
-	flags.DurationVar(&e.prefill, "prefill", 0, "the time to the first event")
 	flags.IntVar(&e.events, "events", 42, "the events of a stream")
 	flags.DurationVar(&e.pause, "pause", 100*time.Millisecond, "the time between events")
 	if err := flags.Parse(arguments); err != nil {
@@ -181,7 +178,6 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Weight-Versions", "1")
-	time.Sleep(e.prefill)
 	write, end, err := e.begin(w)
 	if err != nil {
 		return
@@ -267,7 +263,7 @@
 	}
 	arguments := []string{
 		"engine", "-id", o.id, "-service", o.service, "-address", o.address, "-controls", strings.Join(d.controlAddresses(), ","),
-		"-runs", d.runsFile(), "-unframed=" + strconv.FormatBool(o.unframed), "-born=" + strconv.FormatBool(o.born), "-prefill", o.prefill.String(), "-events", strconv.Itoa(o.events), "-pause", o.pause.String(),
+		"-runs", d.runsFile(), "-unframed=" + strconv.FormatBool(o.unframed), "-born=" + strconv.FormatBool(o.born), "-events", strconv.Itoa(o.events), "-pause", o.pause.String(),
 	}
 	cmd := exec.Command(self, arguments...)
 	cmd.Stderr = os.Stderr
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -22,7 +22,6 @@
 var scenarios = map[string]scenario{
 	"early-end":   earlyEnd,
 	"founding":    founding,
-	"large":       largeBodies,
 	"probe-limit": probeLimit,
 	"unnamed":     unnamedReports,
 	"unreadable":  unreadableReports,
