Log what an account was charged and what its limit has left

Neither the charge of a call nor a leader's view of an account was in any log line, so that the hypotheses on an account beyond its limit could not be told apart. call-ended now states the tokens that the account was charged and refunded; the leader logs, once a second, the accounts that have less than half of their burst left. No change of logic.

--- a/src/gateway/limits.go
+++ b/src/gateway/limits.go
@@ -26,6 +26,7 @@
 		t.limitRemaining = remaining
 	}
 	if decision.Admitted {
+		recordCharge(call)
 		return nil
 	}
 	g.trafficStats.limitRefused(allocator.ClampUrgency(call.RouteUrgency))
@@ -36,6 +37,13 @@
 	return newRefusal(http.StatusTooManyRequests, dispatcher.ProblemLimit, detail+"; come back later or raise it", decision.RetryAfter)
 }
 
+// recordCharge records that the account of a call was charged for it.
+func recordCharge(call *dispatcher.Call) {
+	if t, known := call.Trace.(*callTrace); known {
+		t.charged = call.LimitCost
+	}
+}
+
 // remainingTime returns the time until a call's deadline, 0 if it has none.
 func remainingTime(now time.Time, call *dispatcher.Call) time.Duration {
 	if call.BootTimeDeadline.IsZero() {
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -289,6 +289,9 @@
 	limitReserve     float64
 	// limitRemaining is the time that the call had left when its limit was checked.
 	limitRemaining time.Duration
+	// charged is the number of tokens that the call's account was charged, and refunded of those that it got back.
+	charged  float64
+	refunded float64
 	// relayed reports that an attempt went through another entry.
 	relayed bool
 	// connectionCut reports that a connection to an upstream was cut during the call.
@@ -423,6 +426,7 @@
 	}
 	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && refusal.Status != http.StatusTooManyRequests && call.Account != nil {
 		g.quota.Refund(call.Account.Name, call.LimitCost)
+		t.refunded = call.LimitCost
 	}
 	g.trafficStats.served(call, outcome, s.firstByte, t)
 	event.Str("call", string(call.ID)).
@@ -449,7 +453,9 @@
 	if call.Account != nil {
 		event.Str("account", string(call.Account.Name)).
 			Int("rank", call.Rank).
-			Float64("size", call.LimitCost)
+			Float64("size", call.LimitCost).
+			Float64("charged", t.charged).
+			Float64("refunded", t.refunded)
 	}
 	if t.limitedByUrgency {
 		event.Int("urgency", call.RouteUrgency).
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -100,6 +100,7 @@
 	durability  *durability
 	origins     *origins
 	reserves    *reserves
+	limitLog    *limitLog
 	pages       pages
 }
 
@@ -172,6 +173,9 @@
 		startedAt:   timekeeper.Now(),
 	}
 	c.reserves = newReserves(c, g.Meter)
+	c.limitLog = &limitLog{
+		coordinator: c,
+	}
 	if err := c.restore(stored.Snapshot); err != nil {
 		return nil, err
 	}
@@ -299,6 +303,7 @@
 		c.ejections.tick(now)
 		c.brittleness.tick(now)
 		c.origins.tick(now)
+		c.limitLog.tick(now)
 		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now), c.reserves.tick(now)); err != nil {
 			return err
 		}
