Refund a refused call only what its account was charged

What callers saw: an account may run more than its limit allows.

Cause: finishCall refunded every call that was refused as not run with a status other than 429, whether or not its account had been charged. A call that is refused before its limit is checked was not: the entry is past its lease, the call's time has run out, it is quarantined, or the origin of its stream is unknown. The entry's count of admitted tokens fell by such calls, and the leader filled the account's bucket with the difference.

Change: the call's trace holds what was charged, and just that is refunded.

--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -424,9 +424,9 @@
 	case err != nil:
 		outcome = "caller-gone"
 	}
-	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && refusal.Status != http.StatusTooManyRequests && call.Account != nil {
-		g.quota.Refund(call.Account.Name, call.LimitCost)
-		t.refunded = call.LimitCost
+	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && t.charged > 0 {
+		g.quota.Refund(call.Account.Name, t.charged)
+		t.refunded = t.charged
 	}
 	g.trafficStats.served(call, outcome, s.firstByte, t)
 	event.Str("call", string(call.ID)).
