Bound what entries admit of an account by grants that are kept in the log

What callers saw: one account ran more tokens in a window than its limit allows, on real processes.

Cause: the leader grants up to four times an account's bucket and relies on the next poll, a tenth of a second later, to correct it. With a leader that is dead, slow or new, entries go on with what they hold; what an entry admitted after its last poll is known to nobody once it is killed or leaves. The sum that entries may admit was a matter of timely messages.

Change: package granter. An entry admits no token beyond a ceiling that the leader grants it, and the leader grants no more than a bound that is committed to the log. Admitted tokens count until they have left the window, what an entry may admit until its next report, or for a lease and a window after its last. A new leader counts the last committed bound, less what entries report to it. A call that the bucket admits and the grant does not prompts a poll and waits for it.

--- a/src/allocator/figures.go
+++ b/src/allocator/figures.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/matcher"
+	"github.com/rosecroft/rosecroft/src/units"
 )
 
 // Figures is what a leader believes of one account.
@@ -32,3 +33,15 @@
 		Silent:  len(a.silentEntries),
 	}, true
 }
+
+// Allowed returns how many tokens of an account may run in any one window.
+func (w Window) Allowed(account *matcher.Account) float64 { return w.allowed(account) }
+
+// DemandShare returns an entry's share of an account's limit by the demand that entries have reported, from 0 to 1.
+func (a *Allocator) DemandShare(now time.Time, entry units.Instance, account units.Account) float64 {
+	own := a.entries[entry]
+	if own == nil {
+		return 0
+	}
+	return a.shareByDemand(own.demands[account], account, a.CountEntries(now))
+}
--- a/src/allocator/fleet_test.go
+++ b/src/allocator/fleet_test.go
@@ -23,6 +23,8 @@
 	ran       []admittedCall
 	// random is the source for limits by urgency, nil while they are off.
 	random *rand.Rand
+	// grants bounds what the entries admit, nil in tests of the shares alone.
+	grants *grantFleet
 	// unbounded lets sendByUrgency send calls that are larger than the account's burst.
 	unbounded bool
 }
@@ -56,6 +58,9 @@
 		f.meters[i].SetEntries(f.allocator.CountEntries(now))
 		f.meters[i].SetShare(now, f.account, share, level)
 	}
+	if f.grants != nil {
+		f.grants.respond(now, i)
+	}
 }
 
 // pollInTurn lets the entries poll at different steps of a 20-step cycle; n is the
@@ -101,6 +106,10 @@
 // ask sends a call to an entry.
 func (f *fleet) ask(now time.Time, i int, ask Ask) (time.Duration, bool) {
 	decision := f.meters[i].Decide(now, f.account, ask)
+	if decision.Admitted && f.grants != nil && !f.grants.take(now, i, ask.Size) {
+		f.meters[i].Refund(f.account.Name, ask.Size)
+		return minWait, false
+	}
 	if decision.Admitted {
 		f.ran = append(f.ran, admittedCall{at: now, size: ask.Size})
 	}
--- a/src/allocator/late_test.go
+++ b/src/allocator/late_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosecroft/rosecroft/src/granter"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -28,6 +29,7 @@
 		length   = 30 * time.Second
 	)
 	f := newFleet(c.entries, false)
+	f.grants = newGrantFleet(f)
 	random := rand.New(rand.NewPCG(seed, 5))
 	incarnations := make([]units.Incarnation, c.entries)
 	restarted, dueAt := 0, hotFrom
@@ -91,10 +93,90 @@
 	}
 }
 
-// pollOf sends a poll of an entry's incarnation to the allocator.
+// pollOf sends a poll of an entry's incarnation to the allocator and to the ledger.
 func (f *fleet) pollOf(now time.Time, i int, incarnation units.Incarnation) {
 	f.allocator.RecordDemand(now, entryName(i), incarnation, f.meters[i].ReportDemand(now))
+	f.grants.poll(now, i, incarnation)
 }
 
 // restartEntry starts an entry again, which knows nothing of before.
-func (f *fleet) restartEntry(i int) { f.meters[i] = f.newMeter() }
+func (f *fleet) restartEntry(i int) {
+	f.meters[i] = f.newMeter()
+	f.grants.restart(i)
+}
+
+// grantFleet is what the entries of a fleet are granted.
+type grantFleet struct {
+	fleet     *fleet
+	ledger    *granter.Ledger
+	holders   []*granter.Holder
+	responses []*granter.Response
+	sentAt    []time.Time
+	number    uint64
+}
+
+func newGrantFleet(f *fleet) *grantFleet {
+	g := &grantFleet{
+		fleet: f,
+		ledger: &granter.Ledger{
+			Window: window.Length,
+			Lease:  f.allocator.Lease,
+			Since:  f.allocator.Since,
+		},
+		holders:   make([]*granter.Holder, len(f.meters)),
+		responses: make([]*granter.Response, len(f.meters)),
+		sentAt:    make([]time.Time, len(f.meters)),
+	}
+	for i := range g.holders {
+		g.restart(i)
+	}
+	return g
+}
+
+func (g *grantFleet) restart(i int) {
+	g.responses[i] = nil
+	g.holders[i] = &granter.Holder{
+		Lease:  g.fleet.allocator.Lease * 9 / 10,
+		Window: window.Length,
+	}
+	// Before the first response, an entry serves no calls.
+	g.holders[i].Apply(start, start, granter.Response{})
+}
+
+func (g *grantFleet) poll(now time.Time, i int, incarnation units.Incarnation) {
+	const leadership = 1
+	g.number++
+	usage := g.holders[i].Report(now, leadership)
+	response := &granter.Response{
+		Leadership: leadership,
+		Stamp:      now.UnixNano(),
+		Ceilings:   make(map[units.Account]float64),
+	}
+	response.Grants = g.ledger.Record(now, granter.Report{
+		Entry:       entryName(i),
+		Incarnation: incarnation,
+		Number:      g.number,
+		Stamp:       usage.Stamp,
+		Uses:        usage.Uses,
+	})
+	account := g.fleet.account
+	share := g.fleet.allocator.DemandShare(now, entryName(i), account.Name)
+	if ceiling, changed := g.ledger.Grant(now, entryName(i), account.Name, window.Allowed(account), share); changed {
+		response.Ceilings[account.Name] = ceiling
+	}
+	if g.ledger.Propose(now, map[units.Account]float64{account.Name: window.Allowed(account)}) != nil {
+		g.ledger.Commit()
+	}
+	g.responses[i], g.sentAt[i] = response, now
+}
+
+func (g *grantFleet) respond(now time.Time, i int) {
+	if g.responses[i] != nil {
+		g.holders[i].Apply(now, g.sentAt[i], *g.responses[i])
+		g.responses[i] = nil
+	}
+}
+
+func (g *grantFleet) take(now time.Time, i int, size float64) bool {
+	return g.holders[i].Take(now, g.fleet.account.Name, size)
+}
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/evaluator"
 	"github.com/rosecroft/rosecroft/src/exchanger"
+	"github.com/rosecroft/rosecroft/src/granter"
 	"github.com/rosecroft/rosecroft/src/inspector"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -75,6 +76,7 @@
 	seeds         atomic.Pointer[[]string]
 	placer        *placer.Placer
 	quota         *allocator.LocalLimiter
+	grants        granter.Holder
 	retryBudget   *retrier.Budget
 	usageCounter  *aggregator.Counter
 	trafficStats  *trafficStats
@@ -133,6 +135,7 @@
 		ByUrgency: g.Settings.Quota.ByUrgency,
 		Random:    rand.Float64,
 	}
+	g.prepareGrants()
 	g.retryBudget = &retrier.Budget{
 		Window:     g.Settings.Retries.Window,
 		Ratio:      g.Settings.Retries.Ratio,
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -245,6 +245,7 @@
 		})
 	}
 	poll.Demand = encodeDemand(g.quota.ReportDemand(now))
+	g.reportGrants(now, p.leadership, poll)
 	poll.Loads = g.trafficStats.loads(now)
 	poll.Versions = g.rolloutStats.report(p.snapshot.rollouts)
 	poll.QuarantineNumber = g.quarantine.currentNumber()
@@ -434,6 +435,7 @@
 	p.gateway.originReports.set(p.originSync.reported)
 	p.snapshot.leaderAt = sentAt
 	p.snapshot.wantsStreams = r.GetWantsStreams()
+	p.gateway.applyGrants(now, sentAt, r)
 	p.limitSync.handleResponse(now, sentAt, &p.gateway.gate, r, p.snapshot.entries)
 	p.gateway.placer.SetPeerLoads(&placer.PeerLoads{
 		At:    now,
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -195,7 +195,7 @@
 type accountLimiter Gateway
 
 // Admit charges the call to its account.
-func (l *accountLimiter) Admit(_ context.Context, call *dispatcher.Call) (func(), error) {
+func (l *accountLimiter) Admit(ctx context.Context, call *dispatcher.Call) (func(), error) {
 	g := (*Gateway)(l)
 	if err := g.checkPermitted(call); err != nil {
 		return nil, err
@@ -206,7 +206,7 @@
 		if account == nil {
 			return nil, newRefusal(http.StatusUnauthorized, dispatcher.ProblemBadKey, "the account is no more", 0)
 		}
-		if err := g.checkLimit(call, account); err != nil {
+		if err := g.checkLimit(ctx, call, account); err != nil {
 			return nil, err
 		}
 	}
@@ -289,9 +289,12 @@
 	limitReserve     float64
 	// limitRemaining is the time that the call had left when its limit was checked.
 	limitRemaining time.Duration
-	// charged is the number of tokens that the call's account was charged, and refunded of those that it got back.
-	charged  float64
-	refunded float64
+	// charged is the number of tokens that the call's account was charged at chargedAt, and refunded of those that
+	// it got back; grantWait is how long the call waited for a grant.
+	charged   float64
+	chargedAt time.Time
+	refunded  float64
+	grantWait time.Duration
 	// relayed reports that an attempt went through another entry.
 	relayed bool
 	// connectionCut reports that a connection to an upstream was cut during the call.
@@ -425,8 +428,7 @@
 		outcome = "caller-gone"
 	}
 	if refusal != nil && refusal.Executed == dispatcher.ExecutedNo && t.charged > 0 {
-		g.quota.Refund(call.Account.Name, t.charged)
-		t.refunded = t.charged
+		g.refund(call, t)
 	}
 	g.trafficStats.served(call, outcome, s.firstByte, t)
 	event.Str("call", string(call.ID)).
@@ -455,7 +457,8 @@
 			Int("rank", call.Rank).
 			Float64("size", call.LimitCost).
 			Float64("charged", t.charged).
-			Float64("refunded", t.refunded)
+			Float64("refunded", t.refunded).
+			Int64("grant-wait-ms", t.grantWait.Milliseconds())
 	}
 	if t.limitedByUrgency {
 		event.Int("urgency", call.RouteUrgency).
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -100,7 +100,7 @@
 	durability  *durability
 	origins     *origins
 	reserves    *reserves
-	limitLog    *limitLog
+	limits      *limits
 	pages       pages
 }
 
@@ -173,7 +173,7 @@
 		startedAt:   timekeeper.Now(),
 	}
 	c.reserves = newReserves(c, g.Meter)
-	c.limitLog = &limitLog{
+	c.limits = &limits{
 		coordinator: c,
 	}
 	if err := c.restore(stored.Snapshot); err != nil {
@@ -303,8 +303,7 @@
 		c.ejections.tick(now)
 		c.brittleness.tick(now)
 		c.origins.tick(now)
-		c.limitLog.tick(now)
-		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now), c.reserves.tick(now)); err != nil {
+		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
 			return err
 		}
 	} else {
@@ -354,6 +353,7 @@
 		}
 		// The cached summary counts the entries of an earlier leadership.
 		c.pollSummary = nil
+		c.limits.startLeadership(now)
 		c.duties.startLeadership()
 		c.reserves.startLeadership()
 		c.rollouts.startLeadership()
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -143,6 +143,7 @@
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
 	response.UnderWay = summary.inFlight
+	c.limits.report(now, poll, response)
 	if c.configuration == nil {
 		return response
 	}
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -26,6 +26,8 @@
 	quarantineNumber uint64
 	// reclaimHistories holds what has been observed of the reclaims of each service's upstreams.
 	reclaimHistories map[units.Service]*messages.ReclaimHistory
+	// bounds holds what may count against the limit of each account.
+	bounds map[units.Account]*messages.AccountBound
 }
 
 // apply applies one committed command. The highest version of the configuration wins: a lower
@@ -44,6 +46,8 @@
 		s.applyQuarantine(change.Quarantine)
 	case *messages.Command_ReclaimHistory:
 		s.applyReclaimHistory(change.ReclaimHistory)
+	case *messages.Command_AccountBounds:
+		s.applyBounds(change.AccountBounds)
 	}
 }
 
@@ -122,6 +126,7 @@
 	usageKeyPrefix   = "usage/"
 	rolloutKeyPrefix = "rollout/"
 	quarantinesKey   = "quarantines"
+	boundsKey        = "account-bounds"
 	reclaimKeyPrefix = "reclaims/"
 )
 
@@ -161,6 +166,11 @@
 			return nil, err
 		}
 	}
+	if len(s.bounds) > 0 {
+		if err := add(boundsKey, s.boundList()); err != nil {
+			return nil, err
+		}
+	}
 	return proto.Marshal(states)
 }
 
@@ -193,6 +203,8 @@
 		s.apply(&messages.Command{Change: &messages.Command_Declaration{Declaration: d}})
 	case name == quarantinesKey:
 		return s.restoreQuarantines(encoded)
+	case name == boundsKey:
+		return s.restoreBounds(encoded)
 	case strings.HasPrefix(name, rolloutKeyPrefix):
 		return s.restoreRollout(encoded)
 	}
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -94,6 +94,7 @@
 	before := c.state.configuration.GetVersion()
 	for _, record := range records {
 		c.state.apply(record.GetCommand())
+		c.limits.committed(record.GetCommand().GetAccountBounds())
 	}
 	// After a start all records are applied at once; of many configurations only the last is
 	// worth the millisecond that decoding takes.
