Date a charge no later than it was made

A process that is suspended between a charge and its date would refund a call that has left the window of its leader. Found by reading; the age of a refund is checked by TestRefundCountsOnlyWithinTheWindow at the leader.

--- a/src/gateway/limits.go
+++ b/src/gateway/limits.go
@@ -70,8 +70,8 @@
 // waits for a grant, or returns the call's refusal.
 func (g *Gateway) takeGrant(ctx context.Context, call *dispatcher.Call, account *matcher.Account, remaining time.Duration) error {
 	t, known := call.Trace.(*callTrace)
-	if account.Rate > 0 && !g.grants.Take(timekeeper.Now(), account.Name, call.LimitCost) {
-		startedAt := timekeeper.Now()
+	startedAt := timekeeper.Now()
+	if account.Rate > 0 && !g.grants.Take(startedAt, account.Name, call.LimitCost) {
 		wait := maxGrantWait
 		if remaining > 0 {
 			wait = min(wait, time.Duration(grantWaitFraction*float64(remaining)))
@@ -93,7 +93,8 @@
 	}
 	if known {
 		t.charged = call.LimitCost
-		t.chargedAt = timekeeper.Now()
+		// No later than the charge, also if the process is suspended between the two.
+		t.chargedAt = startedAt
 	}
 	return nil
 }
