Let a test's grant arrive without another goroutine

On a busy machine the 250 ms that a call waits could pass before the goroutine ran. The test also checks now that a call that waits prompts a poll.

--- a/src/gateway/grants_test.go
+++ b/src/gateway/grants_test.go
@@ -55,11 +55,11 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := newGrantedGateway(t, c.ceiling)
-			if c.later > 0 {
-				go func() {
-					<-g.originReports.waiting
+			g.grants.Prompt = func() {
+				g.promptPoll()
+				if c.later > 0 {
 					grantCeiling(g, c.later)
-				}()
+				}
 			}
 			before := g.quota.ReportDemand(timekeeper.Now())["a"].Spent
 			_, err := (*accountLimiter)(g).Admit(t.Context(), newLimitedCall(0))
@@ -70,6 +70,9 @@
 			if want := map[bool]float64{true: 1000}[c.want]; spent != want {
 				t.Errorf("tokens charged: got %.0f, want %.0f", spent, want)
 			}
+			if got, want := len(g.originReports.waiting) > 0, c.ceiling < 1000; got != want {
+				t.Errorf("next poll prompted: got %t, want %t", got, want)
+			}
 		})
 	}
 }
