--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -422,7 +422,21 @@
 		}
 	}
 	if !leaderReached || acknowledged < min(g.Settings.Voters()/2+1, len(change.peers)+1) {
+		g.logDeparture(change, acknowledged, leaderReached).Msg("departure-not-acknowledged")
 		return &UnconfirmedError{Leader: change.leader}
 	}
+	g.logDeparture(change, acknowledged, leaderReached).Msg("departure-acknowledged")
 	return nil
 }
+
+// logDeparture begins the log line on an upstream that must get no more calls, and how many control instances hold that.
+func (g *Governor) logDeparture(change announceReply, holders int, leaderReached bool) *zerolog.Event {
+	return g.Log.Info().
+		Str("upstream", change.mustReplicate.GetId()).
+		Stringer("state", enroller.State(change.mustReplicate.GetState())).
+		Int64("born", change.mustReplicate.GetBornMs()).
+		Uint64("sequence", change.mustReplicate.GetSequence()).
+		Str("leader", change.leader).
+		Bool("leader-reached", leaderReached).
+		Int("holders", holders)
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -39,15 +39,7 @@
 		return reply
 	}
 	if changed {
-		c.log.Info().
-			Str("upstream", message.GetId()).
-			Str("service", message.GetService()).
-			Str("address", message.GetAddress()).
-			Stringer("state", enroller.State(message.GetState())).
-			Str("release", message.GetVersion()).
-			Int64("born", message.GetBornMs()).
-			Uint64("sequence", message.GetSequence()).
-			Msg("upstream-changed")
+		c.logUpstream(message, c.settings.OwnPeerAddress())
 	}
 	if enroller.State(message.GetState()) != enroller.Ready {
 		reply.mustReplicate = message
@@ -58,6 +50,20 @@
 	return reply
 }
 
+// logUpstream logs a change of an upstream that the control instance from has received.
+func (c *coordinator) logUpstream(m *messages.RegisteredUpstream, from string) {
+	c.log.Info().
+		Str("upstream", m.GetId()).
+		Str("service", m.GetService()).
+		Str("address", m.GetAddress()).
+		Stringer("state", enroller.State(m.GetState())).
+		Str("release", m.GetVersion()).
+		Int64("born", m.GetBornMs()).
+		Uint64("sequence", m.GetSequence()).
+		Str("from", from).
+		Msg("upstream-changed")
+}
+
 // sendBatch sends the heartbeats received here to the other control instances.
 func (c *coordinator) sendBatch(now time.Time) {
 	sharesUsage := c.ticks%usageTicks == 0
@@ -87,7 +93,9 @@
 	now := timekeeper.Now()
 	c.estimator.Record(now, units.Instance(batch.GetFrom()), time.Unix(0, batch.GetWallNs()))
 	for _, message := range batch.GetUpstreams() {
-		c.table.Merge(now, message)
+		if c.table.Merge(now, message) && enroller.State(message.GetState()) != enroller.Ready {
+			c.logUpstream(message, batch.GetFrom())
+		}
 	}
 	c.recordSharedUsage(c.trueTime(now), batch)
 	return &messages.UpstreamBatchResponse{Leads: c.node.IsConfirmedLeader(now)}
