--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -414,29 +414,56 @@
 			responses <- response
 		}()
 	}
-	acknowledged, leaderReached := 1, change.leaderReached
+	var answers []*messages.UpstreamBatchResponse
 	for range change.peers {
-		if response := <-responses; response != nil {
-			acknowledged++
-			leaderReached = leaderReached || response.GetLeads()
-		}
+		answers = append(answers, <-responses)
 	}
-	if !leaderReached || acknowledged < min(g.Settings.Voters()/2+1, len(change.peers)+1) {
-		g.logDeparture(change, acknowledged, leaderReached).Msg("departure-not-acknowledged")
+	outcome := newDeparture(change, answers)
+	if !outcome.isHeld(g.Settings.Voters()) {
+		g.logDeparture(change, outcome).Msg("departure-not-acknowledged")
 		return &UnconfirmedError{Leader: change.leader}
 	}
-	g.logDeparture(change, acknowledged, leaderReached).Msg("departure-acknowledged")
+	g.logDeparture(change, outcome).Msg("departure-acknowledged")
 	return nil
 }
 
-// logDeparture begins the log line on an upstream that must get no more calls, and how many control instances hold that.
-func (g *Governor) logDeparture(change announceReply, holders int, leaderReached bool) *zerolog.Event {
+// departure is how far the control instances hold that an upstream must get no more calls.
+type departure struct {
+	holders       int
+	leaderReached bool
+	instances     int
+}
+
+// newDeparture returns how far a change is held, by the responses of the other instances; nil is one of an instance that
+// has not responded.
+func newDeparture(change announceReply, responses []*messages.UpstreamBatchResponse) departure {
+	d := departure{
+		holders:       1,
+		leaderReached: change.leaderReached,
+		instances:     len(change.peers) + 1,
+	}
+	for _, response := range responses {
+		if response != nil {
+			d.holders++
+			d.leaderReached = d.leaderReached || response.GetLeads()
+		}
+	}
+	return d
+}
+
+// isHeld reports whether the leader and a majority hold the change.
+func (d departure) isHeld(voters int) bool {
+	return d.leaderReached && d.holders >= min(voters/2+1, d.instances)
+}
+
+// logDeparture begins the log line on an upstream that must get no more calls, and how far that is held.
+func (g *Governor) logDeparture(change announceReply, outcome departure) *zerolog.Event {
 	return g.Log.Info().
 		Str("upstream", change.mustReplicate.GetId()).
 		Stringer("state", enroller.State(change.mustReplicate.GetState())).
 		Int64("born", change.mustReplicate.GetBornMs()).
 		Uint64("sequence", change.mustReplicate.GetSequence()).
 		Str("leader", change.leader).
-		Bool("leader-reached", leaderReached).
-		Int("holders", holders)
+		Bool("leader-reached", outcome.leaderReached).
+		Int("holders", outcome.holders)
 }
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -66,9 +66,20 @@
 
 // sendBatch sends the heartbeats received here to the other control instances.
 func (c *coordinator) sendBatch(now time.Time) {
+	batch := c.nextBatch(now)
+	if batch == nil {
+		return
+	}
+	for _, instance := range c.node.OtherInstances() {
+		c.outbox.enqueue(c.ctx, string(instance), peerMessage{batch: batch})
+	}
+}
+
+// nextBatch returns the heartbeats received here since the last batch, nil if there is nothing to send.
+func (c *coordinator) nextBatch(now time.Time) *messages.UpstreamBatch {
 	sharesUsage := c.ticks%usageTicks == 0
 	if len(c.unsent) == 0 && !sharesUsage {
-		return
+		return nil
 	}
 	batch := &messages.UpstreamBatch{
 		From:   c.settings.OwnPeerAddress(),
@@ -83,9 +94,7 @@
 	if sharesUsage {
 		c.shareUsage(now, batch)
 	}
-	for _, instance := range c.node.OtherInstances() {
-		c.outbox.enqueue(c.ctx, string(instance), peerMessage{batch: batch})
-	}
+	return batch
 }
 
 // syncUpstreams merges the upstreams that another control instance received.
