Let no announcement keep departures from entries

Cause: an acknowledgement promised what a later, shared step failed to do. - An id in a path is any bytes. One that is not UTF-8 was taken into the table, and from then on the leader could encode neither a page for entries nor the file on disk, for a minute or two (`table-not-told`, `upstreams-not-kept`). A batch that held it made the sender drop its queue for each other instance, messages of the log included. - An instance that had missed heartbeats, or did not know the upstream, acknowledged a deregistration that the leader dropped as older, or that was told to nobody: others answered its message without saying whether they had taken it.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 	go test ./src/connector -run '^$$' -fuzz FuzzMessage -fuzztime $(FUZZTIME)
 	go test ./src/entry -run '^$$' -fuzz FuzzAnnouncement -fuzztime $(FUZZTIME)
 	go test ./src/capper -run '^$$' -fuzz FuzzEndlessHeads -fuzztime $(FUZZTIME)
+	go test ./platform -run '^$$' -fuzz FuzzAnnouncements -fuzztime $(FUZZTIME)
 
 lint:
 	$(LINT) run ./...
--- a/src/connector/codec.go
+++ b/src/connector/codec.go
@@ -10,11 +10,26 @@
 // Method is the name of an RPC method, such as "log/message".
 type Method string
 
+// EncodeError is returned for a message that cannot be encoded: it says nothing about the process that it was meant for.
+type EncodeError struct {
+	Message protoreflect.Name
+	Cause   error
+}
+
+// Error names the message and the cause.
+func (e *EncodeError) Error() string { return fmt.Sprintf("encode %s: %v", e.Message, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
 // encode returns a message in protobuf's binary form.
 func encode(message proto.Message) ([]byte, error) {
 	content, err := proto.Marshal(message)
 	if err != nil {
-		return nil, fmt.Errorf("encode %s: %w", messageName(message), err)
+		return nil, &EncodeError{
+			Message: messageName(message),
+			Cause:   err,
+		}
 	}
 	return content, nil
 }
--- a/src/enroller/digest.go
+++ b/src/enroller/digest.go
@@ -53,7 +53,7 @@
 		if len(changes) == maxChanges {
 			return nil, false
 		}
-		changes = append(changes, upstream.message(max(0, now.Sub(upstream.HeartbeatAt))))
+		changes = append(changes, upstream.Message(max(0, now.Sub(upstream.HeartbeatAt))))
 	}
 	return changes, true
 }
--- a/src/enroller/digest_test.go
+++ b/src/enroller/digest_test.go
@@ -75,7 +75,7 @@
 	if !complete || len(changes) > 0 {
 		t.Errorf("differences of equal tables: got %d (complete %t), want none", len(changes), complete)
 	}
-	entry.MarkGone(now, "7")
+	entry.MarkGone(now, "7", 1)
 	changes, complete = leader.Differences(now, entry.Digest(), maxChanges)
 	if !complete || len(changes) == 0 || len(changes) > 3*3000/digestBuckets {
 		t.Errorf("differences in one upstream: got %d (complete %t), want those of one bucket", len(changes), complete)
--- a/src/enroller/registration.go
+++ b/src/enroller/registration.go
@@ -1,7 +1,10 @@
 package enroller
 
 import (
+	"fmt"
+	"math"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -19,7 +22,32 @@
 
 // String returns the state's name as shown in logs and dumps.
 func (s State) String() string {
-	return [...]string{"unknown", "ready", "leaving", "gone"}[s]
+	switch s {
+	case Ready:
+		return "ready"
+	case Leaving:
+		return "leaving"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+// maxTextBytes bounds each text of a registration, so that a table of the largest fleet fits the memory of a control
+// instance, and a page of it what entries read.
+const maxTextBytes = 256
+
+// InvalidError is returned for a registration that cannot be passed on to other processes.
+type InvalidError struct {
+	Upstream units.Upstream
+	// Field is the name of the field, and Reason what is wrong with it.
+	Field  string
+	Reason string
+}
+
+// Error states the cause and the remedy.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("the registration of upstream %q is not taken: its %s %s; correct what sends it", e.Upstream, e.Field, e.Reason)
 }
 
 // Registration is the content of one heartbeat.
@@ -44,6 +72,54 @@
 	Silent bool
 }
 
+// Validate returns an *InvalidError unless the registration can be passed on. A table holds no other ones.
+func (r *Registration) Validate() error {
+	invalid := func(field, reason string) error {
+		return &InvalidError{
+			Upstream: r.ID[:min(len(r.ID), maxTextBytes)],
+			Field:    field,
+			Reason:   reason,
+		}
+	}
+	texts := []struct{ field, text string }{
+		{"id", string(r.ID)},
+		{"service", string(r.Service)},
+		{"address", r.Address},
+		{"data centre", string(r.DataCentre)},
+		{"version", string(r.Release)},
+	}
+	for _, t := range texts {
+		if !utf8.ValidString(t.text) {
+			return invalid(t.field, "is not valid UTF-8")
+		}
+		if len(t.text) > maxTextBytes {
+			return invalid(t.field, fmt.Sprintf("is longer than %d bytes", maxTextBytes))
+		}
+	}
+	switch {
+	case r.ID == "":
+		return invalid("id", "is empty")
+	case r.Address == "" && r.State != Gone:
+		return invalid("address", "is empty")
+	case r.State < Ready || r.State > Gone:
+		return invalid("state", fmt.Sprintf("%d is unknown", int(r.State)))
+	case r.Incarnation > math.MaxInt64:
+		return invalid("start time", "is out of range")
+	case r.Slots < 0:
+		return invalid("number of slots", "is negative")
+	}
+	return nil
+}
+
+// NewDeparture returns the registration that says that the incarnations of an upstream up to the given one have gone.
+func NewDeparture(id units.Upstream, incarnation units.Incarnation) Registration {
+	return Registration{
+		ID:          id,
+		State:       Gone,
+		Incarnation: incarnation,
+	}
+}
+
 func fromMessage(m *messages.RegisteredUpstream) Registration {
 	return Registration{
 		ID:          units.Upstream(m.GetId()),
@@ -62,7 +138,8 @@
 	}
 }
 
-func (r *Registration) message(age time.Duration) *messages.RegisteredUpstream {
+// Message returns the registration as it was received age ago.
+func (r *Registration) Message(age time.Duration) *messages.RegisteredUpstream {
 	return &messages.RegisteredUpstream{
 		Id:          string(r.ID),
 		Service:     string(r.Service),
--- a/src/enroller/releases.go
+++ b/src/enroller/releases.go
@@ -37,6 +37,9 @@
 		}
 	}
 	for _, u := range t.upstreams {
+		if u.isDeparture() {
+			continue // It is not known which version has gone.
+		}
 		add(u.Service, u.Release, u.HeartbeatAt)
 	}
 	for service, former := range t.former {
--- a/src/enroller/releases_test.go
+++ b/src/enroller/releases_test.go
@@ -30,10 +30,11 @@
 		"one":                        {change: func(*Table) {}, want: []units.Release{"v1"}},
 		"another one":                {change: func(table *Table) { table.Record(start, heartbeat("b", "v2", 1), 0) }, want: []units.Release{"v1", "v2"}},
 		"none stated":                {change: func(table *Table) { table.Record(start, heartbeat("b", "", 1), 0) }, want: []units.Release{"", "v1"}},
-		"of an upstream that left":   {change: func(table *Table) { table.MarkGone(start, "a") }, after: 20 * time.Second, want: []units.Release{"v1"}},
+		"of an upstream that left":   {change: func(table *Table) { table.MarkGone(start, "a", 1) }, after: 20 * time.Second, want: []units.Release{"v1"}},
 		"of a silent upstream":       {change: func(*Table) {}, after: 59 * time.Second, want: []units.Release{"v1"}},
 		"of an earlier incarnation":  {change: func(table *Table) { table.Record(start, heartbeat("a", "v2", 2), 0) }, after: 59 * time.Second, want: []units.Release{"v1", "v2"}},
-		"long gone":                  {change: func(table *Table) { table.MarkGone(start, "a") }, after: 61 * time.Second},
+		"of one that nobody knew":    {change: func(table *Table) { table.MarkGone(start, "b", 1) }, want: []units.Release{"v1"}},
+		"long gone":                  {change: func(table *Table) { table.MarkGone(start, "a", 1) }, after: 61 * time.Second},
 		"of an incarnation long ago": {change: func(table *Table) { table.Record(start.Add(50*time.Second), heartbeat("a", "v2", 2), 0) }, after: 61 * time.Second, want: []units.Release{"v2"}},
 	}
 	for name, c := range cases {
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -20,6 +20,8 @@
 	goneRetention = 2 * time.Minute
 	// silentRetention is how long a silent upstream is kept.
 	silentRetention = time.Minute
+	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of maxTextBytes they take 24 MiB.
+	maxUpstreams = 1 << 14
 )
 
 // Table holds what is known of all upstreams. It is a state machine without a clock.
@@ -62,7 +64,8 @@
 }
 
 // Record records one heartbeat that arrived age ago, and reports whether it changes how callers
-// treat the upstream. A heartbeat older than the last one changes nothing.
+// treat the upstream. A heartbeat older than the last one changes nothing, unless it says that the incarnation
+// leaves or has gone. One that cannot be passed on, or that the table has no room for, is not recorded.
 func (t *Table) Record(now time.Time, r Registration, age time.Duration) bool {
 	if t.upstreams == nil {
 		t.upstreams = make(map[units.Upstream]*Upstream)
@@ -70,7 +73,12 @@
 		t.former = make(formerReleases)
 	}
 	known := t.upstreams[r.ID]
-	if known != nil && !isNewer(&known.Registration, &r) {
+	switch {
+	case known == nil && len(t.upstreams) >= maxUpstreams || r.Validate() != nil:
+		return false
+	case known != nil && r.endsIncarnation(&known.Registration):
+		return t.end(now.Add(-age), known, &r)
+	case known != nil && !isNewer(&known.Registration, &r):
 		return false
 	}
 	upstream := &Upstream{
@@ -81,17 +89,23 @@
 	if known != nil && known.Incarnation == r.Incarnation {
 		upstream.FirstSeenAt = known.FirstSeenAt
 	}
-	if t.supersede(upstream) {
-		return false
+	if !r.isDeparture() && t.supersede(upstream) {
+		// A later upstream has its address, and it will not use that again.
+		return known != nil && r.State != Ready && t.MarkGone(now, r.ID, r.Incarnation)
 	}
+	return t.replace(known, upstream)
+}
+
+// replace records an upstream in place of what was known of it, nil for nothing.
+func (t *Table) replace(known, upstream *Upstream) bool {
 	// A heartbeat that was overtaken on its way may report "ready" after one that reported
 	// "leaving". An incarnation that leaves never becomes ready again.
-	if known != nil && known.Incarnation == r.Incarnation && known.State > r.State {
+	if known != nil && known.Incarnation == upstream.Incarnation && known.State > upstream.State {
 		upstream.State = known.State
 		upstream.LeavesIn = known.LeavesIn
 	}
 	t.former.record(known, upstream)
-	t.upstreams[r.ID] = upstream
+	t.upstreams[upstream.ID] = upstream
 	if upstream.State != Gone {
 		t.byAddress[upstream.Address] = upstream.ID
 	}
@@ -103,6 +117,28 @@
 	return true
 }
 
+// endsIncarnation reports whether a registration says that the known incarnation leaves or has gone, which is final in
+// whatever order registrations arrive.
+func (r *Registration) endsIncarnation(known *Registration) bool {
+	isSame := r.Incarnation == known.Incarnation || r.isDeparture() && r.Incarnation > known.Incarnation
+	return isSame && r.State > known.State && (r.State == Gone || r.Sequence < known.Sequence)
+}
+
+// isDeparture reports whether a registration says only that all incarnations up to its own have gone.
+func (r *Registration) isDeparture() bool { return r.State == Gone && r.Address == "" }
+
+// end records that the known incarnation of an upstream leaves or has gone.
+func (t *Table) end(at time.Time, known *Upstream, r *Registration) bool {
+	known.State = r.State
+	known.LeavesIn = r.LeavesIn
+	known.Sequence = max(known.Sequence+1, r.Sequence)
+	if r.State == Gone {
+		known.HeartbeatAt = at
+	}
+	t.recordChange(known)
+	return true
+}
+
 // isNewer reports whether b was sent after a.
 func isNewer(a, b *Registration) bool {
 	if a.Incarnation != b.Incarnation {
@@ -135,17 +171,17 @@
 	return false
 }
 
-// MarkGone marks an upstream as gone, and reports whether it was known and not gone before.
-func (t *Table) MarkGone(now time.Time, id units.Upstream) bool {
-	upstream := t.upstreams[id]
-	if upstream == nil || upstream.State == Gone {
-		return false
-	}
-	upstream.State = Gone
-	upstream.Sequence++
-	upstream.HeartbeatAt = now
-	t.recordChange(upstream)
-	return true
+// MarkGone marks the incarnations of an upstream up to the given one as gone, and reports whether that changes anything.
+// They are kept as gone also where none is known, for heartbeats of them that are late.
+func (t *Table) MarkGone(now time.Time, id units.Upstream, incarnation units.Incarnation) bool {
+	return t.Record(now, NewDeparture(id, incarnation), 0)
+}
+
+// Holds reports whether the table knows that an incarnation of an upstream is in this state or a later one, or that a later
+// incarnation has taken its place.
+func (t *Table) Holds(id units.Upstream, incarnation units.Incarnation, state State) bool {
+	known := t.upstreams[id]
+	return known != nil && (known.Incarnation > incarnation || known.State >= state)
 }
 
 // Expire marks silent upstreams and removes those that have been gone or silent for long. It
@@ -225,7 +261,7 @@
 			return changes, reached
 		}
 		upstream := t.upstreams[c.id]
-		changes = append(changes, upstream.message(max(0, now.Sub(upstream.HeartbeatAt))))
+		changes = append(changes, upstream.Message(max(0, now.Sub(upstream.HeartbeatAt))))
 		reached = c.cursor
 	}
 	return changes, until
@@ -254,7 +290,7 @@
 	if upstream == nil {
 		return nil
 	}
-	return upstream.message(max(0, now.Sub(upstream.HeartbeatAt)))
+	return upstream.Message(max(0, now.Sub(upstream.HeartbeatAt)))
 }
 
 // IncarnationOf returns the incarnation of an upstream, 0 if the upstream is unknown.
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/rosecroft/rosecroft/src/units"
@@ -156,7 +158,7 @@
 			id := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "id"))
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
-				table.MarkGone(now, units.Upstream(id))
+				table.MarkGone(now, units.Upstream(id), units.Incarnation(rapid.IntRange(1, 5).Draw(t, "gone")))
 			case 1:
 				table.Expire(now)
 			case 2:
@@ -238,3 +240,48 @@
 		}
 	})
 }
+
+// Guards against a table that holds what other processes cannot be told, and one that grows with what other writers
+// announce.
+func TestTableHoldsOnlyWhatCanBePassedOn(t *testing.T) {
+	text := rapid.OneOf(
+		rapid.String(),
+		rapid.SampledFrom([]string{"", "\xff", strings.Repeat("x", maxTextBytes), strings.Repeat("x", 10*maxTextBytes)}),
+		rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 8), func(b []byte) string { return string(b) }),
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTable()
+		for range rapid.IntRange(1, 20).Draw(t, "registrations") {
+			table.Record(start, Registration{
+				ID:          units.Upstream(text.Draw(t, "id")),
+				Service:     units.Service(text.Draw(t, "service")),
+				Address:     text.Draw(t, "address"),
+				DataCentre:  units.DataCentre(text.Draw(t, "data centre")),
+				Release:     units.Release(text.Draw(t, "release")),
+				Slots:       rapid.Int().Draw(t, "slots"),
+				State:       State(rapid.IntRange(-1, 5).Draw(t, "state")),
+				Incarnation: units.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+				Sequence:    rapid.Uint64().Draw(t, "sequence"),
+			}, 0)
+		}
+		for _, m := range table.ChangesSince(start, 0, 0) {
+			content, err := proto.Marshal(m)
+			if err != nil {
+				t.Fatalf("encode: got %v, want no error", err)
+			}
+			if maxRow := 5*(maxTextBytes+3) + 80; len(content) > maxRow {
+				t.Errorf("encoded row: got %d bytes, want %d at most", len(content), maxRow)
+			}
+		}
+	})
+	table := newTable()
+	for n := range maxUpstreams + 10 {
+		table.Record(start, registration(fmt.Sprint(n), fmt.Sprint(n), 1, 1, Ready), 0)
+	}
+	if got := len(table.Upstreams()); got != maxUpstreams {
+		t.Errorf("upstreams: got %d, want %d", got, maxUpstreams)
+	}
+	if !table.MarkGone(start, "1", 1) {
+		t.Error("departure from a full table: got no change, want one")
+	}
+}
--- a/src/gateway/answer_test.go
+++ b/src/gateway/answer_test.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosecroft/rosecroft/src/dispatcher"
+	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/exchanger"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
@@ -55,3 +56,43 @@
 		})
 	}
 }
+
+// Guards against a call that waits for a connection and is then sent to an upstream that has left meanwhile.
+func TestDepartedUpstreamsGetNoAttempt(t *testing.T) {
+	cases := map[string]struct {
+		state enroller.State
+		want  bool
+	}{
+		"ready":   {state: enroller.Ready, want: true},
+		"leaving": {state: enroller.Leaving},
+		"gone":    {state: enroller.Gone},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newLimitedGateway(t, time.Minute)
+			now := timekeeper.Now()
+			table := &enroller.Table{ID: 1, Interval: time.Second}
+			table.Record(now, enroller.Registration{
+				ID:          "u",
+				Service:     "s",
+				Address:     "10.0.0.1:80",
+				State:       c.state,
+				Incarnation: 1,
+			}, 0)
+			updated := *g.snapshot.Load()
+			updated.departed = departedUpstreams(table)
+			g.snapshot.Store(&updated)
+			call := &dispatcher.Call{BootTimeDeadline: now.Add(time.Minute)}
+			upstream := &tracker.Upstream{
+				Name:        "u",
+				Service:     "s",
+				Incarnation: 1,
+				Local:       &tracker.LocalState{},
+			}
+			_, err := (*attemptGuard)(g).Check(call, upstream)
+			if got := err == nil; got != c.want {
+				t.Errorf("attempt sent: got %t (%v), want %t", got, err, c.want)
+			}
+		})
+	}
+}
--- a/src/gateway/poller.go
+++ b/src/gateway/poller.go
@@ -366,6 +366,7 @@
 	if p.fleetStale && !p.hasMore || p.snapshot.fleet == nil {
 		p.fleetStale = false
 		p.snapshot.fleet, p.snapshot.leaving = p.candidateBuilder.fleet(now, p.table, p.gateway.placer)
+		p.snapshot.departed = departedUpstreams(p.table)
 		p.gateway.placer.Retain(p.snapshot.fleet, p.snapshot.leaving)
 		p.gateway.setPresent(p.snapshot.fleet)
 		p.retainWithheld(now)
--- a/src/gateway/serve.go
+++ b/src/gateway/serve.go
@@ -21,6 +21,7 @@
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/tracker"
 	"github.com/rosecroft/rosecroft/src/units"
+	"github.com/rosecroft/rosecroft/src/withholder"
 )
 
 // Request is one decoded request of a caller.
@@ -251,7 +252,7 @@
 // attemptGuard checks a call once more before the first byte of an attempt is sent.
 type attemptGuard Gateway
 
-// Check returns the time that the call has left. An upstream may have asked for no more calls
+// Check returns the time that the call has left. An upstream may have asked for no more calls, or have left,
 // while a connection to it was being made.
 func (a *attemptGuard) Check(call *dispatcher.Call, upstream *tracker.Upstream) (time.Duration, error) {
 	g := (*Gateway)(a)
@@ -259,7 +260,14 @@
 		return 0, err
 	}
 	now := timekeeper.Now()
-	if state := g.withholder.Admit(now, units.NewIncarnationID(upstream.Name, upstream.Incarnation)); state.Withheld() {
+	id := units.NewIncarnationID(upstream.Name, upstream.Incarnation)
+	if g.snapshot.Load().departed[id] {
+		return 0, &exchanger.WithheldError{
+			Upstream: upstream.Name,
+			State:    string(withholder.Leaving),
+		}
+	}
+	if state := g.withholder.Admit(now, id); state.Withheld() {
 		return 0, &exchanger.WithheldError{
 			Upstream: upstream.Name,
 			State:    string(state),
--- a/src/gateway/snapshot.go
+++ b/src/gateway/snapshot.go
@@ -24,7 +24,9 @@
 	// caches still hold prompts.
 	fleet   placer.Fleet
 	leaving placer.Fleet
-	entries int
+	// departed holds the incarnations that take no new calls.
+	departed map[units.IncarnationID]bool
+	entries  int
 	// lease is when the entry must stop serving calls with keys, on the clock that
 	// continues while the instance is suspended.
 	lease time.Time
@@ -52,6 +54,17 @@
 	incarnation units.Incarnation
 }
 
+// departedUpstreams returns the incarnations that are leaving or gone.
+func departedUpstreams(table *enroller.Table) map[units.IncarnationID]bool {
+	departed := make(map[units.IncarnationID]bool)
+	for _, e := range table.Upstreams() {
+		if e.State != enroller.Ready {
+			departed[units.NewIncarnationID(e.ID, e.Incarnation)] = true
+		}
+	}
+	return departed
+}
+
 // fleet returns the upstreams that take new calls, and those that are leaving.
 func (c *candidateBuilder) fleet(now time.Time, table *enroller.Table, p *placer.Placer) (fleet, leaving placer.Fleet) {
 	fleet = make(placer.Fleet)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -65,6 +65,7 @@
 	table *enroller.Table
 	// unsent are the upstreams whose changes were not sent to the other control instances yet.
 	unsent      map[units.Upstream]bool
+	departures  departures
 	ticks       int
 	allocator   *allocator.Allocator
 	estimator   timekeeper.Estimator
@@ -102,6 +103,9 @@
 	reserves    *reserves
 	limits      *limits
 	pages       pages
+	// pagesFault and fileFault are what keeps the table from entries, and from the disk.
+	pagesFault standingFault
+	fileFault  standingFault
 }
 
 type pendingProposal struct {
@@ -122,14 +126,18 @@
 				MaxServing:   g.Settings.RevocationTimeout,
 			},
 		},
-		outbox: &outbox{client: g.Client},
+		outbox: &outbox{
+			client: g.Client,
+			log:    g.Log,
+		},
 		events: g.events,
 		polls:  g.polls,
 		table: &enroller.Table{
 			ID:       rand.Uint64(),
 			Interval: g.Settings.HeartbeatInterval,
 		},
-		unsent: make(map[units.Upstream]bool),
+		unsent:     make(map[units.Upstream]bool),
+		departures: make(departures),
 		// All control instances may have started at the same time, so there may be no leader
 		// yet.
 		leaderSeenAt:     timekeeper.Now().Add(startGraceHeartbeats * g.Settings.HeartbeatInterval),
@@ -286,9 +294,7 @@
 		c.leaderSeenAt = now
 	}
 	c.table.Expire(now)
-	if err := c.tableFile.save(now, c.table); err != nil {
-		c.log.Warn().Err(err).Msg("upstreams-not-kept")
-	}
+	c.fileFault.record(c.log, "upstreams-not-kept", c.tableFile.save(now, c.table))
 	if c.ticks++; c.ticks%batchTicks == 0 {
 		c.sendBatch(now)
 	}
--- a/src/governor/departures_test.go
+++ b/src/governor/departures_test.go
@@ -1,8 +1,10 @@
 package governor
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
@@ -58,6 +61,7 @@
 		Interval: time.Second,
 	}
 	c.unsent = make(map[units.Upstream]bool)
+	c.departures = make(departures)
 	c.pages = pages{}
 }
 
@@ -91,6 +95,9 @@
 // announce passes an announcement to an instance, and reports whether it is acknowledged.
 func (f *controlFleet) announce(at int, a announcementReceived, isLost func(to int) bool) bool {
 	reply := f.instances[at].handleAnnouncement(a)
+	if reply.unrecorded {
+		return false
+	}
 	if reply.mustReplicate == nil {
 		return true
 	}
@@ -103,7 +110,8 @@
 		reply.peers = append(reply.peers, fmt.Sprint(to))
 		batch := &messages.UpstreamBatch{
 			From:      fmt.Sprint(at),
-			Upstreams: []*messages.RegisteredUpstream{reply.mustReplicate},
+			WallNs:    time.Now().UnixNano(),
+			Upstreams: reply.mustReplicate,
 		}
 		answers = append(answers, f.send(c, batch, isLost(to)))
 	}
@@ -172,10 +180,10 @@
 // that has said that it leaves does not take that back.
 func (f *controlFleet) announceState(at int, e *soundEngine, state enroller.State, isLost func(to int) bool) {
 	e.registration.State = max(e.registration.State, min(state, enroller.Leaving))
-	a := announcementReceived{deregistered: e.registration.ID}
+	a := announcementReceived{registration: enroller.NewDeparture(e.registration.ID, 0)}
 	if state != enroller.Gone {
 		e.registration.Sequence++
-		a = announcementReceived{registration: e.registration}
+		a.registration = e.registration
 	}
 	if f.announce(at, a, isLost) && e.registration.State != enroller.Ready {
 		f.left[e.registration.ID] = e.registration.Incarnation
@@ -195,7 +203,7 @@
 		id += "'"
 	}
 	if rapid.IntRange(0, 5).Draw(t, "deregisters") == 0 {
-		return announcementReceived{deregistered: id}
+		return announcementReceived{registration: enroller.NewDeparture(id, 0)}
 	}
 	return announcementReceived{
 		registration: enroller.Registration{
@@ -318,3 +326,66 @@
 		})
 	}
 }
+
+// Guards against a departure that is acknowledged though the leader, or a majority, has not taken it.
+func TestDepartureIsHeldByLeaderAndMajority(t *testing.T) {
+	taken, leader := &messages.UpstreamBatchResponse{}, &messages.UpstreamBatchResponse{Leads: true}
+	lacks, leaderLacks := &messages.UpstreamBatchResponse{Lacks: true}, &messages.UpstreamBatchResponse{Leads: true, Lacks: true}
+	cases := map[string]struct {
+		leads     bool
+		responses []*messages.UpstreamBatchResponse
+		want      bool
+	}{
+		"by all":                       {responses: []*messages.UpstreamBatchResponse{leader, taken, taken, taken}, want: true},
+		"by a majority":                {responses: []*messages.UpstreamBatchResponse{leader, taken, nil, nil}, want: true},
+		"by the leader itself":         {leads: true, responses: []*messages.UpstreamBatchResponse{taken, taken, nil, nil}, want: true},
+		"by a minority":                {responses: []*messages.UpstreamBatchResponse{leader, nil, nil, nil}},
+		"not by the leader":            {responses: []*messages.UpstreamBatchResponse{nil, taken, taken, taken}},
+		"the leader has not taken it":  {responses: []*messages.UpstreamBatchResponse{leaderLacks, taken, taken, taken}},
+		"a majority has not taken it":  {leads: true, responses: []*messages.UpstreamBatchResponse{taken, lacks, lacks, lacks}},
+		"no other instance is known":   {leads: true, want: true},
+		"no other instance, no leader": {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			reply := announceReply{
+				leaderReached: c.leads,
+				peers:         make([]string, len(c.responses)),
+			}
+			if got := newDeparture(reply, c.responses).isHeld(5); got != c.want {
+				t.Errorf("held: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a process that stops sending to another one because of a message that cannot be encoded.
+func TestUnencodableMessageSparesThoseBehindIt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan string, 10)
+	server := &connector.Server{Listener: listener}
+	connector.Handle(server, MethodUpstreamBatch, func(_ context.Context, _ connector.Peer, m *messages.UpstreamBatch) (*messages.UpstreamBatchResponse, error) {
+		received <- m.GetFrom()
+		return &messages.UpstreamBatchResponse{}, nil
+	})
+	go func() { _ = server.Run(t.Context()) }()
+	o := &outbox{client: &connector.Client{}}
+	queue := make(chan peerMessage, sendQueueSize)
+	for _, from := range []string{"\xff", "first", "second"} {
+		queue <- peerMessage{batch: &messages.UpstreamBatch{From: from}}
+	}
+	go o.deliver(t.Context(), listener.Addr().String(), queue)
+	for _, want := range []string{"first", "second"} {
+		select {
+		case got := <-received:
+			if got != want {
+				t.Errorf("batch: got that of %q, want %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("batch of %q: got none, want it behind one that cannot be encoded", want)
+		}
+	}
+}
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -72,10 +72,9 @@
 	reply   chan<- *messages.FindStreamResponse
 }
 
-// announcementReceived is a heartbeat, or a deregistration where deregistered is set.
+// announcementReceived is a heartbeat, or the departure of an upstream that has deregistered.
 type announcementReceived struct {
 	registration enroller.Registration
-	deregistered units.Upstream
 	reply        chan<- announceReply
 }
 
@@ -86,9 +85,11 @@
 	leaderReached bool
 	// leaderSeenRecently says that a leader was known within the last heartbeat interval.
 	leaderSeenRecently bool
-	// mustReplicate is the upstream that must be sent to other control instances before the
-	// acknowledgement, nil for none, and peers are the addresses of these instances.
-	mustReplicate *messages.RegisteredUpstream
+	// unrecorded says that the table has not taken the announcement.
+	unrecorded bool
+	// mustReplicate is what must be sent of an upstream to other control instances before the
+	// acknowledgement, nil for nothing, and peers are the addresses of these instances.
+	mustReplicate []*messages.RegisteredUpstream
 	peers         []string
 }
 
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -356,14 +356,19 @@
 	return response.GetDeclaration().GetDocument(), nil
 }
 
-// Announce handles an upstream's heartbeat. It returns nil once the heartbeat takes effect.
+// Announce handles an upstream's heartbeat. It returns nil once the heartbeat takes effect; an *enroller.InvalidError
+// where it never can.
 func (g *Governor) Announce(ctx context.Context, r enroller.Registration) error {
+	if err := r.Validate(); err != nil {
+		return err
+	}
 	return g.announce(ctx, announcementReceived{registration: r})
 }
 
-// Deregister handles an upstream's deregistration.
-func (g *Governor) Deregister(ctx context.Context, id units.Upstream) error {
-	return g.announce(ctx, announcementReceived{deregistered: id})
+// Deregister handles the deregistration of an upstream's incarnation, of any if it is 0. It returns nil once no entry
+// that is in contact with the leader uses it; an *enroller.InvalidError where the id cannot be one.
+func (g *Governor) Deregister(ctx context.Context, id units.Upstream, incarnation units.Incarnation) error {
+	return g.Announce(ctx, enroller.NewDeparture(id, incarnation))
 }
 
 func (g *Governor) announce(ctx context.Context, a announcementReceived) error {
@@ -382,88 +387,11 @@
 		// instances in turn, and these would be busy with nothing else.
 		return &UnconfirmedError{}
 	}
+	if reply.unrecorded {
+		return &UnconfirmedError{Leader: reply.leader}
+	}
 	if reply.mustReplicate == nil {
 		return nil
 	}
 	return g.replicate(ctx, reply)
 }
-
-// replicate sends an upstream that must get no more calls to all other control instances. It
-// returns nil once the leader and a majority have it.
-//
-// Entries poll the leader alone. If the leader is suspended or killed right after its
-// acknowledgement, the change would be lost with it, and entries that have not polled since
-// would continue to use the upstream under the next leader. After replication every instance
-// that can lead next has the change.
-func (g *Governor) replicate(ctx context.Context, change announceReply) error {
-	batch := &messages.UpstreamBatch{
-		From:      g.Settings.OwnPeerAddress(),
-		WallNs:    time.Now().UnixNano(),
-		Upstreams: []*messages.RegisteredUpstream{change.mustReplicate},
-	}
-	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
-	defer cancel()
-	responses := make(chan *messages.UpstreamBatchResponse, len(change.peers))
-	for _, peer := range change.peers {
-		go func() {
-			response := &messages.UpstreamBatchResponse{}
-			if err := g.Client.Call(ctx, peer, MethodUpstreamBatch, batch, response); err != nil {
-				g.Log.Warn().Err(err).Str("control", peer).Msg("upstream-not-told")
-				response = nil
-			}
-			responses <- response
-		}()
-	}
-	var answers []*messages.UpstreamBatchResponse
-	for range change.peers {
-		answers = append(answers, <-responses)
-	}
-	outcome := newDeparture(change, answers)
-	if !outcome.isHeld(g.Settings.Voters()) {
-		g.logDeparture(change, outcome).Msg("departure-not-acknowledged")
-		return &UnconfirmedError{Leader: change.leader}
-	}
-	g.logDeparture(change, outcome).Msg("departure-acknowledged")
-	return nil
-}
-
-// departure is how far the control instances hold that an upstream must get no more calls.
-type departure struct {
-	holders       int
-	leaderReached bool
-	instances     int
-}
-
-// newDeparture returns how far a change is held, by the responses of the other instances; nil is one of an instance that
-// has not responded.
-func newDeparture(change announceReply, responses []*messages.UpstreamBatchResponse) departure {
-	d := departure{
-		holders:       1,
-		leaderReached: change.leaderReached,
-		instances:     len(change.peers) + 1,
-	}
-	for _, response := range responses {
-		if response != nil {
-			d.holders++
-			d.leaderReached = d.leaderReached || response.GetLeads()
-		}
-	}
-	return d
-}
-
-// isHeld reports whether the leader and a majority hold the change.
-func (d departure) isHeld(voters int) bool {
-	return d.leaderReached && d.holders >= min(voters/2+1, d.instances)
-}
-
-// logDeparture begins the log line on an upstream that must get no more calls, and how far that is held.
-func (g *Governor) logDeparture(change announceReply, outcome departure) *zerolog.Event {
-	return g.Log.Info().
-		Str("upstream", change.mustReplicate.GetId()).
-		Stringer("state", enroller.State(change.mustReplicate.GetState())).
-		Int64("born", change.mustReplicate.GetBornMs()).
-		Uint64("sequence", change.mustReplicate.GetSequence()).
-		Str("leader", change.leader).
-		Bool("leader-reached", outcome.leaderReached).
-		Int("holders", outcome.holders)
-}
--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -78,7 +78,7 @@
 		"one version, recalled":            {up: 10 * time.Second, recalled: true, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
 		"one version, up for a moment":     {up: 10 * time.Second, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 		"one version, just recalled":       {recalled: true, releases: two[:1]},
-		"one version, another one left":    {up: long, releases: two, change: func(c *coordinator) { c.table.MarkGone(timekeeper.Now(), "u-v2") }, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version, another one left":    {up: long, releases: two, change: func(c *coordinator) { c.table.MarkGone(timekeeper.Now(), "u-v2", 0) }, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 		"one version of several services":  {up: long, releases: two[:1], services: []string{"s", "t"}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 		"new leader":                       {up: long, releases: two, change: func(c *coordinator) { c.allocator.Since = timekeeper.Now() }},
 		"lists of different lengths": {up: long, releases: two, change: func(c *coordinator) {
--- a/src/governor/outbox.go
+++ b/src/governor/outbox.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/messages"
 )
@@ -22,6 +25,7 @@
 // own, so that an unresponsive instance delays no other.
 type outbox struct {
 	client *connector.Client
+	log    zerolog.Logger
 
 	mu     sync.Mutex
 	queues map[string]chan peerMessage
@@ -58,7 +62,12 @@
 		case <-ctx.Done():
 			return
 		case p := <-queue:
-			if err := o.send(ctx, address, p); err != nil {
+			err := o.send(ctx, address, p)
+			var unencodable *connector.EncodeError
+			switch {
+			case errors.As(err, &unencodable):
+				o.log.Error().Err(err).Str("control", address).Msg("message-not-sent")
+			case err != nil:
 				drain(queue)
 			}
 		}
--- a/src/governor/pages.go
+++ b/src/governor/pages.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -20,6 +21,8 @@
 	entriesPerPageSecond = 1600
 	// maxPages is how many pages are kept for entries that poll late.
 	maxPages = 64
+	// maxPageRows is how many upstreams one page holds at most; with the longest texts it is a third of maxDecompressed.
+	maxPageRows = 4096
 	// maxUncompressedSize is the size up to which compressing a page saves nothing, in bytes.
 	maxUncompressedSize = 512
 )
@@ -43,35 +46,69 @@
 	message *messages.TablePage
 }
 
-// seal creates a page of the changes since the last one.
-func (p *pages) seal(now time.Time, table *enroller.Table, entries int) error {
+// isDue reports whether the table has changes that are due to be sealed.
+func (p *pages) isDue(now time.Time, table *enroller.Table, entries int) bool {
 	interval := min(maxPageInterval, max(minPageInterval, time.Duration(entries)*time.Second/entriesPerPageSecond))
-	if now.Sub(p.sealedAt) < interval || table.Cursor() == p.end {
-		return nil
-	}
-	changes, end := table.Page(now, table.ID, p.end, table.Cursor(), len(table.Upstreams()))
-	content, err := proto.Marshal(&messages.UpstreamBatch{Upstreams: changes})
-	if err != nil {
-		return fmt.Errorf("encode the changes of the table: %w", err)
-	}
-	message := &messages.TablePage{Content: content}
-	if len(content) > maxUncompressedSize {
-		if message.Content, err = compress(content); err != nil {
-			return fmt.Errorf("compress the changes of the table: %w", err)
-		}
-		message.Packed = true
+	return now.Sub(p.sealedAt) >= interval && table.Cursor() != p.end
+}
+
+// seal creates pages of the changes since the last one, also where it returns an error: that names upstreams that are
+// left out.
+func (p *pages) seal(now time.Time, table *enroller.Table) error {
+	var errs []error
+	for p.end < table.Cursor() {
+		changes, end := table.Page(now, table.ID, p.end, table.Cursor(), maxPageRows)
+		message, err := newTablePage(changes)
+		errs = append(errs, err)
+		p.list = append(p.list, page{
+			from:    p.end,
+			count:   len(changes),
+			message: message,
+		})
+		p.end = end
 	}
-	p.list = append(p.list, page{
-		from:    p.end,
-		count:   len(changes),
-		message: message,
-	})
 	if len(p.list) > maxPages {
 		p.list = p.list[len(p.list)-maxPages:]
 	}
-	p.end = end
 	p.sealedAt = now
-	return nil
+	return errors.Join(errs...)
+}
+
+// newTablePage encodes changes of the table; its error names those that are left out.
+func newTablePage(changes []*messages.RegisteredUpstream) (*messages.TablePage, error) {
+	content, err := encodeUpstreams(changes)
+	if len(content) <= maxUncompressedSize {
+		return &messages.TablePage{Content: content}, err
+	}
+	packed, compressErr := compress(content)
+	if compressErr != nil {
+		// Readers take content as it is, too.
+		return &messages.TablePage{Content: content}, errors.Join(err, compressErr)
+	}
+	return &messages.TablePage{
+		Content: packed,
+		Packed:  true,
+	}, err
+}
+
+// encodeUpstreams encodes upstreams. One that cannot be encoded is left out, and named by the error.
+func encodeUpstreams(upstreams []*messages.RegisteredUpstream) ([]byte, error) {
+	all, err := proto.Marshal(&messages.UpstreamBatch{Upstreams: upstreams})
+	if err == nil {
+		return all, nil
+	}
+	var content []byte
+	var errs []error
+	for _, upstream := range upstreams {
+		row, err := proto.Marshal(&messages.UpstreamBatch{Upstreams: []*messages.RegisteredUpstream{upstream}})
+		if err != nil {
+			errs = append(errs, fmt.Errorf("encode upstream %q: %w", upstream.GetId(), err))
+			continue
+		}
+		// The encodings of two batches, one after the other, are that of a batch with the upstreams of both.
+		content = append(content, row...)
+	}
+	return content, errors.Join(errs...)
 }
 
 // since returns the pages after a cursor and the cursor after the last of them. They hold at
--- a/src/governor/pages_test.go
+++ b/src/governor/pages_test.go
@@ -1,10 +1,16 @@
 package governor
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/rosecroft/rosecroft/src/enroller"
@@ -119,3 +125,87 @@
 		t.Errorf("page of 3,000 upstreams: got %d bytes, want at most %d", got, maxSize)
 	}
 }
+
+// Guards against one row that cannot be encoded and keeps all others from being encoded.
+func TestRowsThatCannotBeEncodedSpareOthers(t *testing.T) {
+	text := rapid.OneOf(
+		rapid.String(),
+		rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 8), func(b []byte) string { return string(b) }),
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		var rows []*messages.RegisteredUpstream
+		var want []string
+		for n := range rapid.IntRange(0, 12).Draw(t, "rows") {
+			row := &messages.RegisteredUpstream{
+				Id:       text.Draw(t, "id"),
+				Service:  text.Draw(t, "service"),
+				Version:  text.Draw(t, "version"),
+				Sequence: uint64(n),
+			}
+			rows = append(rows, row)
+			if utf8.ValidString(row.GetId()) && utf8.ValidString(row.GetService()) && utf8.ValidString(row.GetVersion()) {
+				want = append(want, row.GetId())
+			}
+		}
+		page, err := newTablePage(rows)
+		if got := err != nil; got != (len(want) < len(rows)) {
+			t.Errorf("error: got %v with %d of %d rows that can be encoded", err, len(want), len(rows))
+		}
+		decoded, err := DecodePage(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, row := range decoded {
+			got = append(got, row.GetId())
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("rows: got %q, want %q", got, want)
+		}
+	})
+}
+
+// Guards against a page that is larger than entries read.
+func TestPagesOfLongestRowsCanBeRead(t *testing.T) {
+	long := strings.Repeat("x", 256)
+	var rows []*messages.RegisteredUpstream
+	for n := range maxPageRows {
+		r := enroller.Registration{
+			ID:         units.Upstream(fmt.Sprintf("%06d%s", n, long[:250])),
+			Service:    units.Service(long),
+			Address:    long,
+			DataCentre: units.DataCentre(long),
+			Release:    units.Release(long),
+			State:      enroller.Ready,
+		}
+		if err := r.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, r.Message(0))
+	}
+	page, err := newTablePage(rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if decoded, err := DecodePage(page); err != nil || len(decoded) != maxPageRows {
+		t.Errorf("page: got %d rows (%v), want %d", len(decoded), err, maxPageRows)
+	}
+}
+
+// Guards against a log line for each repetition of one standing fault.
+func TestStandingFaultIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	var fault standingFault
+	for range 50 {
+		fault.record(log, "table-not-kept", errors.New("disk full"))
+	}
+	fault.record(log, "table-not-kept", nil)
+	fault.record(log, "table-not-kept", nil)
+	if got, want := strings.Count(out.String(), "\n"), 2; got != want {
+		t.Errorf("lines: got %d, want %d: %s", got, want, out.String())
+	}
+	if want := `"failures":50`; !strings.Contains(out.String(), want) {
+		t.Errorf("last line: got %s, want it to hold %s", out.String(), want)
+	}
+}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -1,6 +1,8 @@
 package governor
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/aggregator"
@@ -25,27 +27,35 @@
 		leaderReached:      c.node.IsConfirmedLeader(now),
 		leaderSeenRecently: now.Sub(c.leaderSeenAt) < c.settings.HeartbeatInterval,
 	}
-	id := a.registration.ID
-	changed := false
-	if a.deregistered != "" {
-		id = a.deregistered
-		changed = c.table.MarkGone(now, id)
-	} else {
-		changed = c.table.Record(now, a.registration, 0)
+	r := a.registration
+	if r.State == enroller.Gone && r.Incarnation == 0 {
+		// Whichever incarnation others know, and not one that starts later.
+		r.Incarnation = max(units.Incarnation(c.trueTime(now).UnixMilli()), c.table.IncarnationOf(r.ID))
 	}
-	c.unsent[id] = true
-	message := c.table.Message(now, id)
-	if message == nil {
+	changed := c.table.Record(now, r, 0)
+	message := c.table.Message(now, r.ID)
+	if message == nil || !c.table.Holds(r.ID, r.Incarnation, r.State) {
+		reply.unrecorded = true
 		return reply
 	}
+	c.unsent[r.ID] = true
 	if changed {
 		c.logUpstream(message, c.settings.OwnPeerAddress())
 	}
-	if enroller.State(message.GetState()) != enroller.Ready {
-		reply.mustReplicate = message
-		for _, instance := range c.node.OtherInstances() {
-			reply.peers = append(reply.peers, string(instance))
-		}
+	if enroller.State(message.GetState()) == enroller.Ready {
+		return reply
+	}
+	reply.mustReplicate = append(reply.mustReplicate, message)
+	if r.State == enroller.Gone {
+		// Others may know a later incarnation than this instance.
+		departure := enroller.NewDeparture(r.ID, r.Incarnation)
+		reply.mustReplicate = append(reply.mustReplicate, departure.Message(0))
+	}
+	if changed {
+		c.departures.add(now, r.ID, reply.mustReplicate)
+	}
+	for _, instance := range c.node.OtherInstances() {
+		reply.peers = append(reply.peers, string(instance))
 	}
 	return reply
 }
@@ -85,13 +95,14 @@
 		From:   c.settings.OwnPeerAddress(),
 		WallNs: time.Now().UnixNano(),
 	}
-	for id := range c.unsent {
+	for _, id := range slices.Sorted(maps.Keys(c.unsent)) {
 		if message := c.table.Message(now, id); message != nil {
 			batch.Upstreams = append(batch.Upstreams, message)
 		}
 	}
 	clear(c.unsent)
 	if sharesUsage {
+		batch.Upstreams = append(batch.Upstreams, c.departures.repeated(now)...)
 		c.shareUsage(now, batch)
 	}
 	return batch
@@ -101,13 +112,23 @@
 func (c *coordinator) syncUpstreams(batch *messages.UpstreamBatch) *messages.UpstreamBatchResponse {
 	now := timekeeper.Now()
 	c.estimator.Record(now, units.Instance(batch.GetFrom()), time.Unix(0, batch.GetWallNs()))
+	lacks := false
 	for _, message := range batch.GetUpstreams() {
-		if c.table.Merge(now, message) && enroller.State(message.GetState()) != enroller.Ready {
+		changed := c.table.Merge(now, message)
+		if enroller.State(message.GetState()) == enroller.Ready {
+			continue
+		}
+		lacks = lacks || !c.table.Holds(units.Upstream(message.GetId()), units.Incarnation(message.GetBornMs()), enroller.State(message.GetState()))
+		if changed {
 			c.logUpstream(message, batch.GetFrom())
+			c.departures.add(now, units.Upstream(message.GetId()), []*messages.RegisteredUpstream{message})
 		}
 	}
 	c.recordSharedUsage(c.trueTime(now), batch)
-	return &messages.UpstreamBatchResponse{Leads: c.node.IsConfirmedLeader(now)}
+	return &messages.UpstreamBatchResponse{
+		Leads: c.node.IsConfirmedLeader(now),
+		Lacks: lacks,
+	}
 }
 
 // handlePoll answers a poll unless its entry has given up on it: an instance that is behind
@@ -189,9 +210,8 @@
 	if !isLeader && cursor == 0 {
 		return
 	}
-	if err := c.pages.seal(now, c.table, c.allocator.CountEntries(now)); err != nil {
-		c.log.Error().Err(err).Msg("table-not-told")
-		return
+	if c.pages.isDue(now, c.table, c.allocator.CountEntries(now)) {
+		c.pagesFault.record(c.log, "upstreams-left-out", c.pages.seal(now, c.table))
 	}
 	if changes, complete := c.table.Differences(now, poll.GetTableDigest(), maxChanges); cursor == 0 && complete {
 		response.Upstreams, response.TableCursor = changes, c.pages.end
--- a/src/governor/tablefile.go
+++ b/src/governor/tablefile.go
@@ -72,15 +72,12 @@
 	if f.saving != nil || table.Cursor() == f.savedCursor || now.Sub(f.savedAt) < saveInterval {
 		return nil
 	}
-	content, err := proto.Marshal(&messages.UpstreamBatch{Upstreams: table.ChangesSince(now, 0, 0)})
-	if err != nil {
-		return fmt.Errorf("encode the upstreams: %w", err)
-	}
+	content, err := encodeUpstreams(table.ChangesSince(now, 0, 0))
 	f.savedCursor = table.Cursor()
 	f.savedAt = now
 	f.saving = make(chan error, 1)
 	go func(saving chan<- error) { saving <- f.write(content) }(f.saving)
-	return nil
+	return err
 }
 
 // write replaces the file atomically: after a crash either the old or the new one exists.
