Keep the versions that serve in the log before entries hear of them

Callers saw: text joined from two software versions. An entry that is cut off from control while the first engines of a new version join took up streams that had begun there through other entries, and sent the rest to the old version.

Cause: "one version alone serves" was a belief. An entry without an answer of the leader went by its own table for a second; a leader answered by its table, which lacks what it missed while it was cut off or stood still before it was elected; and entries heard of upstreams from any instance. Who had begun a stream at a version did not make sure that whoever is asked counts it.

Change: the leader commits the versions of a configured service to the log, and an upstream is told to entries, by any instance, once its version is there. A confirmed leader has applied what all earlier ones committed, so its "only version" holds for every stream that had begun when it was asked, whichever tables and clocks are behind. An entry's own belief is no longer used; without an answer the stream is refused. A leader no longer waits a minute after its start, nor for recalled upstreams, to know.

Those of TestLeaderFindsStreams that wanted no answer of a leader that had just started are replaced by a version that is in the log and was not heard of, and by none in the log: what a leader does not know is no longer a matter of its age. TestReclaimHistoriesAcrossVersions uses the next free number of a command.

--- a/src/enroller/digest.go
+++ b/src/enroller/digest.go
@@ -21,14 +21,14 @@
 type Digest []uint64
 
 // Digest returns the digest of the table. Upstreams that are gone do not count, since tables drop
-// them at different times. The caller must not modify the digest.
+// them at different times, nor do those that are withheld. The caller must not modify the digest.
 func (t *Table) Digest() Digest {
 	if t.digest != nil && t.digestCursor == t.cursor {
 		return t.digest
 	}
 	buckets := make(Digest, digestBuckets)
 	for _, upstream := range t.upstreams {
-		if upstream.State != Gone {
+		if upstream.State != Gone && !t.isWithheld(upstream) {
 			buckets[bucketOf(upstream.ID)] ^= upstream.fingerprint()
 		}
 	}
@@ -47,7 +47,7 @@
 	var changes []*messages.RegisteredUpstream
 	for id, upstream := range t.upstreams {
 		bucket := bucketOf(id)
-		if own[bucket] == other[bucket] {
+		if own[bucket] == other[bucket] || t.isWithheld(upstream) {
 			continue
 		}
 		if len(changes) == maxChanges {
--- a/src/enroller/releases.go
+++ b/src/enroller/releases.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, u := range t.upstreams {
-		if u.isDeparture() {
+		if u.IsDeparture() {
 			continue // It is not known which version has gone.
 		}
 		add(u.Service, u.Release, u.HeartbeatAt)
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -30,6 +30,9 @@
 	ID uint64
 	// Interval is the time between two heartbeats of an upstream.
 	Interval time.Duration
+	// IsWithheld reports whether those that follow the table must not learn of an upstream yet; nil withholds none.
+	// Republish must be called once it no longer does.
+	IsWithheld func(r *Registration) bool
 
 	upstreams map[units.Upstream]*Upstream
 	cursor    uint64
@@ -89,7 +92,7 @@
 	if known != nil && known.Incarnation == r.Incarnation {
 		upstream.FirstSeenAt = known.FirstSeenAt
 	}
-	if !r.isDeparture() && t.supersede(upstream) {
+	if !r.IsDeparture() && t.supersede(upstream) {
 		// A later upstream has its address, and it will not use that again.
 		return known != nil && r.State != Ready && t.MarkGone(now, r.ID, r.Incarnation)
 	}
@@ -120,12 +123,12 @@
 // endsIncarnation reports whether a registration says that the known incarnation leaves or has gone, which is final in
 // whatever order registrations arrive.
 func (r *Registration) endsIncarnation(known *Registration) bool {
-	isSame := r.Incarnation == known.Incarnation || r.isDeparture() && r.Incarnation > known.Incarnation
+	isSame := r.Incarnation == known.Incarnation || r.IsDeparture() && r.Incarnation > known.Incarnation
 	return isSame && r.State > known.State && (r.State == Gone || r.Sequence < known.Sequence)
 }
 
-// isDeparture reports whether a registration says only that all incarnations up to its own have gone.
-func (r *Registration) isDeparture() bool { return r.State == Gone && r.Address == "" }
+// IsDeparture reports whether a registration says only that all incarnations up to its own have gone.
+func (r *Registration) IsDeparture() bool { return r.State == Gone && r.Address == "" }
 
 // end records that the known incarnation of an upstream leaves or has gone.
 func (t *Table) end(at time.Time, known *Upstream, r *Registration) bool {
@@ -231,16 +234,20 @@
 // ChangesSince returns the changes after a cursor of the table with this ID; with another ID it returns
 // everything.
 func (t *Table) ChangesSince(now time.Time, id, cursor uint64) []*messages.RegisteredUpstream {
-	changes, _ := t.Page(now, id, cursor, t.cursor, math.MaxInt)
+	changes, _ := t.page(now, id, cursor, t.cursor, math.MaxInt, nil)
 	return changes
 }
 
 // Page returns the first maxChanges changes after one cursor and up to another, as ChangesSince does,
-// and the cursor after them.
+// and the cursor after them. It leaves out what is withheld.
 //
 // Sending a table of thousands of upstreams in one response over a slow link would take longer
 // than the reader's timeout, and the reader would then request all of it again.
 func (t *Table) Page(now time.Time, id, cursor, until uint64, maxChanges int) (changes []*messages.RegisteredUpstream, reached uint64) {
+	return t.page(now, id, cursor, until, maxChanges, t.IsWithheld)
+}
+
+func (t *Table) page(now time.Time, id, cursor, until uint64, maxChanges int, isWithheld func(*Registration) bool) (changes []*messages.RegisteredUpstream, reached uint64) {
 	if id != t.ID {
 		cursor = 0
 	}
@@ -261,12 +268,29 @@
 			return changes, reached
 		}
 		upstream := t.upstreams[c.id]
+		if isWithheld != nil && isWithheld(&upstream.Registration) {
+			continue
+		}
 		changes = append(changes, upstream.Message(max(0, now.Sub(upstream.HeartbeatAt))))
 		reached = c.cursor
 	}
 	return changes, until
 }
 
+// Republish lets those that follow the table learn of the upstreams of a service's version.
+func (t *Table) Republish(service units.Service, release units.Release) {
+	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
+		if upstream := t.upstreams[id]; upstream.Service == service && upstream.Release == release {
+			t.recordChange(upstream)
+		}
+	}
+}
+
+// isWithheld reports whether those that follow the table must not learn of an upstream yet.
+func (t *Table) isWithheld(u *Upstream) bool {
+	return t.IsWithheld != nil && t.IsWithheld(&u.Registration)
+}
+
 // Merge merges what another table reported of an upstream, and reports whether that changes how
 // callers treat it.
 func (t *Table) Merge(now time.Time, m *messages.RegisteredUpstream) bool {
--- a/src/gateway/origins.go
+++ b/src/gateway/origins.go
@@ -36,10 +36,6 @@
 	// replaceTimeout is how long an attempt at another version than the last one waits until the leader knows
 	// that: a poll, also if one was just sent. Without a leader the attempt is made all the same.
 	replaceTimeout = maxInterval + 100*time.Millisecond
-	// trustTime is how long after the leader's last response this entry goes by its own table where the
-	// leader does not respond. A version that it does not know would have to begin a stream and to
-	// lose it in this time.
-	trustTime = time.Second
 )
 
 // originSource is what a stream's origin is known from.
@@ -49,7 +45,6 @@
 	sourceOwn         originSource = "own"
 	sourceLeader      originSource = "leader"
 	sourceOnlyVersion originSource = "only-version"
-	sourceOwnTable    originSource = "own-table"
 	// sourceNone means that the origin is not known.
 	sourceNone originSource = "none"
 )
@@ -168,36 +163,30 @@
 	for _, split := range route.Splits {
 		request.Services = append(request.Services, string(split.Service))
 	}
-	origin, source, answered := g.askForOrigin(ctx, r, request)
-	if answered {
-		return origin, source
-	}
-	return g.originByTable(route)
+	return g.askForOrigin(ctx, r, request)
 }
 
-// askForOrigin asks the leader where a stream began, until it knows or time runs out; false if it has not
-// answered.
-func (g *Gateway) askForOrigin(ctx context.Context, r *Request, request *messages.FindStream) (binder.Origin, originSource, bool) {
+// askForOrigin asks the leader where a stream began, until it knows or time runs out. What this entry believes of versions
+// says nothing of those that others have heard of since.
+func (g *Gateway) askForOrigin(ctx context.Context, r *Request, request *messages.FindStream) (binder.Origin, originSource) {
 	limit := findTimeout
 	if r.CallerTimeout > 0 {
 		limit = min(limit, time.Duration(findFraction*float64(r.CallerTimeout)))
 	}
 	startedAt := timekeeper.Now()
-	answered := false
 	for {
 		response := g.askOnce(ctx, request)
 		switch response.GetKnowledge() {
 		case messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED:
-			return decodeOrigin(response), sourceLeader, true
+			return decodeOrigin(response), sourceLeader
 		case messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION:
-			return decodeOrigin(response), sourceOnlyVersion, true
+			return decodeOrigin(response), sourceOnlyVersion
 		case messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN:
-			answered = true
 			limit = min(limit, findUnknownTimeout)
 		case messages.StreamKnowledge_STREAM_KNOWLEDGE_UNSPECIFIED:
 		}
 		if ctx.Err() != nil || timekeeper.Now().Sub(startedAt)+findInterval > limit {
-			return binder.Origin{}, sourceNone, answered
+			return binder.Origin{}, sourceNone
 		}
 		sleep(ctx, findInterval)
 	}
@@ -232,24 +221,6 @@
 	return nil
 }
 
-// originByTable returns the only version of the only service of a route by this entry's own table, while that
-// is recent.
-func (g *Gateway) originByTable(route *matcher.Route) (binder.Origin, originSource) {
-	snap := g.snapshot.Load()
-	if len(route.Splits) != 1 || timekeeper.Now().Sub(snap.leaderAt) > trustTime {
-		return binder.Origin{}, sourceNone
-	}
-	service := route.Splits[0].Service
-	releases := snap.releases[service]
-	if snap.wantsStreams || len(releases) != 1 {
-		return binder.Origin{}, sourceNone
-	}
-	return binder.Origin{
-		Service: service,
-		Release: releases[0],
-	}, sourceOwnTable
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -100,6 +100,7 @@
 	brittleness *brittleness
 	durability  *durability
 	origins     *origins
+	releases    *releases
 	reserves    *reserves
 	limits      *limits
 	pages       pages
@@ -178,8 +179,11 @@
 	}
 	c.origins = &origins{
 		coordinator: c,
-		startedAt:   timekeeper.Now(),
 	}
+	c.releases = &releases{
+		coordinator: c,
+	}
+	c.table.IsWithheld = c.releases.isWithheld
 	c.reserves = newReserves(c, g.Meter)
 	c.limits = &limits{
 		coordinator: c,
@@ -211,7 +215,6 @@
 		c.log.Warn().Err(err).Msg("upstreams-not-recalled")
 		return
 	}
-	c.origins.recalled = count > 0
 	c.log.Info().Int("upstreams", count).Msg("upstreams-recalled")
 }
 
@@ -308,8 +311,8 @@
 		c.slowdowns.tick(now)
 		c.ejections.tick(now)
 		c.brittleness.tick(now)
-		c.origins.tick(now)
-		if err := errors.Join(c.rollouts.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
+		c.origins.tick()
+		if err := errors.Join(c.rollouts.tick(now), c.releases.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
 			return err
 		}
 	} else {
@@ -371,6 +374,7 @@
 		c.reaches.startLeadership()
 		c.brittleness.startLeadership()
 		c.origins.startLeadership()
+		c.releases.startLeadership()
 	}
 	return true
 }
--- a/src/governor/departures_test.go
+++ b/src/governor/departures_test.go
@@ -36,6 +36,7 @@
 
 func newControlFleet(t *testing.T, followers int) *controlFleet {
 	_, leader := newLeader(t)
+	leader.isLeader(timekeeper.Now())
 	f := &controlFleet{instances: []*coordinator{leader}}
 	for range followers {
 		_, c := newInstance(t)
@@ -53,6 +54,13 @@
 	f.addEntry()
 }
 
+// publishAll lets entries learn of all upstreams, of whatever service and version.
+func (f *controlFleet) publishAll() {
+	for _, c := range f.instances {
+		c.table.IsWithheld = nil
+	}
+}
+
 // forgetUpstreams does what the loss of an instance's memory and disk does to its table.
 func forgetUpstreams(c *coordinator) {
 	c.settings.HeartbeatInterval = time.Second
@@ -60,6 +68,7 @@
 		ID:       rand.Uint64(),
 		Interval: time.Second,
 	}
+	c.table.IsWithheld = c.releases.isWithheld
 	c.unsent = make(map[units.Upstream]bool)
 	c.departures = make(departures)
 	c.pages = pages{}
@@ -228,6 +237,7 @@
 	f := newControlFleet(t, 2)
 	rapid.Check(t, func(rt *rapid.T) {
 		f.reset()
+		f.publishAll()
 		hasIncarnations := rapid.Bool().Draw(rt, "incarnations")
 		var sound []*soundEngine
 		for n := range 3 {
@@ -263,6 +273,7 @@
 			case "restart":
 				if at > 0 {
 					forgetUpstreams(f.instances[at])
+					f.publishAll()
 				}
 			}
 			f.check(rt)
@@ -292,6 +303,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f.reset()
+			f.publishAll()
 			e := &soundEngine{registration: enroller.Registration{
 				ID:          "i-0",
 				Service:     "s",
--- a/src/governor/origins.go
+++ b/src/governor/origins.go
@@ -10,59 +10,36 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-const (
-	// maxStreams bounds the records that the leader remembers, two for each stream. A thousand entries begin
-	// some 40,000 a second, and callers try for some ten seconds.
-	maxStreams = 1 << 21
-	// knownHeartbeats is how many heartbeat intervals after its start an instance has heard of all
-	// upstreams that are up.
-	knownHeartbeats = 2.5
-	// knownAfter is how long after its start an instance that recalled no upstreams knows all versions at
-	// which a stream may have begun: longer than callers try to resume one.
-	knownAfter = time.Minute
-)
+// maxStreams bounds the records that the leader remembers, two for each stream. A thousand entries begin
+// some 40,000 a second, and callers try for some ten seconds.
+const maxStreams = 1 << 21
 
 // origins remembers at which versions streams began that entries report. Only the coordinator's goroutine
 // uses it.
 type origins struct {
 	coordinator *coordinator
-	startedAt   time.Time
-	// recalled is set if the upstreams of an earlier run were read from disk.
-	recalled bool
-	ledger   binder.Ledger
-	// releases are the versions of each service as of the last tick; wanted is set while streams can have
-	// begun at several of them, as far as this instance knows.
-	releases map[units.Service][]units.Release
-	wanted   bool
+	ledger      binder.Ledger
+	// wanted is whether entries had to report their streams at the last tick.
+	wanted bool
 }
 
 // startLeadership starts with no streams reported by entries, which report theirs to each leader.
 func (o *origins) startLeadership() {
 	o.ledger = binder.Ledger{MaxStreams: maxStreams}
-	o.wanted = true
 }
 
-// tick determines which versions serve.
-func (o *origins) tick(now time.Time) {
-	releases := o.coordinator.table.Releases(now)
-	wanted := !o.knowsVersions(now)
-	for service, list := range releases {
-		wanted = wanted || len(list) > 1
-		if !slices.Equal(list, o.releases[service]) {
-			o.coordinator.log.Info().
-				Str("service", string(service)).
-				Strs("releases", names(list)).
-				Strs("before", names(o.releases[service])).
-				Msg("service-releases")
-		}
-	}
-	if wanted != o.wanted {
+// isWanted reports whether entries must report their streams, as several versions serve.
+func (o *origins) isWanted() bool { return o.coordinator.releases.areSeveral() }
+
+// tick logs whether entries must report their streams.
+func (o *origins) tick() {
+	if wanted := o.isWanted(); wanted != o.wanted {
+		o.wanted = wanted
 		o.coordinator.log.Info().
 			Bool("wanted", wanted).
 			Int("streams", o.ledger.Len()).
 			Msg("streams-wanted")
 	}
-	o.releases, o.wanted = releases, wanted
 }
 
 func names(releases []units.Release) []string {
@@ -73,17 +50,6 @@
 	return list
 }
 
-// knowsVersions reports whether this instance knows all versions at which a stream may have begun that a
-// caller still tries to resume.
-func (o *origins) knowsVersions(now time.Time) bool {
-	return now.Sub(o.startedAt) >= knownAfter || o.recalled && o.hasHeardAll(now)
-}
-
-// hasHeardAll reports whether this instance has heard of all upstreams that are up.
-func (o *origins) hasHeardAll(now time.Time) bool {
-	return now.Sub(o.startedAt) >= time.Duration(knownHeartbeats*float64(o.coordinator.settings.HeartbeatInterval))
-}
-
 // record records the streams that an entry reports.
 func (o *origins) record(now time.Time, entry units.Instance, poll *messages.EntryPoll) {
 	dropped := 0
@@ -107,14 +73,14 @@
 		return response
 	}
 	origin, reported := o.ledger.Find(now, binder.StreamID(m.GetStream()))
-	only, isOnly := o.onlyOrigin(now, m.GetServices())
+	only, isOnly := o.onlyOrigin(m.GetServices())
 	switch {
 	case reported:
 		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED
-	case isOnly && o.knowsVersions(now):
+	case isOnly:
 		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION
 		origin = only
-	case !c.allocator.Settled(now) || !o.hasHeardAll(now):
+	case !c.allocator.Settled(now):
 		return response
 	default:
 		response.Knowledge = messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN
@@ -123,20 +89,18 @@
 	return response
 }
 
-// onlyOrigin returns the only version of the only service that serves a stream, false if there are several.
-func (o *origins) onlyOrigin(now time.Time, services []string) (binder.Origin, bool) {
+// onlyOrigin returns the only version of the only service that serves a stream, false if there are several. What other
+// leaders let entries know before is in the log, and so the answer holds for all streams that have begun by now.
+func (o *origins) onlyOrigin(services []string) (binder.Origin, bool) {
 	if len(services) != 1 {
 		return binder.Origin{}, false
 	}
 	service := units.Service(services[0])
-	releases := o.coordinator.table.Releases(now)[service]
-	if len(releases) != 1 {
-		return binder.Origin{}, false
-	}
+	release, isOnly := o.coordinator.releases.only(service)
 	return binder.Origin{
 		Service: service,
-		Release: releases[0],
-	}, true
+		Release: release,
+	}, isOnly
 }
 
 // EncodeOrigins encodes streams by the version at which they began.
--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -9,21 +9,25 @@
 
 	"github.com/rosecroft/rosecroft/src/binder"
 	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// newLeaderOfVersions returns a leader with one upstream of each version, that has been up for some time.
-func newLeaderOfVersions(t *testing.T, up time.Duration, recalled bool, releases ...units.Release) *coordinator {
+// newLeaderOfVersions returns a leader that has heard of one upstream of each version, and knows from the log that others
+// have served.
+func newLeaderOfVersions(t *testing.T, logged []units.Release, releases ...units.Release) *coordinator {
 	t.Helper()
 	_, c := newLeader(t)
 	now := timekeeper.Now()
 	c.isLeader(now)
 	c.settings.HeartbeatInterval = time.Second
 	c.allocator.Since = now.Add(-time.Minute)
-	c.origins.startedAt = now.Add(-up)
-	c.origins.recalled = recalled
+	c.configuration = &matcher.Configuration{Services: []matcher.Service{{Name: "s"}}}
+	if len(logged) > 0 {
+		c.state.applyReleases(encodeReleases("s", logged))
+	}
 	for _, release := range releases {
 		c.table.Record(now, enroller.Registration{
 			ID:       "u-" + units.Upstream(release),
@@ -34,7 +38,10 @@
 			Sequence: 1,
 		}, 0)
 	}
-	c.origins.tick(now)
+	if err := c.releases.tick(now); err != nil {
+		t.Fatal(err)
+	}
+	c.origins.tick()
 	return c
 }
 
@@ -58,36 +65,36 @@
 
 // Guards against a leader that guesses where a stream began, or does not tell though it knows.
 func TestLeaderFindsStreams(t *testing.T) {
-	const long, short = time.Hour, time.Second
+	const short = time.Second
 	two := []units.Release{"v1", "v2"}
 	cases := map[string]struct {
-		up          time.Duration
-		recalled    bool
+		// logged are the versions that are in the log before this leader has heard of any upstream.
+		logged      []units.Release
 		releases    []units.Release
 		change      func(c *coordinator)
 		services    []string
 		want        messages.StreamKnowledge
 		wantRelease string
 	}{
-		"reported":                         {up: long, releases: two, change: report(recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"reported, of a version that left": {up: long, releases: two, change: report(recordOf(70, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
-		"reported again":                   {up: long, releases: two, change: report(recordOf(70, "v1", short), recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"another one reported":             {up: long, releases: two, change: report(recordOf(80, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"caller has given up":              {up: long, releases: two, change: report(recordOf(70, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"one version":                      {up: long, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
-		"one version, recalled":            {up: 10 * time.Second, recalled: true, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
-		"one version, up for a moment":     {up: 10 * time.Second, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"one version, just recalled":       {recalled: true, releases: two[:1]},
-		"one version, another one left":    {up: long, releases: two, change: func(c *coordinator) { c.table.MarkGone(timekeeper.Now(), "u-v2", 0) }, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"one version of several services":  {up: long, releases: two[:1], services: []string{"s", "t"}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"new leader":                       {up: long, releases: two, change: func(c *coordinator) { c.allocator.Since = timekeeper.Now() }},
-		"lists of different lengths": {up: long, releases: two, change: func(c *coordinator) {
+		"reported":                         {releases: two, change: report(recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"reported, of a version that left": {releases: two, change: report(recordOf(70, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
+		"reported again":                   {releases: two, change: report(recordOf(70, "v1", short), recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"another one reported":             {releases: two, change: report(recordOf(80, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"caller has given up":              {releases: two, change: report(recordOf(70, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version":                      {releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
+		"one version, in the log alone":    {logged: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
+		"no version in the log yet":        {want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version, another in the log":  {logged: two, releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version, another one left":    {releases: two, change: func(c *coordinator) { c.table.MarkGone(timekeeper.Now(), "u-v2", 0) }, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"one version of several services":  {releases: two[:1], services: []string{"s", "t"}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"new leader":                       {releases: two, change: func(c *coordinator) { c.allocator.Since = timekeeper.Now() }},
+		"lists of different lengths": {releases: two, change: func(c *coordinator) {
 			c.poll(&messages.EntryPoll{Entry: "e1", StreamOrigins: []*messages.StreamOrigins{{Service: "s", Release: "v1", Streams: []uint64{7}}}})
 		}, want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			leader := newLeaderOfVersions(t, c.up, c.recalled, c.releases...)
+			leader := newLeaderOfVersions(t, c.logged, c.releases...)
 			if c.change != nil {
 				c.change(leader)
 			}
@@ -115,19 +122,18 @@
 // several may have begun them.
 func TestLeaderWantsStreamsOfSeveralVersions(t *testing.T) {
 	cases := map[string]struct {
-		up       time.Duration
-		recalled bool
+		logged   []units.Release
 		releases []units.Release
 		want     bool
 	}{
-		"one version":                  {up: time.Hour, releases: []units.Release{"v1"}},
-		"two versions":                 {up: time.Hour, releases: []units.Release{"v1", "v2"}, want: true},
-		"one version, up for a moment": {up: time.Second, releases: []units.Release{"v1"}, want: true},
-		"one version, recalled":        {up: 10 * time.Second, recalled: true, releases: []units.Release{"v1"}},
+		"one version":                     {releases: []units.Release{"v1"}},
+		"two versions":                    {releases: []units.Release{"v1", "v2"}, want: true},
+		"one version, another in the log": {logged: []units.Release{"v1", "v2"}, releases: []units.Release{"v1"}, want: true},
+		"one version, in the log alone":   {logged: []units.Release{"v1"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			leader := newLeaderOfVersions(t, c.up, c.recalled, c.releases...)
+			leader := newLeaderOfVersions(t, c.logged, c.releases...)
 			if got := leader.poll(streamsPoll()).GetWantsStreams(); got != c.want {
 				t.Errorf("wanted: got %t, want %t", got, c.want)
 			}
@@ -138,7 +144,7 @@
 // Guards against a new leader that goes by streams of an earlier leadership, of which entries have since
 // reported other versions.
 func TestNewLeadershipKnowsNoStreams(t *testing.T) {
-	c := newLeaderOfVersions(t, time.Hour, false, "v1", "v2")
+	c := newLeaderOfVersions(t, nil, "v1", "v2")
 	c.poll(streamsPoll(recordOf(70, "v1", time.Minute)))
 	c.leaderSince = time.Time{}
 	c.isLeader(timekeeper.Now())
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -176,7 +176,7 @@
 	c.ejections.report(response)
 	c.reaches.report(now, entry, poll, response)
 	c.brittleness.report(now, entry, response)
-	response.WantsStreams = c.origins.wanted
+	response.WantsStreams = c.origins.isWanted()
 	response.TrueTimeNs = trueTime.UnixNano()
 	response.Entries = summary.entries
 	response.Settled = c.allocator.Settled(now)
--- a/src/governor/reserves_test.go
+++ b/src/governor/reserves_test.go
@@ -413,7 +413,7 @@
 	}}})
 	// Such a voter finds a field of the command that it does not know, as this one does with the next number.
 	unknown := &messages.Command{}
-	later := protowire.AppendBytes(protowire.AppendTag(nil, 36, protowire.BytesType), []byte{1})
+	later := protowire.AppendBytes(protowire.AppendTag(nil, 37, protowire.BytesType), []byte{1})
 	if err := proto.Unmarshal(later, unknown); err != nil {
 		t.Fatalf("decode a command of a later version: got %v, want it ignored", err)
 	}
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -28,6 +28,8 @@
 	reclaimHistories map[units.Service]*messages.ReclaimHistory
 	// bounds holds what may count against the limit of each account.
 	bounds map[units.Account]*messages.AccountBound
+	// releases holds the software versions of each service that entries may know of.
+	releases map[units.Service][]units.Release
 }
 
 // apply applies one committed command. The highest version of the configuration wins: a lower
@@ -48,6 +50,8 @@
 		s.applyReclaimHistory(change.ReclaimHistory)
 	case *messages.Command_AccountBounds:
 		s.applyBounds(change.AccountBounds)
+	case *messages.Command_ServiceReleases:
+		s.applyReleases(change.ServiceReleases)
 	}
 }
 
@@ -128,59 +132,57 @@
 	quarantinesKey   = "quarantines"
 	boundsKey        = "account-bounds"
 	reclaimKeyPrefix = "reclaims/"
+	releaseKeyPrefix = "releases/"
 )
 
 // snapshot encodes the state.
 func (s *state) snapshot() ([]byte, error) {
 	states := &messages.MachineStates{States: make(map[string][]byte)}
-	add := func(name string, message proto.Message) error {
+	for name, message := range s.snapshotEntries() {
 		content, err := proto.Marshal(message)
 		if err != nil {
-			return fmt.Errorf("take a snapshot of %s: %w", name, err)
+			return nil, fmt.Errorf("take a snapshot of %s: %w", name, err)
 		}
 		states.States[name] = content
-		return nil
 	}
+	return proto.Marshal(states)
+}
+
+// snapshotEntries returns the parts of the state by their names.
+func (s *state) snapshotEntries() map[string]proto.Message {
+	entries := make(map[string]proto.Message)
 	if s.configuration != nil {
-		if err := add(declarationKey, s.configuration); err != nil {
-			return nil, err
-		}
+		entries[declarationKey] = s.configuration
 	}
 	for _, r := range s.ledger.Committed() {
-		if err := add(fmt.Sprintf("%s%020d", usageKeyPrefix, r.Window), reportMessage(r)); err != nil {
-			return nil, err
-		}
+		entries[fmt.Sprintf("%s%020d", usageKeyPrefix, r.Window)] = reportMessage(r)
 	}
 	for service, rollout := range s.rollouts {
-		if err := add(rolloutKeyPrefix+string(service), rollout); err != nil {
-			return nil, err
-		}
+		entries[rolloutKeyPrefix+string(service)] = rollout
 	}
 	if s.quarantineNumber > 0 {
-		if err := add(quarantinesKey, s.quarantineList()); err != nil {
-			return nil, err
-		}
+		entries[quarantinesKey] = s.quarantineList()
 	}
 	for service, history := range s.reclaimHistories {
-		if err := add(reclaimKeyPrefix+string(service), history); err != nil {
-			return nil, err
-		}
+		entries[reclaimKeyPrefix+string(service)] = history
 	}
 	if len(s.bounds) > 0 {
-		if err := add(boundsKey, s.boundList()); err != nil {
-			return nil, err
-		}
+		entries[boundsKey] = s.boundList()
 	}
-	return proto.Marshal(states)
+	for service, releases := range s.releases {
+		entries[releaseKeyPrefix+string(service)] = encodeReleases(service, releases)
+	}
+	return entries
 }
 
-// restore merges the state of a snapshot, where it is later, into this one. Histories of reclaims have no number that
-// tells which is later; the snapshot's replace those that are known.
+// restore merges the state of a snapshot, where it is later, into this one. Histories of reclaims and versions have no
+// number that tells which is later; the snapshot's replace those that are known.
 func (s *state) restore(content []byte) error {
 	states := &messages.MachineStates{}
 	if err := proto.Unmarshal(content, states); err != nil {
 		return fmt.Errorf("decode a snapshot: %w; run the same version on every control instance", err)
 	}
+	s.releases = nil
 	for name, encoded := range states.GetStates() {
 		if err := s.restoreEntry(name, encoded); err != nil {
 			return err
@@ -207,6 +209,8 @@
 		return s.restoreBounds(encoded)
 	case strings.HasPrefix(name, rolloutKeyPrefix):
 		return s.restoreRollout(encoded)
+	case strings.HasPrefix(name, releaseKeyPrefix):
+		return s.restoreReleases(encoded)
 	}
 	return nil
 }
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -96,6 +96,7 @@
 		c.state.apply(record.GetCommand())
 		c.limits.committed(record.GetCommand().GetAccountBounds())
 	}
+	c.releases.publish()
 	// After a start all records are applied at once; of many configurations only the last is
 	// worth the millisecond that decoding takes.
 	if version := c.state.configuration.GetVersion(); version != before {
@@ -164,6 +165,7 @@
 		c.loadConfiguration(version)
 	}
 	c.state.retainReclaimHistories(c.configuration)
+	c.releases.publish()
 	c.log.Info().
 		Uint64("index", snapshot.GetIndex()).
 		Msg("snapshot-restored")
