Let unnamed services change nothing that is believed of others

One report of another writer for each engine's address, under a service that no configuration names, marked the sound engines as gone for good.

Cause: an upstream took the address of another one whatever it was announced for.

Change: an announcement for a service that the configuration in force does not name takes no address, and at most 1,024 such upstreams are kept of 16,384.

--- a/src/enroller/registration.go
+++ b/src/enroller/registration.go
@@ -33,9 +33,9 @@
 	return "unknown"
 }
 
-// maxTextBytes bounds each text of a registration, so that a table of the largest fleet fits the memory of a control
+// MaxTextBytes bounds each text of a registration, so that a table of the largest fleet fits the memory of a control
 // instance, and a page of it what entries read.
-const maxTextBytes = 256
+const MaxTextBytes = 256
 
 // InvalidError is returned for a registration that cannot be passed on to other processes.
 type InvalidError struct {
@@ -76,7 +76,7 @@
 func (r *Registration) Validate() error {
 	invalid := func(field, reason string) error {
 		return &InvalidError{
-			Upstream: r.ID[:min(len(r.ID), maxTextBytes)],
+			Upstream: r.ID[:min(len(r.ID), MaxTextBytes)],
 			Field:    field,
 			Reason:   reason,
 		}
@@ -92,8 +92,8 @@
 		if !utf8.ValidString(t.text) {
 			return invalid(t.field, "is not valid UTF-8")
 		}
-		if len(t.text) > maxTextBytes {
-			return invalid(t.field, fmt.Sprintf("is longer than %d bytes", maxTextBytes))
+		if len(t.text) > MaxTextBytes {
+			return invalid(t.field, fmt.Sprintf("is longer than %d bytes", MaxTextBytes))
 		}
 	}
 	switch {
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -20,8 +20,10 @@
 	goneRetention = 2 * time.Minute
 	// silentRetention is how long a silent upstream is kept.
 	silentRetention = time.Minute
-	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of maxTextBytes they take 24 MiB.
+	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of MaxTextBytes they take 24 MiB.
 	maxUpstreams = 1 << 14
+	// maxUnnamed bounds those of services that are not named, which would otherwise leave no room for others.
+	maxUnnamed = 1 << 10
 )
 
 // Table holds what is known of all upstreams. It is a state machine without a clock.
@@ -33,6 +35,9 @@
 	// IsWithheld reports whether those that follow the table must not learn of an upstream yet; nil withholds none.
 	// Republish must be called once it no longer does.
 	IsWithheld func(r *Registration) bool
+	// IsNamed reports whether a service is one that calls are for; nil names all. An upstream of another service changes
+	// nothing that is believed of others.
+	IsNamed func(service units.Service) bool
 
 	upstreams map[units.Upstream]*Upstream
 	cursor    uint64
@@ -77,7 +82,7 @@
 	}
 	known := t.upstreams[r.ID]
 	switch {
-	case known == nil && len(t.upstreams) >= maxUpstreams || r.Validate() != nil:
+	case known == nil && !t.hasRoom(&r) || r.Validate() != nil:
 		return false
 	case known != nil && r.endsIncarnation(&known.Registration):
 		return t.end(now.Add(-age), known, &r)
@@ -92,7 +97,7 @@
 	if known != nil && known.Incarnation == r.Incarnation {
 		upstream.FirstSeenAt = known.FirstSeenAt
 	}
-	if !r.IsDeparture() && t.supersede(upstream) {
+	if t.isNamed(&r) && t.supersede(upstream) {
 		// A later upstream has its address, and it will not use that again.
 		return known != nil && r.State != Ready && t.MarkGone(now, r.ID, r.Incarnation)
 	}
@@ -109,7 +114,7 @@
 	}
 	t.former.record(known, upstream)
 	t.upstreams[upstream.ID] = upstream
-	if upstream.State != Gone {
+	if upstream.State != Gone && t.isNamed(&upstream.Registration) {
 		t.byAddress[upstream.Address] = upstream.ID
 	}
 	if known != nil && isEquivalent(&known.Registration, &upstream.Registration) {
@@ -120,6 +125,28 @@
 	return true
 }
 
+// isNamed reports whether a registration is of an upstream that calls are for.
+func (t *Table) isNamed(r *Registration) bool {
+	return !r.IsDeparture() && (t.IsNamed == nil || t.IsNamed(r.Service))
+}
+
+// hasRoom reports whether the table has room for an upstream that it does not hold.
+func (t *Table) hasRoom(r *Registration) bool {
+	if len(t.upstreams) >= maxUpstreams {
+		return false
+	}
+	if t.isNamed(r) || len(t.upstreams) < maxUnnamed {
+		return true
+	}
+	unnamed := 0
+	for _, u := range t.upstreams {
+		if !t.isNamed(&u.Registration) {
+			unnamed++
+		}
+	}
+	return unnamed < maxUnnamed
+}
+
 // endsIncarnation reports whether a registration says that the known incarnation leaves or has gone, which is final in
 // whatever order registrations arrive.
 func (r *Registration) endsIncarnation(known *Registration) bool {
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -246,7 +246,7 @@
 func TestTableHoldsOnlyWhatCanBePassedOn(t *testing.T) {
 	text := rapid.OneOf(
 		rapid.String(),
-		rapid.SampledFrom([]string{"", "\xff", strings.Repeat("x", maxTextBytes), strings.Repeat("x", 10*maxTextBytes)}),
+		rapid.SampledFrom([]string{"", "\xff", strings.Repeat("x", MaxTextBytes), strings.Repeat("x", 10*MaxTextBytes)}),
 		rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 8), func(b []byte) string { return string(b) }),
 	)
 	rapid.Check(t, func(t *rapid.T) {
@@ -269,7 +269,7 @@
 			if err != nil {
 				t.Fatalf("encode: got %v, want no error", err)
 			}
-			if maxRow := 5*(maxTextBytes+3) + 80; len(content) > maxRow {
+			if maxRow := 5*(MaxTextBytes+3) + 80; len(content) > maxRow {
 				t.Errorf("encoded row: got %d bytes, want %d at most", len(content), maxRow)
 			}
 		}
@@ -285,3 +285,49 @@
 		t.Error("departure from a full table: got no change, want one")
 	}
 }
+
+// Guards against sound upstreams that are out of use, or find no room, as another writer announces their addresses or many
+// upstreams under a service that calls are not for.
+func TestUnnamedServicesChangeNothingOfOthers(t *testing.T) {
+	cases := map[string]struct {
+		service units.Service
+		born    units.Incarnation
+		want    State
+	}{
+		"of no named service":                {service: "other", born: 9, want: Ready},
+		"of no named service, an older one":  {service: "other", born: 1, want: Ready},
+		"of the named service, a later one":  {service: "s", born: 9, want: Gone},
+		"of the named service, an older one": {service: "s", born: 1, want: Ready},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTable()
+			table.IsNamed = func(service units.Service) bool { return service == "s" }
+			table.Record(start, registration("a", "x", 5, 1, Ready), 0)
+			foreign := registration("b", "x", c.born, 1, Ready)
+			foreign.Service = c.service
+			table.Record(start, foreign, 0)
+			if got := table.state("a"); got != c.want {
+				t.Errorf("state after the announcement: got %v, want %v", got, c.want)
+			}
+			table.Record(start, registration("a", "x", 5, 2, Ready), 0)
+			if got := table.state("a"); got != c.want {
+				t.Errorf("state after its next heartbeat: got %v, want %v", got, c.want)
+			}
+		})
+	}
+	table := newTable()
+	table.IsNamed = func(service units.Service) bool { return service == "s" }
+	for n := range 3 * maxUnnamed {
+		foreign := registration(fmt.Sprint("foreign-", n), fmt.Sprint(n), 1, 1, Ready)
+		foreign.Service = "other"
+		table.Record(start, foreign, 0)
+		table.MarkGone(start, units.Upstream(fmt.Sprint("departed-", n)), 1)
+	}
+	if got := len(table.Upstreams()); got != maxUnnamed {
+		t.Errorf("upstreams of other services: got %d, want %d", got, maxUnnamed)
+	}
+	if !table.Record(start, registration("a", "x", 5, 1, Ready), 0) {
+		t.Error("upstream of a named service: got no room, want it recorded")
+	}
+}
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -184,6 +184,7 @@
 		coordinator: c,
 	}
 	c.table.IsWithheld = c.releases.isWithheld
+	c.table.IsNamed = c.namesService
 	c.reserves = newReserves(c, g.Meter)
 	c.limits = &limits{
 		coordinator: c,
@@ -458,6 +459,11 @@
 	}
 }
 
+// namesService reports whether the configuration in force names a service. Before the first one, any may be.
+func (c *coordinator) namesService(service units.Service) bool {
+	return c.configuration == nil || slices.ContainsFunc(c.configuration.Services, func(s matcher.Service) bool { return s.Name == service })
+}
+
 // controls returns the addresses of all known control instances.
 func (c *coordinator) controls() []string {
 	addresses := []string{c.settings.OwnPeerAddress()}
--- a/src/governor/departures_test.go
+++ b/src/governor/departures_test.go
@@ -69,6 +69,7 @@
 		Interval: time.Second,
 	}
 	c.table.IsWithheld = c.releases.isWithheld
+	c.table.IsNamed = c.namesService
 	c.unsent = make(map[units.Upstream]bool)
 	c.departures = make(departures)
 	c.pages = pages{}
