--- a/src/governor/departures_test.go
+++ b/src/governor/departures_test.go
@@ -181,6 +181,21 @@
 	}
 }
 
+// replaceLeader lets an instance lead in place of the one that does, and waits until what is repeated has arrived.
+func (f *controlFleet) replaceLeader(at int) {
+	leader, next := f.instances[0], f.instances[at]
+	leader.table, next.table = next.table, leader.table
+	leader.unsent, next.unsent = next.unsent, leader.unsent
+	leader.departures, next.departures = next.departures, leader.departures
+	leader.pages, next.pages = pages{}, pages{}
+	for from := range f.instances {
+		f.spread(from, func(int) bool { return false })
+	}
+	for _, e := range f.entries {
+		e.cursor = 0
+	}
+}
+
 // soundEngine is an engine of the fleet's own.
 type soundEngine struct {
 	registration enroller.Registration
@@ -239,6 +254,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		f.reset()
 		f.publishAll()
+		// Where instances forget what they knew, a departure that a bare majority holds may be lost with two of them.
+		lastStep := rapid.SampledFrom([]string{"restart", "new leader"}).Draw(rt, "fault")
 		hasIncarnations := rapid.Bool().Draw(rt, "incarnations")
 		var sound []*soundEngine
 		for n := range 3 {
@@ -258,7 +275,7 @@
 		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
 			at := rapid.IntRange(0, len(f.instances)-1).Draw(rt, "instance")
 			e := rapid.SampledFrom(sound).Draw(rt, "engine")
-			switch rapid.SampledFrom([]string{"heartbeat", "heartbeat", "foreign", "foreign", "drain", "deregister", "spread", "spread", "entry", "restart"}).Draw(rt, "step") {
+			switch rapid.SampledFrom([]string{"heartbeat", "heartbeat", "foreign", "foreign", "drain", "deregister", "spread", "spread", "entry", lastStep}).Draw(rt, "step") {
 			case "heartbeat":
 				f.announceState(at, e, e.registration.State, isLost)
 			case "foreign":
@@ -271,6 +288,8 @@
 				f.spread(at, isLost)
 			case "entry":
 				f.addEntry()
+			case "new leader":
+				f.replaceLeader(at)
 			case "restart":
 				if at > 0 {
 					forgetUpstreams(f.instances[at])
@@ -402,3 +421,34 @@
 		}
 	}
 }
+
+// Guards against a departure that the next leader never hears of, as it was cut off when that was acknowledged.
+func TestDepartureReachesALeaderThatWasCutOff(t *testing.T) {
+	f := newControlFleet(t, 2)
+	f.reset()
+	f.publishAll()
+	none := func(int) bool { return false }
+	e := &soundEngine{registration: enroller.Registration{
+		ID:      "i-0",
+		Service: "s",
+		Address: "10.0.0.1:80",
+		Slots:   8,
+		State:   enroller.Ready,
+	}}
+	f.announceState(0, e, enroller.Ready, none)
+	f.spread(0, none)
+	f.announceState(0, e, enroller.Gone, func(to int) bool { return to == 2 })
+	if len(f.left) == 0 {
+		t.Fatal("deregistration: got no acknowledgement, want one of the leader and a majority")
+	}
+	f.spread(0, func(to int) bool { return to == 2 })
+	f.replaceLeader(2)
+	if err := f.poll(0); err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range f.entries[0].table.Upstreams() {
+		if u.State != enroller.Gone {
+			t.Errorf("state at an entry that the next leader serves: got %v, want %v", u.State, enroller.Gone)
+		}
+	}
+}
