Keep upstreams at an instance that has no configuration yet

Callers would have seen: sound engines out of use for good. A control instance that has just started has no configuration for a moment; every service counted as named then, so that an announcement for none took a sound upstream's address, and its verdict spread.

Change: without a configuration no upstream takes the place of another one; the bound on upstreams of services that are not named is 4,096, as all are such until the first configuration arrives.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -22,8 +22,9 @@
 	silentRetention = time.Minute
 	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of MaxTextBytes they take 24 MiB.
 	maxUpstreams = 1 << 14
-	// maxUnnamed bounds those of services that are not named, which would otherwise leave no room for others.
-	maxUnnamed = 1 << 10
+	// maxUnnamed bounds those of services that are not named, which would otherwise leave no room for others. All
+	// upstreams are such until the first configuration arrives.
+	maxUnnamed = 1 << 12
 )
 
 // Table holds what is known of all upstreams. It is a state machine without a clock.
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -459,9 +459,10 @@
 	}
 }
 
-// namesService reports whether the configuration in force names a service. Before the first one, any may be.
+// namesService reports whether the configuration in force names a service. An instance that has none yet may hold the
+// upstreams of a fleet already, and must not let one of them take the place of another.
 func (c *coordinator) namesService(service units.Service) bool {
-	return c.configuration == nil || slices.ContainsFunc(c.configuration.Services, func(s matcher.Service) bool { return s.Name == service })
+	return c.configuration != nil && slices.ContainsFunc(c.configuration.Services, func(s matcher.Service) bool { return s.Name == service })
 }
 
 // controls returns the addresses of all known control instances.
--- a/src/governor/departures_test.go
+++ b/src/governor/departures_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/enroller"
+	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
@@ -70,6 +71,7 @@
 	}
 	c.table.IsWithheld = c.releases.isWithheld
 	c.table.IsNamed = c.namesService
+	c.configuration = &matcher.Configuration{Services: []matcher.Service{{Name: "s"}}}
 	c.unsent = make(map[units.Upstream]bool)
 	c.departures = make(departures)
 	c.pages = pages{}
@@ -452,3 +454,34 @@
 		}
 	}
 }
+
+// Guards against an instance that has just started, knows no configuration yet, and takes a sound upstream for replaced by
+// one of a service that calls are not for.
+func TestInstanceWithoutConfigurationKeepsUpstreams(t *testing.T) {
+	cases := map[string]*matcher.Configuration{
+		"no configuration":    nil,
+		"another service":     {Services: []matcher.Service{{Name: "s"}}},
+		"no service any more": {},
+	}
+	for name, configuration := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, c := newInstance(t)
+			c.configuration = configuration
+			r := enroller.Registration{
+				ID:          "sound",
+				Service:     "s",
+				Address:     "10.0.0.1:80",
+				Slots:       8,
+				State:       enroller.Ready,
+				Incarnation: 1,
+			}
+			c.handleAnnouncement(announcementReceived{registration: r})
+			foreign := r
+			foreign.ID, foreign.Service, foreign.Incarnation = "foreign", "other", 2
+			c.handleAnnouncement(announcementReceived{registration: foreign})
+			if !c.table.Holds("sound", 1, enroller.Ready) || c.table.Holds("sound", 1, enroller.Leaving) {
+				t.Error("sound upstream: got it out of use, want it ready")
+			}
+		})
+	}
+}
