Repeat a departure from the instance that received it alone

Cause, by reading: each instance repeated every departure that it heard of. When 3,000 upstreams are reclaimed together, ten instances would send 300 rows a millisecond for 10 s; by the one that received it, it is twice the heartbeats. The bound on upstreams was also below 12,000 of them beside those that have gone and are kept for two minutes: 32,768 now.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -20,8 +20,9 @@
 	goneRetention = 2 * time.Minute
 	// silentRetention is how long a silent upstream is kept.
 	silentRetention = time.Minute
-	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of MaxTextBytes they take 24 MiB.
-	maxUpstreams = 1 << 14
+	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of MaxTextBytes they take 48 MiB.
+	// Those that have gone count as long as they are kept.
+	maxUpstreams = 1 << 15
 	// maxUnnamed bounds those of services that are not named, which would otherwise leave no room for others. All
 	// upstreams are such until the first configuration arrives.
 	maxUnnamed = 1 << 12
--- a/src/governor/departures.go
+++ b/src/governor/departures.go
@@ -13,11 +13,11 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// departureRepeatTime is how long a departure is sent to the other control instances again and again: an instance that
+// departureRepeatTime is how long the instance that received a departure sends it to the others again and again: one that
 // was cut off when it was acknowledged may lead later.
 const departureRepeatTime = 10 * time.Second
 
-// departures holds the departures of upstreams that are repeated.
+// departures holds the departures that this instance has received from upstreams and repeats.
 type departures map[units.Upstream]repeatedDeparture
 
 // repeatedDeparture is what is sent of a departure, and until when.
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -121,7 +121,6 @@
 		lacks = lacks || !c.table.Holds(units.Upstream(message.GetId()), units.Incarnation(message.GetBornMs()), enroller.State(message.GetState()))
 		if changed {
 			c.logUpstream(message, batch.GetFrom())
-			c.departures.add(now, units.Upstream(message.GetId()), []*messages.RegisteredUpstream{message})
 		}
 	}
 	c.recordSharedUsage(c.trueTime(now), batch)
