--- a/src/allocator/fleet_test.go
+++ b/src/allocator/fleet_test.go
@@ -49,9 +49,7 @@
 }
 
 // poll sends an entry's poll to the allocator; respond delivers the response.
-func (f *fleet) poll(now time.Time, i int) {
-	f.allocator.RecordDemand(now, entryName(i), 1, f.meters[i].ReportDemand(now))
-}
+func (f *fleet) poll(now time.Time, i int) { f.pollOf(now, i, 1) }
 
 func (f *fleet) respond(now time.Time, i int) {
 	if share, level, known := f.allocator.Share(now, entryName(i), f.account); known {
--- a/src/allocator/late_test.go
+++ b/src/allocator/late_test.go
@@ -93,10 +93,12 @@
 	}
 }
 
-// pollOf sends a poll of an entry's incarnation to the allocator and to the ledger.
+// pollOf sends a poll of an entry's incarnation to the allocator and, with grants, to the ledger.
 func (f *fleet) pollOf(now time.Time, i int, incarnation units.Incarnation) {
 	f.allocator.RecordDemand(now, entryName(i), incarnation, f.meters[i].ReportDemand(now))
-	f.grants.poll(now, i, incarnation)
+	if f.grants != nil {
+		f.grants.poll(now, i, incarnation)
+	}
 }
 
 // restartEntry starts an entry again, which knows nothing of before.
