Tell entries of upstreams also beside more versions than are kept

Callers would have seen: engines that joined get no call, though they were acknowledged as ready. 32 versions of a service are kept in the log, whoever announces them, and an upstream of any other version was withheld from entries for as long as those are announced.

Cause: the bound on versions decided what entries hear of.

Change: beside 32 versions in the log no upstream is withheld. That keeps ORDER, as the leader names a version as the only one where the log holds one alone, and a list of 32 shrinks to versions that are still announced only.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -306,10 +306,10 @@
 	return changes, until
 }
 
-// Republish lets those that follow the table learn of the upstreams of a service's version.
-func (t *Table) Republish(service units.Service, release units.Release) {
+// Republish lets those that follow the table learn of the upstreams that are no longer withheld.
+func (t *Table) Republish(isReleased func(r *Registration) bool) {
 	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
-		if upstream := t.upstreams[id]; upstream.Service == service && upstream.Release == release {
+		if upstream := t.upstreams[id]; isReleased(&upstream.Registration) {
 			t.recordChange(upstream)
 		}
 	}
--- a/src/governor/releases.go
+++ b/src/governor/releases.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxReleases bounds the versions of a service that serve side by side, whoever announces them.
+	// maxReleases bounds the versions of a service in the log, whoever announces them.
 	maxReleases = 32
 	// forgetReleaseAfter is how long an instance must have led, and so heard of all upstreams that are up, before a
 	// version that none of them runs is forgotten: as long as a stream that began there may be resumed.
@@ -30,7 +30,7 @@
 type releases struct {
 	coordinator *coordinator
 	// published are the versions of whose upstreams entries may learn.
-	published map[units.Service][]units.Release
+	published publishedReleases
 	// proposedAt is when this leadership last proposed the versions of each service.
 	proposedAt map[units.Service]time.Time
 }
@@ -38,23 +38,27 @@
 // startLeadership starts with nothing proposed.
 func (r *releases) startLeadership() { r.proposedAt = make(map[units.Service]time.Time) }
 
-// isWithheld reports whether entries must not learn of an upstream yet. What has gone without having been known is of no
-// version.
-func (r *releases) isWithheld(u *enroller.Registration) bool {
-	return !u.IsDeparture() && !slices.Contains(r.published[u.Service], u.Release)
+// publishedReleases are the versions of each service that are in the log.
+type publishedReleases map[units.Service][]units.Release
+
+// withholds reports whether entries must not learn of an upstream yet. What has gone without having been known is of no
+// version. Beside maxReleases versions none is withheld: no answer names one of them as the only one.
+func (p publishedReleases) withholds(u *enroller.Registration) bool {
+	list := p[u.Service]
+	return !u.IsDeparture() && len(list) < maxReleases && !slices.Contains(list, u.Release)
 }
 
+// isWithheld reports whether entries must not learn of an upstream yet.
+func (r *releases) isWithheld(u *enroller.Registration) bool { return r.published.withholds(u) }
+
 // publish lets entries learn of the upstreams of versions that are in the log.
 func (r *releases) publish() {
-	before := r.published
-	r.published = r.coordinator.state.releases
-	for service, list := range r.published {
-		for _, release := range list {
-			if !slices.Contains(before[service], release) {
-				r.coordinator.table.Republish(service, release)
-			}
-		}
+	before, after := r.published, publishedReleases(r.coordinator.state.releases)
+	r.published = after
+	if maps.EqualFunc(before, after, slices.Equal) {
+		return
 	}
+	r.coordinator.table.Republish(func(u *enroller.Registration) bool { return before.withholds(u) && !after.withholds(u) })
 }
 
 // tick proposes the versions of services that the configuration names, where they differ from those in the log.
