Let a new leader ask the others for the departures that they hold

Callers would have seen: calls at an engine that has left, for as long as it serves, where the leader is lost right after it has acknowledged a deregistration. The leader and a majority held it; only the instance that received it repeats it, which may be the one that was lost, and the next leader may be one that was cut off then.

Change: a new leader asks all other instances for the departures of the last 10 s, every 200 ms until each has answered. Log lines `departures-heard`, `departures-not-heard`.

The property of acknowledged departures draws such a loss too, 3,000 cases.

--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -306,6 +306,17 @@
 	return changes, until
 }
 
+// Departures returns the upstreams that leave or have gone, as far as that was heard within a time.
+func (t *Table) Departures(now time.Time, within time.Duration) []*messages.RegisteredUpstream {
+	var departures []*messages.RegisteredUpstream
+	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
+		if upstream := t.upstreams[id]; upstream.State != Ready && now.Sub(upstream.HeartbeatAt) <= within {
+			departures = append(departures, upstream.Message(max(0, now.Sub(upstream.HeartbeatAt))))
+		}
+	}
+	return departures
+}
+
 // Republish lets those that follow the table learn of the upstreams that are no longer withheld.
 func (t *Table) Republish(isReleased func(r *Registration) bool) {
 	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -101,6 +101,7 @@
 	durability  *durability
 	origins     *origins
 	releases    *releases
+	inheritance *inheritance
 	reserves    *reserves
 	limits      *limits
 	pages       pages
@@ -183,6 +184,11 @@
 	c.releases = &releases{
 		coordinator: c,
 	}
+	c.inheritance = &inheritance{
+		coordinator: c,
+		client:      g.Client,
+	}
+	c.inheritance.startLeadership()
 	c.table.IsWithheld = c.releases.isWithheld
 	c.table.IsNamed = c.namesService
 	c.reserves = newReserves(c, g.Meter)
@@ -313,6 +319,7 @@
 		c.ejections.tick(now)
 		c.brittleness.tick(now)
 		c.origins.tick()
+		c.inheritance.tick(now)
 		if err := errors.Join(c.rollouts.tick(now), c.releases.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
 			return err
 		}
@@ -376,6 +383,7 @@
 		c.brittleness.startLeadership()
 		c.origins.startLeadership()
 		c.releases.startLeadership()
+		c.inheritance.startLeadership()
 	}
 	return true
 }
@@ -390,7 +398,7 @@
 		e.reply <- c.read()
 	case ticked:
 		return c.tick(c.ctx)
-	case pollReceived, announcementReceived, findStreamRequested, upstreamBatchReceived:
+	case pollReceived, announcementReceived, findStreamRequested, upstreamBatchReceived, departuresHeld:
 		return c.handleFleetEvent(e)
 	case rolloutRequested:
 		return c.rollouts.start(e)
@@ -421,6 +429,8 @@
 		e.reply <- c.origins.find(timekeeper.Now(), e.request)
 	case upstreamBatchReceived:
 		e.reply <- c.syncUpstreams(e.batch)
+	case departuresHeld:
+		c.inheritance.learn(timekeeper.Now(), e)
 	}
 	return nil
 }
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -99,6 +99,13 @@
 	reply chan<- *messages.UpstreamBatchResponse
 }
 
+// departuresHeld carries the departures that another control instance holds, or why it did not answer.
+type departuresHeld struct {
+	from       string
+	departures []*messages.RegisteredUpstream
+	err        error
+}
+
 // rolloutRequested orders a roll-out.
 type rolloutRequested struct {
 	order RolloutOrder
@@ -165,6 +172,7 @@
 func (pollReceived) event()          {}
 func (announcementReceived) event()  {}
 func (upstreamBatchReceived) event() {}
+func (departuresHeld) event()        {}
 func (findStreamRequested) event()   {}
 func (rolloutRequested) event()      {}
 func (rolloutReadRequested) event()  {}
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -124,10 +124,14 @@
 		}
 	}
 	c.recordSharedUsage(c.trueTime(now), batch)
-	return &messages.UpstreamBatchResponse{
+	response := &messages.UpstreamBatchResponse{
 		Leads: c.node.IsConfirmedLeader(now),
 		Lacks: lacks,
 	}
+	if batch.GetWantsDepartures() {
+		response.Departures = c.table.Departures(now, departureRepeatTime)
+	}
+	return response
 }
 
 // handlePoll answers a poll unless its entry has given up on it: an instance that is behind
