Charge silent entries before an account's bucket is filled up

Callers saw: most calls refused with 429 for 2 s after all entries had been killed, of accounts far within their limits.

Cause: a refill first adds what has accrued, up to the burst, and then takes what silent entries are assumed to have admitted. With polls there is a refill each few milliseconds, and both nearly cancel out. While all entries are down there is none: after 2.4 s the bucket was filled to its burst, and 2.4 s of the whole limit were taken out of that.

Change: what silent and unheard entries may have admitted comes out of what accrues, and the bucket is capped after that. What entries admit is bounded by grants in the log, as before.

--- a/src/allocator/allocator.go
+++ b/src/allocator/allocator.go
@@ -221,7 +221,7 @@
 	lastRefill := bucket.refilledAt
 	passed := now.Sub(lastRefill)
 	bucket.refilledAt = now
-	bucket.level = min(burst, bucket.level+rate*passed.Seconds())
+	level := bucket.level + rate*passed.Seconds()
 	for _, e := range a.silentEntries {
 		if silence := now.Sub(e.reportedAt); silence > silenceTimeout {
 			// The initial level leaves out what entries have admitted since their reports.
@@ -230,14 +230,16 @@
 				uncharged = silence
 			}
 			admitted := rate * uncharged.Seconds() * a.assumedShare(e, account.Name)
-			bucket.level -= admitted
+			level -= admitted
 			e.recordAssumed(account.Name, admitted)
 		}
 	}
 	if isNew {
 		lastRefill = a.earlier.respondedAt
 	}
-	bucket.level -= a.chargeUnheard(now, lastRefill, account.Name, rate)
+	level -= a.chargeUnheard(now, lastRefill, account.Name, rate)
+	// Without polls no refill comes between, and what is admitted meanwhile comes out of what accrues, not of a full bucket.
+	bucket.level = min(burst, level)
 	return bucket.level
 }
 
--- a/src/allocator/allocator_test.go
+++ b/src/allocator/allocator_test.go
@@ -453,6 +453,58 @@
 	}
 }
 
+// Guards against accounts within their limits whose calls are refused for seconds after all entries have been killed: what
+// these are assumed to have admitted was taken from a full bucket, and what accrued meanwhile was lost.
+func TestAccountsHaveRoomAfterAllEntriesWereKilled(t *testing.T) {
+	inBothModes(t, testAccountsHaveRoomAfterAllEntriesWereKilled)
+}
+
+func testAccountsHaveRoomAfterAllEntriesWereKilled(t *testing.T, byUrgency bool) {
+	const silence = 2400 * time.Millisecond
+	f := newFleet(7, byUrgency)
+	f.account.Rate, f.account.Burst = 400_000, 400_000
+	random := rand.New(rand.NewPCG(7, 7))
+	now, killedAt := start, start.Add(5*time.Second)
+	asked, refused := 0, 0
+	for n := 0; now.Before(killedAt.Add(silence + time.Second)); n++ {
+		now = now.Add(5 * time.Millisecond)
+		if now.After(killedAt) && now.Before(killedAt.Add(silence)) {
+			continue
+		}
+		if now.Equal(killedAt.Add(silence)) {
+			for i := range f.meters {
+				f.meters[i] = f.newMeter()
+			}
+		}
+		for i := range f.meters {
+			incarnation := units.Incarnation(1)
+			if now.After(killedAt) {
+				incarnation = 2
+			}
+			switch (n + i*7) % 20 {
+			case 0:
+				f.pollOf(now, i, incarnation)
+			case 3:
+				f.respond(now, i)
+			}
+		}
+		const meanSize = 3000.0
+		for expected := 0.5 * f.account.Rate * 0.005 / meanSize; random.Float64() < expected; expected-- {
+			// An entry serves calls once it has had its first response.
+			admitted := f.call(now, random.IntN(len(f.meters)), meanSize)
+			if now.After(killedAt.Add(silence + 200*time.Millisecond)) {
+				asked++
+				if !admitted {
+					refused++
+				}
+			}
+		}
+	}
+	if got, want := refused, asked/10; got > want {
+		t.Errorf("calls refused in the second after the entries' return, at half of the limit: got %d of %d, want at most %d", got, asked, want)
+	}
+}
+
 // An account of a large fleet sends several times its limit through all of two
 // hundred entries, with calls of all sizes. Each entry's share is less than one
 // call. What the limit allows must still be usable: callers may be refused only for
