--- a/src/governor/controlfleet_test.go
+++ b/src/governor/controlfleet_test.go
@@ -180,40 +180,39 @@
 	}
 }
 
-// replaceLeader lets an instance lead in place of the one that does, and waits until what is repeated has arrived.
-func (f *controlFleet) replaceLeader(at int) {
+// swapLeader lets an instance lead with what it knows of upstreams; entries begin anew with its table.
+func (f *controlFleet) swapLeader(at int) {
 	leader, next := f.instances[0], f.instances[at]
 	leader.table, next.table = next.table, leader.table
 	leader.unsent, next.unsent = next.unsent, leader.unsent
 	leader.departures, next.departures = next.departures, leader.departures
 	leader.pages, next.pages = pages{}, pages{}
-	for from := range f.instances {
-		f.spread(from, func(int) bool { return false })
-	}
 	for _, e := range f.entries {
 		e.cursor = 0
 	}
 }
 
+// replaceLeader lets an instance lead in place of the one that does, and waits until what is repeated has arrived.
+func (f *controlFleet) replaceLeader(at int) {
+	f.swapLeader(at)
+	for from := range f.instances {
+		f.spread(from, func(int) bool { return false })
+	}
+}
+
 // killLeader lets an instance lead in place of one that has lost its memory and disk, after it has asked all others for the
 // departures that they hold.
 func (f *controlFleet) killLeader(at int) {
 	forgetUpstreams(f.instances[0])
 	f.instances[0].table.IsWithheld = nil
-	leader, next := f.instances[0], f.instances[at]
-	leader.table, next.table = next.table, leader.table
-	leader.unsent, next.unsent = next.unsent, leader.unsent
-	leader.departures, next.departures = next.departures, leader.departures
-	leader.pages, next.pages = pages{}, pages{}
+	f.swapLeader(at)
+	leader := f.instances[0]
 	for from, c := range f.instances[1:] {
 		leader.inheritance.learn(timekeeper.Now(), departuresHeld{
 			from:       fmt.Sprint(from),
 			departures: f.send(c, leader.inheritance.question(), false).GetDepartures(),
 		})
 	}
-	for _, e := range f.entries {
-		e.cursor = 0
-	}
 }
 
 // soundEngine is an engine of the fleet's own.
