Show bookings that run for a foreign tenant after one broken liveness report

Another writer's report whose id holds a line break becomes an engine, and its id is written into a request's header as it is, with a header of its own.

--- a/review/kit-2/engine.go
+++ b/review/kit-2/engine.go
@@ -45,13 +45,17 @@
 	spoiling bool
 	// limit is what the engine states as its Server-Limit, "" for nothing.
 	limit string
-	runs  []engineRun
+	// leaving is set once the engine has said that it leaves.
+	leaving bool
+	runs    []engineRun
 }
 
 // engineRun is a request that an engine has begun to run.
 type engineRun struct {
 	attempt string
 	engine  string
+	// account is what the request names as its client account first.
+	account string
 	at      time.Time
 }
 
@@ -126,11 +130,9 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		e.mu.Lock()
-		e.sequence++
-		path, body := "/v1/instances/"+e.id+"/heartbeat", e.heartbeat()
-		e.mu.Unlock()
-		e.call(path, body)
+		if path, body := e.nextHeartbeat(); path != "" {
+			e.call(path, body)
+		}
 		select {
 		case <-stop:
 			return
@@ -139,6 +141,30 @@
 	}
 }
 
+// nextHeartbeat returns the next heartbeat, "" from an engine that has said that it leaves.
+func (e *engine) nextHeartbeat() (path, body string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return "", ""
+	}
+	e.sequence++
+	return "/v1/instances/" + e.id + "/heartbeat", e.heartbeat()
+}
+
+// deregister says that the engine leaves, and returns when that was acknowledged; the engine serves on.
+func (e *engine) deregister() (time.Time, error) {
+	e.mu.Lock()
+	e.leaving = true
+	id, body := e.id, fmt.Sprintf(`{"born":%d}`, e.born)
+	e.mu.Unlock()
+	if !e.call("/v1/instances/"+id+"/deregister", body) {
+		return time.Time{}, fmt.Errorf("%s got no acknowledgement", id)
+	}
+	e.fleet.record.add("engine %s deregisters, acknowledged", id)
+	return time.Now(), nil
+}
+
 // heartbeat returns the body of a heartbeat; the caller holds mu.
 func (e *engine) heartbeat() string {
 	model := ""
@@ -149,15 +175,16 @@
 		e.service, e.address, e.slots, model, e.sequence, e.born)
 }
 
-// call calls one control process after the other until one acknowledges.
-func (e *engine) call(path, body string) {
+// call calls one control process after the other until one acknowledges, and reports whether one did.
+func (e *engine) call(path, body string) bool {
 	controls := e.fleet.controls
 	first := rand.IntN(len(controls))
 	for i := range controls {
 		if e.fleet.post(controls[(first+i)%len(controls)], path, body) == http.StatusOK {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // serve serves one connection, one request at a time.
@@ -207,13 +234,17 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", headerAttempt, attempt)
 		return "", err == nil
 	}
-	e.runs = append(e.runs, engineRun{attempt: attempt, engine: id, at: time.Now()})
+	account := request.Header.Get("X-Tenant")
+	e.runs = append(e.runs, engineRun{attempt: attempt, engine: id, account: account, at: time.Now()})
 	e.answers++
 	spoils := e.spoiling && e.spoilOne > 0 && e.answers%e.spoilOne == 0
-	limit := e.limit
+	limit, leaving := e.limit, e.leaving
 	e.mu.Unlock()
-	e.fleet.record.add("engine %s runs %s", id, attempt)
+	e.fleet.record.add("engine %s runs %s of %s", id, attempt, account)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 3e1b.07.%s\r\n", headerAttempt, attempt, headerSignature, attempt)
+	if leaving {
+		head += "Server-Leaving: 1\r\n"
+	}
 	if limit != "" {
 		head += "Server-Limit: " + limit + "\r\n"
 	}
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -26,6 +26,8 @@
 	"late-refusal":  playLateRefusal,
 	"frozen-reader": playFrozenReader,
 	"great-limit":   playGreatLimit,
+	"broken-id":     playBrokenID,
+	"departure":     playDeparture,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit-2/operator.go
+++ b/review/kit-2/operator.go
@@ -14,6 +14,7 @@
 	host       = "ficu95.example"
 	bookPath   = "/pufi791/book"
 	draftPath  = "/lohu930/2f"
+	account    = "hule930"
 	appService = "wuno96b"
 	llmService = "huvo11a"
 )
@@ -31,7 +32,8 @@
 "kv_token_bytes":327680,"link_mbps":1500000.0,"moves":true,"backups":true,"stride":7,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,
 "models":[{"name":"m"}]}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"hule930","api_keys":["i9n73hh2b9wu3fexd9dn"],"priority":1}]}`
+"tenants":[{"name":"hule930","api_keys":["i9n73hh2b9wu3fexd9dn"],"priority":1},
+{"name":"fida11","api_keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}`
 
 // declare sends a configuration until it is acknowledged.
 func (f *fleet) declare(version int) error {
