--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the cases 6 to 10 start, after the build line of deploy/system.toml.
+# Builds the stand-ins that the cases 6 to 9 start, after the build line of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/kit-2/brokenid.go
+++ b/review/kit-2/brokenid.go
@@ -10,9 +10,9 @@
 // playBrokenID lets another writer send one liveness report whose id holds a line break and what follows it, at the
 // address of an engine.
 func playBrokenID(f *fleet, trouble bool) ([]string, error) {
-	const engineCount, slots, clientCount = 2, 6, 9
+	const engineCount, clientCount = 2, 9
 	const pause, before, during = 30 * time.Millisecond, 3 * time.Second, 10 * time.Second
-	if err := f.startWith(engineCount, 2, slots, nil); err != nil {
+	if err := f.startWith(engineCount, nil); err != nil {
 		return nil, err
 	}
 	stop := f.bookSteadily(clientCount, pause)
--- a/review/kit-2/departure.go
+++ b/review/kit-2/departure.go
@@ -12,10 +12,10 @@
 // playDeparture lets engines deregister one after the other, kills all processes right after the last acknowledgement, and
 // lets the last heartbeat of each of these engines arrive late.
 func playDeparture(f *fleet, trouble bool) ([]string, error) {
-	const engineCount, leaving, slots = 6, 3, 6
+	const engineCount, leaving = 6, 3
 	const apart, down, late = 250 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second
 	const clientCount, pause, settle, during = 12, 20 * time.Millisecond, 200 * time.Millisecond, 4 * time.Second
-	if err := f.startWith(engineCount, 2, slots, nil); err != nil {
+	if err := f.startWith(engineCount, nil); err != nil {
 		return nil, err
 	}
 	// The time until the start has settled.
--- a/review/kit-2/engine.go
+++ b/review/kit-2/engine.go
@@ -29,8 +29,6 @@
 	service string
 	address string
 	slots   int
-	// unframed lets streams have neither a length nor chunks, and end with their connection.
-	unframed bool
 	// spoilOne says of how many answers one is followed by late bytes that belong to no request, 0 for none.
 	spoilOne int
 
@@ -280,28 +278,17 @@
 	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
-	head += "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
-	if e.unframed {
-		head += "Connection: close\r\n\r\n"
-	} else {
-		head += "Transfer-Encoding: chunked\r\n\r\n"
-	}
+	head += "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	if _, err := io.WriteString(conn, head); err != nil {
 		return false
 	}
 	for n := first; n < eventCount; n++ {
 		time.Sleep(eventPause)
 		event := fmt.Sprintf("id: %d\ndata: %d/%d\n\n", n, n+1, eventCount)
-		if !e.unframed {
-			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
-		}
-		if _, err := io.WriteString(conn, event); err != nil {
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
 	}
-	if e.unframed {
-		return false
-	}
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
--- a/review/kit-2/greatlimit.go
+++ b/review/kit-2/greatlimit.go
@@ -10,10 +10,10 @@
 // playGreatLimit lets one engine state a limit of more requests a second than a 64-bit number counts. Control processes
 // that end by themselves are started again, as the platform does.
 func playGreatLimit(f *fleet, trouble bool) ([]string, error) {
-	const engineCount, slots, clientCount = 4, 6, 6
+	const engineCount, clientCount = 4, 6
 	const limit = "100000000000000000000"
 	const pause, before, during, after = 70 * time.Millisecond, 3 * time.Second, 20 * time.Second, 2 * time.Second
-	if err := f.startWith(engineCount, 2, slots, nil); err != nil {
+	if err := f.startWith(engineCount, nil); err != nil {
 		return nil, err
 	}
 	restarter := f.restartEnded()
--- a/review/kit-2/laterefusal.go
+++ b/review/kit-2/laterefusal.go
@@ -9,9 +9,9 @@
 // playLateRefusal lets bytes that belong to no request arrive late on connections to engines, after complete answers to
 // bookings.
 func playLateRefusal(f *fleet, trouble bool) ([]string, error) {
-	const engineCount, faulty, slots, spoilOne = 4, 2, 6, 33
+	const engineCount, faulty, spoilOne = 4, 2, 33
 	const clientCount, pause, before, during, after = 6, 70 * time.Millisecond, 3 * time.Second, 5 * time.Second, 2 * time.Second
-	if err := f.startWith(engineCount, 2, slots, func(e *engine) { e.spoilOne = spoilOne }); err != nil {
+	if err := f.startWith(engineCount, func(e *engine) { e.spoilOne = spoilOne }); err != nil {
 		return nil, err
 	}
 	stop := f.bookSteadily(clientCount, pause)
@@ -52,11 +52,11 @@
 }
 
 // startWith starts the processes, engines for bookings and engines for streams, and waits until all entries serve.
-func (f *fleet) startWith(appEngines, llmEngines, appSlots int, change func(e *engine)) error {
+func (f *fleet) startWith(appEngines int, change func(e *engine)) error {
 	if err := f.start(); err != nil {
 		return err
 	}
-	const llmSlots = 64
+	const appSlots, llmEngines, llmSlots = 6, 2, 64
 	for range appEngines {
 		if err := f.addEngine(appService, appSlots, change); err != nil {
 			return err
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -23,11 +23,10 @@
 type play func(f *fleet, trouble bool) (breaks []string, err error)
 
 var cases = map[string]play{
-	"late-refusal":  playLateRefusal,
-	"frozen-reader": playFrozenReader,
-	"great-limit":   playGreatLimit,
-	"broken-id":     playBrokenID,
-	"departure":     playDeparture,
+	"late-refusal": playLateRefusal,
+	"great-limit":  playGreatLimit,
+	"broken-id":    playBrokenID,
+	"departure":    playDeparture,
 }
 
 func main() { os.Exit(run()) }
