Log how many upstreams that are read from disk have left

Three causes were possible: the departures were not on disk, they were and were lost while the table was read, or a heartbeat that arrived late overruled them. The log told how many upstreams a control instance had read, not how many of them it knew as leaving or gone, and so could not tell these apart. upstreams-recalled now has the number as departed.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -217,12 +217,15 @@
 // the heartbeats of the upstreams.
 func (c *coordinator) loadTable() {
 	c.tableFile = newTableFile(c.settings.DataFolder)
-	count, err := c.tableFile.load(timekeeper.Now(), c.table)
+	loaded, departed, err := c.tableFile.load(timekeeper.Now(), c.table)
 	if err != nil {
 		c.log.Warn().Err(err).Msg("upstreams-not-recalled")
 		return
 	}
-	c.log.Info().Int("upstreams", count).Msg("upstreams-recalled")
+	c.log.Info().
+		Int("upstreams", loaded).
+		Int("departed", departed).
+		Msg("upstreams-recalled")
 }
 
 // options configures the voter. Only the seeds may create a log, and only at the very first
--- a/src/governor/state_test.go
+++ b/src/governor/state_test.go
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	restored := &enroller.Table{ID: 2, Interval: interval}
-	if count, err := newTableFile(folder).load(now, restored); err != nil || count != 1 {
+	if count, _, err := newTableFile(folder).load(now, restored); err != nil || count != 1 {
 		t.Fatalf("loaded upstreams: got %d (%v), want 1", count, err)
 	}
 	if got := restored.Upstreams()[0]; got.State != enroller.Ready || got.Silent {
@@ -125,7 +125,7 @@
 	if !restored.Upstreams()[0].Silent {
 		t.Error("upstream without heartbeats: got silent false, want true")
 	}
-	if count, err := newTableFile(t.TempDir()).load(now, restored); err != nil || count != 0 {
+	if count, _, err := newTableFile(t.TempDir()).load(now, restored); err != nil || count != 0 {
 		t.Errorf("upstreams loaded from an empty folder: got %d (%v), want none", count, err)
 	}
 }
--- a/src/governor/tablefile.go
+++ b/src/governor/tablefile.go
@@ -35,27 +35,30 @@
 	saving chan error
 }
 
-// load adds the saved upstreams to a table.
-func (f *tableFile) load(now time.Time, table *enroller.Table) (int, error) {
+// load adds the saved upstreams to a table, and returns how many there are and how many of them leave or have gone.
+func (f *tableFile) load(now time.Time, table *enroller.Table) (loaded, departed int, err error) {
 	content, err := os.ReadFile(f.path)
 	if errors.Is(err, os.ErrNotExist) {
-		return 0, nil
+		return 0, 0, nil
 	}
 	if err != nil {
-		return 0, fmt.Errorf("read the saved upstreams: %w", err)
+		return 0, 0, fmt.Errorf("read the saved upstreams: %w", err)
 	}
 	batch := &messages.UpstreamBatch{}
 	if err := proto.Unmarshal(content, batch); err != nil {
-		return 0, fmt.Errorf("decode the saved upstreams: %w", err)
+		return 0, 0, fmt.Errorf("decode the saved upstreams: %w", err)
 	}
 	age := time.Duration(loadedAgeIntervals * float64(table.Interval)).Milliseconds()
 	for _, message := range batch.GetUpstreams() {
 		message.AgeMs = age
 		message.Silent = false
 		table.Merge(now, message)
+		if enroller.State(message.GetState()) != enroller.Ready {
+			departed++
+		}
 	}
 	f.savedCursor = table.Cursor()
-	return len(batch.GetUpstreams()), nil
+	return len(batch.GetUpstreams()), departed, nil
 }
 
 // save writes the table where it has changed. The disk may be slow, so the write runs in the
