Count the time of a reported stream from its report in the test of origins

TestLeaderFindsStreams made its streams when its table of cases was built, with a second left for each, and ran up to 13 cases after that, each with a data folder of its own.

--- a/src/governor/origins_test.go
+++ b/src/governor/origins_test.go
@@ -55,11 +55,19 @@
 	}
 }
 
-func recordOf(stream binder.StreamID, release units.Release, left time.Duration) binder.Record {
+// reportedStream is a stream that an entry reports, with the time for which its caller still tries.
+type reportedStream struct {
+	stream  binder.StreamID
+	release units.Release
+	left    time.Duration
+}
+
+// record returns the entry's record of the stream at this moment.
+func (s reportedStream) record() binder.Record {
 	return binder.Record{
-		Stream: stream,
-		Origin: binder.Origin{Service: "s", Release: release},
-		Until:  timekeeper.Now().Add(left),
+		Stream: s.stream,
+		Origin: binder.Origin{Service: "s", Release: s.release},
+		Until:  timekeeper.Now().Add(s.left),
 	}
 }
 
@@ -76,11 +84,11 @@
 		want        messages.StreamKnowledge
 		wantRelease string
 	}{
-		"reported":                         {releases: two, change: report(recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"reported, of a version that left": {releases: two, change: report(recordOf(70, "v0", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
-		"reported again":                   {releases: two, change: report(recordOf(70, "v1", short), recordOf(70, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
-		"another one reported":             {releases: two, change: report(recordOf(80, "v2", short)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
-		"caller has given up":              {releases: two, change: report(recordOf(70, "v2", 0)), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"reported":                         {releases: two, change: report(reportedStream{stream: 70, release: "v2", left: short}), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"reported, of a version that left": {releases: two, change: report(reportedStream{stream: 70, release: "v0", left: short}), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v0"},
+		"reported again":                   {releases: two, change: report(reportedStream{stream: 70, release: "v1", left: short}, reportedStream{stream: 70, release: "v2", left: short}), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_REPORTED, wantRelease: "v2"},
+		"another one reported":             {releases: two, change: report(reportedStream{stream: 80, release: "v2", left: short}), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
+		"caller has given up":              {releases: two, change: report(reportedStream{stream: 70, release: "v2", left: 0}), want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
 		"one version":                      {releases: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
 		"one version, in the log alone":    {logged: two[:1], want: messages.StreamKnowledge_STREAM_KNOWLEDGE_ONLY_VERSION, wantRelease: "v1"},
 		"no version in the log yet":        {want: messages.StreamKnowledge_STREAM_KNOWLEDGE_UNKNOWN},
@@ -110,10 +118,10 @@
 	}
 }
 
-func report(records ...binder.Record) func(c *coordinator) {
+func report(streams ...reportedStream) func(c *coordinator) {
 	return func(c *coordinator) {
-		for _, record := range records {
-			c.poll(streamsPoll(record))
+		for _, s := range streams {
+			c.poll(streamsPoll(s.record()))
 		}
 	}
 }
@@ -145,7 +153,7 @@
 // reported other versions.
 func TestNewLeadershipKnowsNoStreams(t *testing.T) {
 	c := newLeaderOfVersions(t, nil, "v1", "v2")
-	c.poll(streamsPoll(recordOf(70, "v1", time.Minute)))
+	c.poll(streamsPoll(reportedStream{stream: 70, release: "v1", left: time.Minute}.record()))
 	c.leaderSince = time.Time{}
 	c.isLeader(timekeeper.Now())
 	c.allocator.Since = timekeeper.Now().Add(-time.Minute)
