Let the coordinator of control take its clock and its messages from outside

A test of several control instances needed the real clock, as the coordinator read timekeeper.Now wherever it decided, and real connections, as its outbox was a struct: an election alone takes half a second of real time, so that no property could span one. The coordinator now takes its clock from Governor.Clock, which is timekeeper.Now where it isn't set, and sends by the interface messageSender. No behaviour changes; the tests of the package pass as before.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -53,10 +53,11 @@
 	settings  *parser.PlatformSettings
 	log       zerolog.Logger
 	decode    func([]byte) (*matcher.Configuration, error)
+	now       func() time.Time
 	persister *persister.Persister
 	node      *replicator.Node
 	state     *state
-	outbox    *outbox
+	outbox    messageSender
 	events    chan event
 	polls     chan pollReceived
 	// ctx ends the calls that the coordinator itself starts.
@@ -120,6 +121,7 @@
 		settings:  g.Settings,
 		log:       g.Log,
 		decode:    g.Decode,
+		now:       g.Clock,
 		persister: storage,
 		state: &state{
 			ledger: &aggregator.Ledger{
@@ -142,7 +144,7 @@
 		departures: make(departures),
 		// All control instances may have started at the same time, so there may be no leader
 		// yet.
-		leaderSeenAt:     timekeeper.Now().Add(startGraceHeartbeats * g.Settings.HeartbeatInterval),
+		leaderSeenAt:     g.Clock().Add(startGraceHeartbeats * g.Settings.HeartbeatInterval),
 		allocator:        &allocator.Allocator{},
 		proposalsByToken: make(map[uint64]chan<- declareReply),
 		proposalsByIndex: make(map[units.Index]pendingProposal),
@@ -199,7 +201,7 @@
 		return nil, err
 	}
 	c.loadTable()
-	c.node = replicator.New(timekeeper.Now(), c.options(stored), replicator.StoredState{
+	c.node = replicator.New(c.now(), c.options(stored), replicator.StoredState{
 		State:    stored.State,
 		Snapshot: stored.Snapshot,
 		Base:     stored.Base,
@@ -208,7 +210,7 @@
 	c.durability = &durability{
 		node:      c.node,
 		voters:    c.settings.Voters(),
-		startedAt: timekeeper.Now(),
+		startedAt: c.now(),
 	}
 	return c, nil
 }
@@ -217,7 +219,7 @@
 // the heartbeats of the upstreams.
 func (c *coordinator) loadTable() {
 	c.tableFile = newTableFile(c.settings.DataFolder)
-	loaded, departed, err := c.tableFile.load(timekeeper.Now(), c.table)
+	loaded, departed, err := c.tableFile.load(c.now(), c.table)
 	if err != nil {
 		c.log.Warn().Err(err).Msg("upstreams-not-recalled")
 		return
@@ -301,7 +303,7 @@
 	if err := c.step(replicator.Ticked{}); err != nil {
 		return err
 	}
-	now := timekeeper.Now()
+	now := c.now()
 	c.durability.tick(now)
 	if c.node.LeaderID() != "" {
 		c.leaderSeenAt = now
@@ -429,11 +431,11 @@
 	case announcementReceived:
 		e.reply <- c.handleAnnouncement(e)
 	case findStreamRequested:
-		e.reply <- c.origins.find(timekeeper.Now(), e.request)
+		e.reply <- c.origins.find(c.now(), e.request)
 	case upstreamBatchReceived:
 		e.reply <- c.syncUpstreams(e.batch)
 	case departuresHeld:
-		c.inheritance.learn(timekeeper.Now(), e)
+		c.inheritance.learn(c.now(), e)
 	}
 	return nil
 }
@@ -441,12 +443,12 @@
 // handleDeclare proposes a configuration. It replies at once where this instance leads and
 // the same or a higher version is in force: that one is committed, so the reply is final.
 func (c *coordinator) handleDeclare(e declareRequested) error {
-	if !c.node.IsConfirmedLeader(timekeeper.Now()) {
+	if !c.node.IsConfirmedLeader(c.now()) {
 		e.reply <- declareReply{leader: string(c.node.LeaderID())}
 		return nil
 	}
 	if e.declaration.GetVersion() <= c.state.configuration.GetVersion() {
-		c.durability.accept(timekeeper.Now(), e.reply)
+		c.durability.accept(c.now(), e.reply)
 		return nil
 	}
 	c.nextToken++
@@ -463,7 +465,7 @@
 
 // read replies from the state while the lease guarantees that no later leader has changed it.
 func (c *coordinator) read() readReply {
-	if !c.node.IsConfirmedLeader(timekeeper.Now()) {
+	if !c.node.IsConfirmedLeader(c.now()) {
 		return readReply{leader: string(c.node.LeaderID())}
 	}
 	return readReply{
--- a/src/governor/dump.go
+++ b/src/governor/dump.go
@@ -5,7 +5,6 @@
 
 	"github.com/rosecroft/rosecroft/src/admitter"
 	"github.com/rosecroft/rosecroft/src/placer"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -61,7 +60,7 @@
 }
 
 func (c *coordinator) dump() *Dump {
-	now := timekeeper.Now()
+	now := c.now()
 	d := &Dump{
 		Voter:    string(c.node.VoterID()),
 		Role:     c.node.CurrentRole().String(),
--- a/src/governor/duties.go
+++ b/src/governor/duties.go
@@ -8,7 +8,6 @@
 	"github.com/rosecroft/rosecroft/src/aggregator"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/replicator"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -116,7 +115,7 @@
 func (d *duties) sendReport(ctx context.Context, term units.Term, report aggregator.Report) {
 	c := d.coordinator
 	err := errLeadershipEnded
-	if timekeeper.Now().UnixNano() < c.leaderUntil.Load() {
+	if c.now().UnixNano() < c.leaderUntil.Load() {
 		callContext, cancel := context.WithTimeout(ctx, cloudTimeout)
 		err = d.cloud.ReportUsage(callContext, d.holder(term), report)
 		cancel()
@@ -156,7 +155,7 @@
 	case errors.As(e.err, &fenced):
 		d.fenced = true
 	default:
-		d.retryAt = timekeeper.Now().Add(retryDelay)
+		d.retryAt = c.now().Add(retryDelay)
 	}
 	c.log.Warn().Err(e.err).Int64("window", int64(e.window)).Uint64("fence", uint64(e.term)).Msg("usage-not-reported")
 }
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -57,6 +57,8 @@
 	// Peers and Metrics are listeners on the addresses in the settings; Metrics may be nil.
 	Peers   net.Listener
 	Metrics net.Listener
+	// Clock returns the time since the boot of the instance, timekeeper.Now if nil.
+	Clock func() time.Time
 	// Clients bounds what the clients of Metrics hold; nil bounds nothing.
 	Clients *admitter.Admitter
 
@@ -71,6 +73,9 @@
 		g.Client = &connector.Client{}
 	}
 	g.Client.Bounds = g.messageBounds()
+	if g.Clock == nil {
+		g.Clock = timekeeper.Now
+	}
 	g.events = make(chan event, eventQueueSize)
 	g.polls = make(chan pollReceived, pollQueueSize)
 }
@@ -239,7 +244,7 @@
 	reply := make(chan *messages.EntryPollResponse, 1)
 	p := pollReceived{
 		poll:       m,
-		receivedAt: timekeeper.Now(),
+		receivedAt: g.Clock(),
 		reply:      reply,
 	}
 	select {
--- a/src/governor/orders.go
+++ b/src/governor/orders.go
@@ -8,7 +8,6 @@
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/scaler"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -160,7 +159,7 @@
 func (o *orders) send(ctx context.Context, duties *duties, term units.Term, at placement, order Order) {
 	c := duties.coordinator
 	err := errLeadershipEnded
-	if timekeeper.Now().UnixNano() < c.leaderUntil.Load() {
+	if c.now().UnixNano() < c.leaderUntil.Load() {
 		callContext, cancel := context.WithTimeout(ctx, cloudTimeout)
 		err = duties.cloud.Scale(callContext, duties.holder(term), order)
 		cancel()
@@ -184,7 +183,7 @@
 	}
 	o.pending = max(0, o.pending-1)
 	s := o.scalers[e.order.Service]
-	c.reserves.recordResult(timekeeper.Now(), e)
+	c.reserves.recordResult(c.now(), e)
 	if e.err == nil || s == nil {
 		return
 	}
@@ -194,7 +193,7 @@
 	case errors.As(e.err, &fenced):
 		o.fenced[e.order.Service] = true
 	case errors.As(e.err, &unavailable):
-		s.OnOrderRefused(timekeeper.Now(), e.order.Pool)
+		s.OnOrderRefused(c.now(), e.order.Pool)
 	default:
 		s.OnOrderFailed(e.order.Pool)
 	}
--- a/src/governor/outbox.go
+++ b/src/governor/outbox.go
@@ -21,6 +21,11 @@
 	ackTimeout = 300 * time.Millisecond
 )
 
+// messageSender sends messages to other control instances, without a guarantee that they arrive.
+type messageSender interface {
+	enqueue(ctx context.Context, address string, p peerMessage)
+}
+
 // outbox sends messages to other control instances. Each has a queue and a goroutine of its
 // own, so that an unresponsive instance delays no other.
 type outbox struct {
--- a/src/governor/quarantine.go
+++ b/src/governor/quarantine.go
@@ -9,7 +9,6 @@
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/quarantiner"
 	"github.com/rosecroft/rosecroft/src/replicator"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -67,7 +66,7 @@
 // earlierParts returns the parts of a quarantine that all are among the given ones, nil for none, and whether it
 // is in force.
 func (q *quarantines) earlierParts(parts []units.PromptPart) (earlier []units.PromptPart, inForce bool) {
-	trueNow := q.coordinator.trueTime(timekeeper.Now())
+	trueNow := q.coordinator.trueTime(q.coordinator.now())
 	for _, m := range q.coordinator.state.quarantines {
 		if len(m.GetParts()) == 0 || slices.ContainsFunc(m.GetParts(), func(part uint64) bool { return !slices.Contains(parts, units.PromptPart(part)) }) {
 			continue
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -10,7 +10,6 @@
 	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/placer"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -21,7 +20,7 @@
 // upstream gets no more calls must reach the leader, which all entries poll, and the
 // instances that may lead next, before it is acknowledged.
 func (c *coordinator) handleAnnouncement(a announcementReceived) announceReply {
-	now := timekeeper.Now()
+	now := c.now()
 	reply := announceReply{
 		leader:             string(c.node.LeaderID()),
 		leaderReached:      c.node.IsConfirmedLeader(now),
@@ -110,7 +109,7 @@
 
 // syncUpstreams merges the upstreams that another control instance received.
 func (c *coordinator) syncUpstreams(batch *messages.UpstreamBatch) *messages.UpstreamBatchResponse {
-	now := timekeeper.Now()
+	now := c.now()
 	c.estimator.Record(now, units.Instance(batch.GetFrom()), time.Unix(0, batch.GetWallNs()))
 	lacks := false
 	for _, message := range batch.GetUpstreams() {
@@ -137,7 +136,7 @@
 // handlePoll answers a poll unless its entry has given up on it: an instance that is behind
 // would otherwise spend all its time on expired polls.
 func (c *coordinator) handlePoll(p pollReceived) error {
-	now := timekeeper.Now()
+	now := c.now()
 	if now.Sub(p.receivedAt) > pollTimeout {
 		p.reply <- &messages.EntryPollResponse{}
 		return nil
@@ -148,7 +147,7 @@
 
 // poll returns the response to an entry's poll.
 func (c *coordinator) poll(poll *messages.EntryPoll) *messages.EntryPollResponse {
-	now := timekeeper.Now()
+	now := c.now()
 	isLeader := c.isLeader(now)
 	summary := c.summary(now)
 	response := &messages.EntryPollResponse{
--- a/src/governor/rollout.go
+++ b/src/governor/rollout.go
@@ -9,7 +9,6 @@
 	"github.com/rosecroft/rosecroft/src/placer"
 	"github.com/rosecroft/rosecroft/src/releaser"
 	"github.com/rosecroft/rosecroft/src/replicator"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
@@ -43,7 +42,7 @@
 // start handles an order, which takes effect once a majority holds it.
 func (r *rollouts) start(e rolloutRequested) error {
 	c := r.coordinator
-	now := timekeeper.Now()
+	now := c.now()
 	if !c.isLeader(now) || c.configuration == nil {
 		e.reply <- rolloutReply{leader: string(c.node.LeaderID())}
 		return nil
@@ -113,7 +112,7 @@
 // changed it.
 func (r *rollouts) read(service units.Service) rolloutReadReply {
 	c := r.coordinator
-	if !c.node.IsConfirmedLeader(timekeeper.Now()) {
+	if !c.node.IsConfirmedLeader(c.now()) {
 		return rolloutReadReply{leader: string(c.node.LeaderID())}
 	}
 	return rolloutReadReply{
--- a/src/governor/usage_test.go
+++ b/src/governor/usage_test.go
@@ -40,7 +40,7 @@
 	// The queue has no goroutine that delivers its messages.
 	const peer = "127.0.0.1:7001"
 	queue := make(chan peerMessage, 8)
-	leader.outbox.queues = map[string]chan peerMessage{peer: queue}
+	leader.outbox = &outbox{queues: map[string]chan peerMessage{peer: queue}}
 	leader.node.AddInstance(peer)
 	leader.ticks = usageTicks
 	leader.sendBatch(now)
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -5,12 +5,11 @@
 
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/replicator"
-	"github.com/rosecroft/rosecroft/src/timekeeper"
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
 func (c *coordinator) step(e replicator.Event) error {
-	for _, action := range c.node.Step(timekeeper.Now(), e) {
+	for _, action := range c.node.Step(c.now(), e) {
 		if err := c.execute(action); err != nil {
 			return err
 		}
@@ -114,7 +113,7 @@
 			proposal.reply <- declareReply{}
 			continue
 		}
-		c.durability.accept(timekeeper.Now(), proposal.reply)
+		c.durability.accept(c.now(), proposal.reply)
 	}
 }
 
