Keep acknowledged departures in the replicated log

Cause: a departure was acknowledged once the leader and a majority held it in memory. Their tables reached the disk at most once a second and after that. With three departures 350 ms apart, each of five instances read one from disk after the restart (upstreams-recalled), the next leader heard of one from each other instance, and the late heartbeats made the other two engines ready again.

A departure is now a record of the log: acknowledged once a majority of the voters has it on disk and all voters are there, as a configuration is. A leader is confirmed once it has applied all earlier records, so that no entry gets a table that lacks one. An instance that does not lead forwards the announcement; the leader commits what arrives between two ticks in one record, as hundreds of engines may leave at once. The log keeps a departure for the two minutes that a table keeps it, and 8,192 at most. The replication to the others' memory, its repetition and the questions of a new leader are gone, as the log does what they were for.

TestReclaimHistoriesAcrossVersions takes the number of the next field from the schema.

--- a/src/enroller/registration.go
+++ b/src/enroller/registration.go
@@ -120,7 +120,8 @@
 	}
 }
 
-func fromMessage(m *messages.RegisteredUpstream) Registration {
+// FromMessage returns the registration that a message states; it may be invalid.
+func FromMessage(m *messages.RegisteredUpstream) Registration {
 	return Registration{
 		ID:          units.Upstream(m.GetId()),
 		Service:     units.Service(m.GetService()),
--- a/src/enroller/table.go
+++ b/src/enroller/table.go
@@ -15,9 +15,9 @@
 	// maxMissedIntervals is the silence, in heartbeat intervals, after which an upstream counts
 	// as silent. One late and one lost heartbeat leave it in use.
 	maxMissedIntervals = 3.5
-	// goneRetention is how long an upstream that is gone is kept. It is longer than a network cut
+	// GoneRetention is how long an upstream that is gone is kept. It is longer than a network cut
 	// can delay a heartbeat.
-	goneRetention = 2 * time.Minute
+	GoneRetention = 2 * time.Minute
 	// silentRetention is how long a silent upstream is kept.
 	silentRetention = time.Minute
 	// maxUpstreams bounds the upstreams in a table, whoever announces them: with texts of MaxTextBytes they take 48 MiB.
@@ -224,7 +224,7 @@
 	for id, upstream := range t.upstreams {
 		silentFor := now.Sub(upstream.HeartbeatAt)
 		switch {
-		case upstream.State == Gone && silentFor > goneRetention, upstream.State != Gone && silentFor > silentRetention:
+		case upstream.State == Gone && silentFor > GoneRetention, upstream.State != Gone && silentFor > silentRetention:
 			delete(t.upstreams, id)
 			t.digest = nil
 			if t.byAddress[upstream.Address] == id {
@@ -306,17 +306,6 @@
 	return changes, until
 }
 
-// Departures returns the upstreams that leave or have gone, as far as that was heard within a time.
-func (t *Table) Departures(now time.Time, within time.Duration) []*messages.RegisteredUpstream {
-	var departures []*messages.RegisteredUpstream
-	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
-		if upstream := t.upstreams[id]; upstream.State != Ready && now.Sub(upstream.HeartbeatAt) <= within {
-			departures = append(departures, upstream.Message(max(0, now.Sub(upstream.HeartbeatAt))))
-		}
-	}
-	return departures
-}
-
 // Republish lets those that follow the table learn of the upstreams that are no longer withheld.
 func (t *Table) Republish(isReleased func(r *Registration) bool) {
 	for _, id := range slices.Sorted(maps.Keys(t.upstreams)) {
@@ -334,7 +323,7 @@
 // Merge merges what another table reported of an upstream, and reports whether that changes how
 // callers treat it.
 func (t *Table) Merge(now time.Time, m *messages.RegisteredUpstream) bool {
-	r := fromMessage(m)
+	r := FromMessage(m)
 	age := time.Duration(m.GetAgeMs()) * time.Millisecond
 	known := t.upstreams[r.ID]
 	// The other table may know nothing newer than this one except whether the upstream is silent.
--- a/src/governor/controlfleet_test.go
+++ b/src/governor/controlfleet_test.go
@@ -17,19 +17,18 @@
 	"github.com/rosecroft/rosecroft/src/units"
 )
 
-// controlFleet is a simulated deployment: control instances, of which the first one leads, and entries that poll it. All
-// messages between them are encoded and decoded.
+// controlFleet is a simulated deployment: control instances, of which the first one leads with a log of its own, and
+// entries that poll it. All messages between them are encoded and decoded.
 type controlFleet struct {
 	instances []*coordinator
 	entries   []*followingEntry
-	// left holds the incarnations whose departure was acknowledged.
-	left map[units.Upstream]units.Incarnation
 }
 
 // followingEntry is an entry's table of upstreams and its state in the exchange with the leader.
 type followingEntry struct {
-	table  *enroller.Table
-	cursor uint64
+	table *enroller.Table
+	// leaderTable and cursor are the leader's table that it follows, and how far.
+	leaderTable, cursor uint64
 }
 
 func newControlFleet(t *testing.T, followers int) *controlFleet {
@@ -45,20 +44,13 @@
 
 // reset makes all instances forget what they know of upstreams, and leaves one entry.
 func (f *controlFleet) reset() {
-	f.entries, f.left = nil, make(map[units.Upstream]units.Incarnation)
+	f.entries = nil
 	for _, c := range f.instances {
 		forgetUpstreams(c)
 	}
 	f.addEntry()
 }
 
-// publishAll lets entries learn of all upstreams, of whatever service and version.
-func (f *controlFleet) publishAll() {
-	for _, c := range f.instances {
-		c.table.IsWithheld = nil
-	}
-}
-
 // forgetUpstreams does what the loss of an instance's memory and disk does to its table.
 func forgetUpstreams(c *coordinator) {
 	c.settings.HeartbeatInterval = time.Second
@@ -70,7 +62,6 @@
 	c.table.IsNamed = c.namesService
 	c.configuration = &matcher.Configuration{Services: []matcher.Service{{Name: "s"}}}
 	c.unsent = make(map[units.Upstream]bool)
-	c.departures = make(departures)
 	c.pages = pages{}
 }
 
@@ -101,46 +92,35 @@
 	}
 }
 
-// announce passes an announcement to an instance, and reports whether it is acknowledged.
-func (f *controlFleet) announce(at int, a announcementReceived, isLost func(to int) bool) bool {
-	reply := f.instances[at].handleAnnouncement(a)
-	if reply.unrecorded {
-		return false
+// announce passes an announcement to an instance. The departure of an upstream is committed by the leader.
+func (f *controlFleet) announce(t rapid.TB, at int, r enroller.Registration) {
+	reply := f.instances[at].handleAnnouncement(announcementReceived{registration: r})
+	if reply.departs != nil && reply.committed == nil {
+		f.instances[0].handleAnnouncement(announcementReceived{registration: r})
 	}
-	if reply.mustReplicate == nil {
-		return true
-	}
-	reply.peers = nil
-	var answers []*messages.UpstreamBatchResponse
-	for to, c := range f.instances {
-		if to == at {
-			continue
-		}
-		reply.peers = append(reply.peers, fmt.Sprint(to))
-		batch := &messages.UpstreamBatch{
-			From:      fmt.Sprint(at),
-			WallNs:    time.Now().UnixNano(),
-			Upstreams: reply.mustReplicate,
-		}
-		answers = append(answers, f.send(c, batch, isLost(to)))
+	if err := f.instances[0].departures.tick(); err != nil {
+		t.Fatal(err)
 	}
-	return newDeparture(reply, answers).isHeld(len(f.instances))
 }
 
 // poll lets an entry poll the leader until it has the whole table, and returns an error if a response cannot be used.
 func (f *controlFleet) poll(entry int) error {
-	e := f.entries[entry]
+	return f.entries[entry].follow(timekeeper.Now(), f.instances[0], fmt.Sprint(entry))
+}
+
+// follow lets an entry poll a leader until it has the whole table, and returns an error if a response cannot be used.
+func (e *followingEntry) follow(now time.Time, leader *coordinator, name string) error {
 	for {
 		poll := &messages.EntryPoll{
-			Entry:       fmt.Sprint(entry),
+			Entry:       name,
 			Incarnation: 1,
 			Serving:     true,
-			TableId:     f.instances[0].table.ID,
+			TableId:     e.leaderTable,
 			TableCursor: e.cursor,
 			WallNs:      time.Now().UnixNano(),
 		}
-		f.instances[0].pages.sealedAt = time.Time{}
-		content, err := proto.Marshal(f.instances[0].poll(poll))
+		leader.pages.sealedAt = time.Time{}
+		content, err := proto.Marshal(leader.poll(poll))
 		if err != nil {
 			return fmt.Errorf("encode the response: %w", err)
 		}
@@ -157,85 +137,43 @@
 			changes = append(changes, decoded...)
 		}
 		for _, m := range changes {
-			e.table.Merge(timekeeper.Now(), m)
+			e.table.Merge(now, m)
 		}
-		e.cursor = response.GetTableCursor()
+		e.leaderTable, e.cursor = response.GetTableId(), response.GetTableCursor()
 		if !response.GetMore() {
 			return nil
 		}
 	}
 }
 
-// check lets all entries poll, and reports upstreams in use whose departure was acknowledged.
-func (f *controlFleet) check(t *rapid.T) {
-	for n, e := range f.entries {
-		if err := f.poll(n); err != nil {
-			t.Fatalf("poll of entry %d: %v", n, err)
-		}
-		for _, u := range e.table.Upstreams() {
-			if left, hasLeft := f.left[u.ID]; hasLeft && u.State == enroller.Ready && u.Incarnation <= left {
-				t.Fatalf("entry %d: got upstream %q of %d in use, want it out of use since its departure was acknowledged", n, u.ID, u.Incarnation)
-			}
-		}
-	}
-}
-
-// swapLeader lets an instance lead with what it knows of upstreams; entries begin anew with its table.
-func (f *controlFleet) swapLeader(at int) {
-	leader, next := f.instances[0], f.instances[at]
-	leader.table, next.table = next.table, leader.table
-	leader.unsent, next.unsent = next.unsent, leader.unsent
-	leader.departures, next.departures = next.departures, leader.departures
-	leader.pages, next.pages = pages{}, pages{}
-	for _, e := range f.entries {
-		e.cursor = 0
-	}
-}
-
-// replaceLeader lets an instance lead in place of the one that does, and waits until what is repeated has arrived.
-func (f *controlFleet) replaceLeader(at int) {
-	f.swapLeader(at)
-	for from := range f.instances {
-		f.spread(from, func(int) bool { return false })
-	}
-}
-
-// killLeader lets an instance lead in place of one that has lost its memory and disk, after it has asked all others for the
-// departures that they hold.
-func (f *controlFleet) killLeader(at int) {
-	forgetUpstreams(f.instances[0])
-	f.instances[0].table.IsWithheld = nil
-	f.swapLeader(at)
-	leader := f.instances[0]
-	for from, c := range f.instances[1:] {
-		leader.inheritance.learn(timekeeper.Now(), departuresHeld{
-			from:       fmt.Sprint(from),
-			departures: f.send(c, leader.inheritance.question(), false).GetDepartures(),
-		})
-	}
-}
-
 // soundEngine is an engine of the fleet's own.
 type soundEngine struct {
 	registration enroller.Registration
 }
 
-// announceState sends an engine's next heartbeat, or its deregistration, and records an acknowledged departure. An engine
-// that has said that it leaves does not take that back.
-func (f *controlFleet) announceState(at int, e *soundEngine, state enroller.State, isLost func(to int) bool) {
+func newSoundEngine(n int) *soundEngine {
+	return &soundEngine{registration: enroller.Registration{
+		ID:      units.Upstream(fmt.Sprintf("i-%d", n)),
+		Service: "s",
+		Address: fmt.Sprintf("10.0.%d.%d:80", n/250, n%250),
+		Slots:   8,
+		State:   enroller.Ready,
+	}}
+}
+
+// next returns an engine's next heartbeat, or its deregistration. An engine that has said that it leaves does not take that
+// back.
+func (e *soundEngine) next(state enroller.State) enroller.Registration {
 	e.registration.State = max(e.registration.State, min(state, enroller.Leaving))
-	a := announcementReceived{registration: enroller.NewDeparture(e.registration.ID, 0)}
-	if state != enroller.Gone {
-		e.registration.Sequence++
-		a.registration = e.registration
-	}
-	if f.announce(at, a, isLost) && e.registration.State != enroller.Ready {
-		f.left[e.registration.ID] = e.registration.Incarnation
+	if state == enroller.Gone {
+		return enroller.NewDeparture(e.registration.ID, 0)
 	}
+	e.registration.Sequence++
+	return e.registration
 }
 
 // drawForeign draws an announcement of another writer, which does not use the id of an engine of the fleet's own.
-func drawForeign(t *rapid.T, sound []*soundEngine) announcementReceived {
+func drawForeign(t *rapid.T, sound []*soundEngine) enroller.Registration {
 	text := rapid.OneOf(
 		rapid.SampledFrom([]string{"", "s", "t", "x\xff", "\xc3\x28", "\x00", "10.0.0.1:80", "10.0.0.2:80"}),
 		rapid.String(),
@@ -247,21 +185,19 @@
 		id += "'"
 	}
 	if rapid.IntRange(0, 5).Draw(t, "deregisters") == 0 {
-		return announcementReceived{registration: enroller.NewDeparture(id, 0)}
-	}
-	return announcementReceived{
-		registration: enroller.Registration{
-			ID:          id,
-			Service:     units.Service(text.Draw(t, "service")),
-			Address:     text.Draw(t, "address"),
-			DataCentre:  units.DataCentre(text.Draw(t, "data centre")),
-			Release:     units.Release(text.Draw(t, "release")),
-			Slots:       rapid.Int().Draw(t, "slots"),
-			State:       enroller.State(rapid.IntRange(-1, 5).Draw(t, "state")),
-			Incarnation: units.Incarnation(rapid.Int64().Draw(t, "incarnation")),
-			Sequence:    rapid.Uint64().Draw(t, "sequence"),
-			ColdFor:     time.Duration(rapid.Int64().Draw(t, "cold")),
-			LeavesIn:    time.Duration(rapid.Int64().Draw(t, "leaves")),
-		},
+		return enroller.NewDeparture(id, 0)
+	}
+	return enroller.Registration{
+		ID:          id,
+		Service:     units.Service(text.Draw(t, "service")),
+		Address:     text.Draw(t, "address"),
+		DataCentre:  units.DataCentre(text.Draw(t, "data centre")),
+		Release:     units.Release(text.Draw(t, "release")),
+		Slots:       rapid.Int().Draw(t, "slots"),
+		State:       enroller.State(rapid.IntRange(-1, 5).Draw(t, "state")),
+		Incarnation: units.Incarnation(rapid.Int64().Draw(t, "incarnation")),
+		Sequence:    rapid.Uint64().Draw(t, "sequence"),
+		ColdFor:     time.Duration(rapid.Int64().Draw(t, "cold")),
+		LeavesIn:    time.Duration(rapid.Int64().Draw(t, "leaves")),
 	}
 }
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -54,7 +54,7 @@
 	log       zerolog.Logger
 	decode    func([]byte) (*matcher.Configuration, error)
 	now       func() time.Time
-	persister *persister.Persister
+	persister logStorage
 	node      *replicator.Node
 	state     *state
 	outbox    messageSender
@@ -66,7 +66,7 @@
 	table *enroller.Table
 	// unsent are the upstreams whose changes were not sent to the other control instances yet.
 	unsent      map[units.Upstream]bool
-	departures  departures
+	departures  *departures
 	ticks       int
 	allocator   *allocator.Allocator
 	estimator   timekeeper.Estimator
@@ -85,7 +85,7 @@
 	leaderUntil atomic.Int64
 	// proposalsByToken holds proposals that have no log index yet, proposalsByIndex those
 	// that are not committed yet.
-	proposalsByToken map[uint64]chan<- declareReply
+	proposalsByToken map[uint64][]chan<- declareReply
 	proposalsByIndex map[units.Index]pendingProposal
 	nextToken        uint64
 	duties           *duties
@@ -102,7 +102,6 @@
 	durability  *durability
 	origins     *origins
 	releases    *releases
-	inheritance *inheritance
 	reserves    *reserves
 	limits      *limits
 	pages       pages
@@ -111,12 +110,20 @@
 	fileFault  standingFault
 }
 
+// logStorage keeps the replicated log of one voter.
+type logStorage interface {
+	// Save syncs the state and records, which replace all stored ones from the first one's index on.
+	Save(state *messages.HardState, records []*messages.LogRecord) error
+	// SaveSnapshot syncs a snapshot, and the records that follow it in place of all stored ones.
+	SaveSnapshot(state *messages.HardState, snapshot *messages.LogSnapshot, base *messages.RecordsHeader, records []*messages.LogRecord) error
+}
+
 type pendingProposal struct {
-	term  units.Term
-	reply chan<- declareReply
+	term    units.Term
+	replies []chan<- declareReply
 }
 
-func newCoordinator(g *Governor, storage *persister.Persister, stored *persister.Contents) (*coordinator, error) {
+func newCoordinator(g *Governor, storage logStorage, stored *persister.Contents) (*coordinator, error) {
 	c := &coordinator{
 		settings:  g.Settings,
 		log:       g.Log,
@@ -140,13 +147,12 @@
 			ID:       rand.Uint64(),
 			Interval: g.Settings.HeartbeatInterval,
 		},
-		unsent:     make(map[units.Upstream]bool),
-		departures: make(departures),
+		unsent: make(map[units.Upstream]bool),
 		// All control instances may have started at the same time, so there may be no leader
 		// yet.
 		leaderSeenAt:     g.Clock().Add(startGraceHeartbeats * g.Settings.HeartbeatInterval),
 		allocator:        &allocator.Allocator{},
-		proposalsByToken: make(map[uint64]chan<- declareReply),
+		proposalsByToken: make(map[uint64][]chan<- declareReply),
 		proposalsByIndex: make(map[units.Index]pendingProposal),
 	}
 	c.duties = &duties{
@@ -186,11 +192,9 @@
 	c.releases = &releases{
 		coordinator: c,
 	}
-	c.inheritance = &inheritance{
+	c.departures = &departures{
 		coordinator: c,
-		client:      g.Client,
 	}
-	c.inheritance.startLeadership()
 	c.table.IsWithheld = c.releases.isWithheld
 	c.table.IsNamed = c.namesService
 	c.reserves = newReserves(c, g.Meter)
@@ -324,8 +328,7 @@
 		c.ejections.tick(now)
 		c.brittleness.tick(now)
 		c.origins.tick()
-		c.inheritance.tick(now)
-		if err := errors.Join(c.rollouts.tick(now), c.releases.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
+		if err := errors.Join(c.departures.tick(), c.rollouts.tick(now), c.releases.tick(now), c.quarantines.tick(now), c.reserves.tick(now), c.limits.tick(now)); err != nil {
 			return err
 		}
 	} else {
@@ -388,7 +391,6 @@
 		c.brittleness.startLeadership()
 		c.origins.startLeadership()
 		c.releases.startLeadership()
-		c.inheritance.startLeadership()
 	}
 	return true
 }
@@ -403,7 +405,7 @@
 		e.reply <- c.read()
 	case ticked:
 		return c.tick(c.ctx)
-	case pollReceived, announcementReceived, findStreamRequested, upstreamBatchReceived, departuresHeld:
+	case pollReceived, announcementReceived, findStreamRequested, upstreamBatchReceived:
 		return c.handleFleetEvent(e)
 	case rolloutRequested:
 		return c.rollouts.start(e)
@@ -434,8 +436,6 @@
 		e.reply <- c.origins.find(c.now(), e.request)
 	case upstreamBatchReceived:
 		e.reply <- c.syncUpstreams(e.batch)
-	case departuresHeld:
-		c.inheritance.learn(c.now(), e)
 	}
 	return nil
 }
@@ -452,7 +452,7 @@
 		return nil
 	}
 	c.nextToken++
-	c.proposalsByToken[c.nextToken] = e.reply
+	c.proposalsByToken[c.nextToken] = []chan<- declareReply{e.reply}
 	return c.step(replicator.Proposed{
 		Command: &messages.Command{
 			Change: &messages.Command_Declaration{
--- a/src/governor/coordinator_test.go
+++ b/src/governor/coordinator_test.go
@@ -1,8 +1,6 @@
 package governor
 
 import (
-	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -11,7 +9,6 @@
 	"github.com/rosecroft/rosecroft/src/aggregator"
 	"github.com/rosecroft/rosecroft/src/allocator"
 	"github.com/rosecroft/rosecroft/src/connector"
-	"github.com/rosecroft/rosecroft/src/enroller"
 	"github.com/rosecroft/rosecroft/src/matcher"
 	"github.com/rosecroft/rosecroft/src/messages"
 	"github.com/rosecroft/rosecroft/src/parser"
@@ -154,64 +151,6 @@
 	}
 }
 
-// An upstream announces to the leader that it is leaving, and the leader is suspended right
-// after its reply. Entries that have not polled since then poll the next leader. They send
-// calls to an upstream that is gone, unless every other control instance was notified before
-// the reply, or the upstream got an error and has to announce it again.
-func TestLeavingIsReplicatedBeforeAcknowledgement(t *testing.T) {
-	cases := map[string]struct {
-		reachable bool
-		wantErr   bool
-	}{
-		"peers reachable":   {reachable: true},
-		"peers unreachable": {wantErr: true},
-	}
-	for name, test := range cases {
-		t.Run(name, func(t *testing.T) {
-			g, c := newLeader(t)
-			g.Settings.LostDisks = 1
-			received := make(chan string, 2)
-			for range 2 {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
-				}
-				c.node.AddInstance(units.Instance(listener.Addr().String()))
-				if !test.reachable {
-					_ = listener.Close()
-					continue
-				}
-				server := &connector.Server{Listener: listener}
-				connector.Handle(server, MethodUpstreamBatch, func(_ context.Context, _ connector.Peer, m *messages.UpstreamBatch) (*messages.UpstreamBatchResponse, error) {
-					received <- m.GetUpstreams()[0].GetId()
-					return &messages.UpstreamBatchResponse{}, nil
-				})
-				go func() { _ = server.Run(t.Context()) }()
-			}
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				_ = c.run(t.Context())
-			}()
-			// The coordinator writes to the test's folder until it has ended.
-			t.Cleanup(func() { <-ended })
-			err := g.Announce(t.Context(), enroller.Registration{
-				ID:       "u1",
-				Service:  "s",
-				Address:  "127.0.0.1:1",
-				State:    enroller.Leaving,
-				Sequence: 1,
-			})
-			if (err != nil) != test.wantErr {
-				t.Errorf("announcement: got error %v, want an error: %t", err, test.wantErr)
-			}
-			if got := len(received); test.reachable && got != 2 {
-				t.Errorf("control instances notified before the acknowledgement: got %d, want 2", got)
-			}
-		})
-	}
-}
-
 // Guards against a configuration that is acknowledged while too few disks hold it to survive the loss of
 // as many as are tolerated.
 func TestAcknowledgementsWaitForAllVoters(t *testing.T) {
--- a/src/governor/event.go
+++ b/src/governor/event.go
@@ -23,6 +23,8 @@
 	MethodStartRollout connector.Method = "registry/rollout"
 	MethodReadRollout  connector.Method = "registry/read-rollout"
 	MethodFindStream   connector.Method = "registry/find-stream"
+	// MethodDepart forwards an upstream's departure to the leader.
+	MethodDepart connector.Method = "registry/depart"
 )
 
 // event is an input of the coordinator.
@@ -87,10 +89,10 @@
 	leaderSeenRecently bool
 	// unrecorded says that the table has not taken the announcement.
 	unrecorded bool
-	// mustReplicate is what must be sent of an upstream to other control instances before the
-	// acknowledgement, nil for nothing, and peers are the addresses of these instances.
-	mustReplicate []*messages.RegisteredUpstream
-	peers         []string
+	// departs is what the log must hold before the acknowledgement, nil for nothing. committed receives the outcome of
+	// the commit, and is nil where the leader has to commit it.
+	departs   *messages.RegisteredUpstream
+	committed <-chan declareReply
 }
 
 // upstreamBatchReceived carries a batch of upstreams from another control instance.
@@ -99,13 +101,6 @@
 	reply chan<- *messages.UpstreamBatchResponse
 }
 
-// departuresHeld carries the departures that another control instance holds, or why it did not answer.
-type departuresHeld struct {
-	from       string
-	departures []*messages.RegisteredUpstream
-	err        error
-}
-
 // rolloutRequested orders a roll-out.
 type rolloutRequested struct {
 	order RolloutOrder
@@ -172,7 +167,6 @@
 func (pollReceived) event()          {}
 func (announcementReceived) event()  {}
 func (upstreamBatchReceived) event() {}
-func (departuresHeld) event()        {}
 func (findStreamRequested) event()   {}
 func (rolloutRequested) event()      {}
 func (rolloutReadRequested) event()  {}
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -227,6 +227,9 @@
 			Declaration: reply.declaration,
 		}, err
 	})
+	connector.Handle(server, MethodDepart, func(ctx context.Context, _ connector.Peer, m *messages.DepartRequest) (*messages.DepartResponse, error) {
+		return g.departHere(ctx, m)
+	})
 	connector.Handle(server, MethodFindStream, func(ctx context.Context, _ connector.Peer, m *messages.FindStream) (*messages.FindStreamResponse, error) {
 		return sendAndWait(ctx, g, func(reply chan<- *messages.FindStreamResponse) event {
 			return findStreamRequested{
@@ -404,8 +407,8 @@
 	if reply.unrecorded {
 		return &UnconfirmedError{Leader: reply.leader}
 	}
-	if reply.mustReplicate == nil {
+	if reply.departs == nil {
 		return nil
 	}
-	return g.replicate(ctx, reply)
+	return g.depart(ctx, reply)
 }
--- a/src/governor/joins_test.go
+++ b/src/governor/joins_test.go
@@ -29,16 +29,16 @@
 }
 
 // announceVersions lets another writer announce upstreams of as many versions of the service in use.
-func (f *controlFleet) announceVersions(at, versions int, isLost func(int) bool) {
+func (f *controlFleet) announceVersions(t rapid.TB, at, versions int) {
 	for n := range versions {
-		f.announce(at, announcementReceived{registration: enroller.Registration{
+		f.announce(t, at, enroller.Registration{
 			ID:      units.Upstream(fmt.Sprintf("foreign-%d", n)),
 			Service: "s",
 			Address: fmt.Sprintf("10.2.0.%d:80", n),
 			Slots:   8,
 			State:   enroller.Ready,
 			Release: units.Release(fmt.Sprintf("v1-%d", n)),
-		}}, isLost)
+		})
 	}
 }
 
@@ -82,11 +82,11 @@
 					Release: units.Release(rapid.SampledFrom([]string{"v1", "v2", "zz"}).Draw(rt, "version")),
 				}}
 				sound = append(sound, e)
-				f.announceState(at, e, enroller.Ready, none)
+				f.announce(rt, at, e.next(enroller.Ready))
 			case "foreign":
-				f.announce(at, drawForeign(rt, sound), none)
+				f.announce(rt, at, drawForeign(rt, sound))
 			case "many versions":
-				f.announceVersions(at, rapid.IntRange(1, maxReleases+8).Draw(rt, "versions"), none)
+				f.announceVersions(rt, at, rapid.IntRange(1, maxReleases+8).Draw(rt, "versions"))
 			case "propose":
 				f.proposeReleases(rt)
 			case "spread":
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -17,8 +17,8 @@
 const maxChanges = 256
 
 // handleAnnouncement handles a heartbeat or a deregistration. A change after which an
-// upstream gets no more calls must reach the leader, which all entries poll, and the
-// instances that may lead next, before it is acknowledged.
+// upstream gets no more calls must be in the log, which the leader that all entries poll has
+// applied, before it is acknowledged.
 func (c *coordinator) handleAnnouncement(a announcementReceived) announceReply {
 	now := c.now()
 	reply := announceReply{
@@ -41,20 +41,16 @@
 	if changed {
 		c.logUpstream(message, c.settings.OwnPeerAddress())
 	}
-	if enroller.State(message.GetState()) == enroller.Ready {
+	if r.State == enroller.Ready {
 		return reply
 	}
-	reply.mustReplicate = append(reply.mustReplicate, message)
-	if r.State == enroller.Gone {
-		// Others may know a later incarnation than this instance.
-		departure := enroller.NewDeparture(r.ID, r.Incarnation)
-		reply.mustReplicate = append(reply.mustReplicate, departure.Message(0))
+	if units.Incarnation(message.GetBornMs()) > r.Incarnation {
+		r = enroller.NewDeparture(r.ID, r.Incarnation) // A later incarnation has taken its place.
 	}
-	if changed {
-		c.departures.add(now, r.ID, reply.mustReplicate)
-	}
-	for _, instance := range c.node.OtherInstances() {
-		reply.peers = append(reply.peers, string(instance))
+	reply.departs = r.Message(0)
+	committed := make(chan declareReply, 1)
+	if c.departures.commit(now, departureOf(&r, message, c.trueTime(now)), committed) {
+		reply.committed = committed
 	}
 	return reply
 }
@@ -101,7 +97,6 @@
 	}
 	clear(c.unsent)
 	if sharesUsage {
-		batch.Upstreams = append(batch.Upstreams, c.departures.repeated(now)...)
 		c.shareUsage(now, batch)
 	}
 	return batch
@@ -111,26 +106,13 @@
 func (c *coordinator) syncUpstreams(batch *messages.UpstreamBatch) *messages.UpstreamBatchResponse {
 	now := c.now()
 	c.estimator.Record(now, units.Instance(batch.GetFrom()), time.Unix(0, batch.GetWallNs()))
-	lacks := false
 	for _, message := range batch.GetUpstreams() {
-		changed := c.table.Merge(now, message)
-		if enroller.State(message.GetState()) == enroller.Ready {
-			continue
-		}
-		lacks = lacks || !c.table.Holds(units.Upstream(message.GetId()), units.Incarnation(message.GetBornMs()), enroller.State(message.GetState()))
-		if changed {
+		if c.table.Merge(now, message) && enroller.State(message.GetState()) != enroller.Ready {
 			c.logUpstream(message, batch.GetFrom())
 		}
 	}
 	c.recordSharedUsage(c.trueTime(now), batch)
-	response := &messages.UpstreamBatchResponse{
-		Leads: c.node.IsConfirmedLeader(now),
-		Lacks: lacks,
-	}
-	if batch.GetWantsDepartures() {
-		response.Departures = c.table.Departures(now, departureRepeatTime)
-	}
-	return response
+	return &messages.UpstreamBatchResponse{}
 }
 
 // handlePoll answers a poll unless its entry has given up on it: an instance that is behind
--- a/src/governor/reserves_test.go
+++ b/src/governor/reserves_test.go
@@ -402,6 +402,15 @@
 	}
 }
 
+// nextNumber returns the number of the next field of a message.
+func nextNumber(m proto.Message) protowire.Number {
+	next := protowire.Number(1)
+	for fields, n := m.ProtoReflect().Descriptor().Fields(), 0; n < fields.Len(); n++ {
+		next = max(next, fields.Get(n).Number()+1)
+	}
+	return next
+}
+
 // Guards against a voter of an earlier version that fails at a command or a snapshot entry that it does not know, and
 // against one of this version that fails at a snapshot of an earlier one.
 func TestReclaimHistoriesAcrossVersions(t *testing.T) {
@@ -413,7 +422,7 @@
 	}}})
 	// Such a voter finds a field of the command that it does not know, as this one does with the next number.
 	unknown := &messages.Command{}
-	later := protowire.AppendBytes(protowire.AppendTag(nil, 37, protowire.BytesType), []byte{1})
+	later := protowire.AppendBytes(protowire.AppendTag(nil, nextNumber(unknown), protowire.BytesType), []byte{1})
 	if err := proto.Unmarshal(later, unknown); err != nil {
 		t.Fatalf("decode a command of a later version: got %v, want it ignored", err)
 	}
--- a/src/governor/rollout.go
+++ b/src/governor/rollout.go
@@ -58,7 +58,7 @@
 	}
 	c.nextToken++
 	committed := make(chan declareReply, 1)
-	c.proposalsByToken[c.nextToken] = committed
+	c.proposalsByToken[c.nextToken] = []chan<- declareReply{committed}
 	e.reply <- rolloutReply{committed: committed}
 	c.log.Info().
 		Str("service", string(service)).
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -30,6 +30,10 @@
 	bounds map[units.Account]*messages.AccountBound
 	// releases holds the software versions of each service that entries may know of.
 	releases map[units.Service][]units.Release
+	// departures holds the upstreams that have lately begun to leave or have gone, and departedUntil when the last one
+	// did, in nanoseconds of Unix time.
+	departures    map[units.Upstream]*messages.Departure
+	departedUntil int64
 }
 
 // apply applies one committed command. The highest version of the configuration wins: a lower
@@ -52,6 +56,8 @@
 		s.applyBounds(change.AccountBounds)
 	case *messages.Command_ServiceReleases:
 		s.applyReleases(change.ServiceReleases)
+	case *messages.Command_Departures:
+		s.applyDepartures(change.Departures.GetDepartures())
 	}
 }
 
@@ -133,6 +139,7 @@
 	boundsKey        = "account-bounds"
 	reclaimKeyPrefix = "reclaims/"
 	releaseKeyPrefix = "releases/"
+	departuresKey    = "departures"
 )
 
 // snapshot encodes the state.
@@ -172,6 +179,9 @@
 	for service, releases := range s.releases {
 		entries[releaseKeyPrefix+string(service)] = encodeReleases(service, releases)
 	}
+	if len(s.departures) > 0 {
+		entries[departuresKey] = s.departureList()
+	}
 	return entries
 }
 
@@ -207,6 +217,8 @@
 		return s.restoreQuarantines(encoded)
 	case name == boundsKey:
 		return s.restoreBounds(encoded)
+	case name == departuresKey:
+		return s.restoreDepartures(encoded)
 	case strings.HasPrefix(name, rolloutKeyPrefix):
 		return s.restoreRollout(encoded)
 	case strings.HasPrefix(name, releaseKeyPrefix):
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -52,24 +52,22 @@
 }
 
 func (c *coordinator) trackProposal(a replicator.Appended) {
-	reply, waiting := c.proposalsByToken[a.Token]
+	replies, waiting := c.proposalsByToken[a.Token]
 	if !waiting {
 		return
 	}
 	delete(c.proposalsByToken, a.Token)
 	c.proposalsByIndex[a.Index] = pendingProposal{
-		term:  a.Term,
-		reply: reply,
+		term:    a.Term,
+		replies: replies,
 	}
 }
 
 func (c *coordinator) rejectProposal(a replicator.Rejected) {
-	reply, waiting := c.proposalsByToken[a.Token]
-	if !waiting {
-		return
+	for _, reply := range c.proposalsByToken[a.Token] {
+		reply <- declareReply{leader: string(a.Leader)}
 	}
 	delete(c.proposalsByToken, a.Token)
-	reply <- declareReply{leader: string(a.Leader)}
 }
 
 func (c *coordinator) handleRoleChange(a replicator.RoleChanged) {
@@ -83,9 +81,12 @@
 		return
 	}
 	for index, proposal := range c.proposalsByIndex {
-		proposal.reply <- declareReply{leader: string(a.Leader)}
+		for _, reply := range proposal.replies {
+			reply <- declareReply{leader: string(a.Leader)}
+		}
 		delete(c.proposalsByIndex, index)
 	}
+	c.departures.release(string(a.Leader))
 	c.durability.release(string(a.Leader))
 }
 
@@ -94,6 +95,7 @@
 	for _, record := range records {
 		c.state.apply(record.GetCommand())
 		c.limits.committed(record.GetCommand().GetAccountBounds())
+		c.departures.merge(c.now(), record.GetCommand().GetDepartures().GetDepartures())
 	}
 	c.releases.publish()
 	// After a start all records are applied at once; of many configurations only the last is
@@ -109,11 +111,13 @@
 			continue
 		}
 		delete(c.proposalsByIndex, index)
-		if proposal.term != units.Term(record.GetTerm()) {
-			proposal.reply <- declareReply{}
-			continue
+		for _, reply := range proposal.replies {
+			if proposal.term != units.Term(record.GetTerm()) {
+				reply <- declareReply{}
+				continue
+			}
+			c.durability.accept(c.now(), reply)
 		}
-		c.durability.accept(c.now(), proposal.reply)
 	}
 }
 
@@ -165,6 +169,7 @@
 	}
 	c.state.retainReclaimHistories(c.configuration)
 	c.releases.publish()
+	c.departures.merge(c.now(), c.state.departureList().GetDepartures())
 	c.log.Info().
 		Uint64("index", snapshot.GetIndex()).
 		Msg("snapshot-restored")
