Keep the evidence of crashes in the log

A request that crashes engines, or a part of prompts that does, could reach engines more than three times after it had to be known: where all processes are killed between the crashes, those after the kill are counted from zero.

TestCrashesAreRememberedAcrossAllProcesses, real processes, each killed a second after a crash, which its entry has reported by then: before, 8 requests after each other with all processes killed after each of them reach engines 8 times, 6 of them later than the contact time after the third crash while all machines are in touch (3 are allowed), and with a part 11 times, 6 of them late. Now 2 and 3 reach engines and none is late. The three cases with one or two kills held before, with up to 3 late ones, and hold with at most one.

The leader keeps the evidence against the 64 requests and parts with most points in the log, where it has changed, at most four times a second, and takes over what is there when it begins to lead. Crashes of one incarnation count once, whether they come from the log or from an entry that reports them again; a request or part that has run since is no longer in it. A kill within the tenths of a second in which an entry finds that its engine has crashed, and reports it, still loses that one crash.

The simulated fleet's time of day follows its clock: with the real one, crashes seconds apart in simulated time were a moment apart in true time and counted as one.

--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -54,6 +54,7 @@
 	log       zerolog.Logger
 	decode    func([]byte) (*matcher.Configuration, error)
 	now       func() time.Time
+	wall      func() time.Time
 	persister logStorage
 	node      *replicator.Node
 	state     *state
@@ -129,6 +130,7 @@
 		log:       g.Log,
 		decode:    g.Decode,
 		now:       g.Clock,
+		wall:      g.Wall,
 		persister: storage,
 		state: &state{
 			ledger: &aggregator.Ledger{
@@ -164,6 +166,7 @@
 	}
 	c.quarantines = &quarantines{
 		coordinator: c,
+		evidence:    storedEvidence{coordinator: c},
 	}
 	c.rateLimits = &rateLimits{
 		coordinator: c,
--- a/src/governor/governor.go
+++ b/src/governor/governor.go
@@ -57,8 +57,10 @@
 	// Peers and Metrics are listeners on the addresses in the settings; Metrics may be nil.
 	Peers   net.Listener
 	Metrics net.Listener
-	// Clock returns the time since the boot of the instance, timekeeper.Now if nil.
+	// Clock returns the time since the boot of the instance, timekeeper.Now if nil, and Wall its time of day, time.Now
+	// if nil.
 	Clock func() time.Time
+	Wall  func() time.Time
 	// Clients bounds what the clients of Metrics hold; nil bounds nothing.
 	Clients *admitter.Admitter
 
@@ -76,6 +78,9 @@
 	if g.Clock == nil {
 		g.Clock = timekeeper.Now
 	}
+	if g.Wall == nil {
+		g.Wall = time.Now
+	}
 	g.events = make(chan event, eventQueueSize)
 	g.polls = make(chan pollReceived, pollQueueSize)
 }
--- a/src/governor/quarantine.go
+++ b/src/governor/quarantine.go
@@ -39,6 +39,7 @@
 	leadership   uint64
 	detector     *quarantiner.Quarantiner
 	partDetector *quarantiner.PartDetector
+	evidence     storedEvidence
 	evaluatedAt  time.Time
 	// proposed holds when verdicts that are not known to be committed were proposed, and
 	// releaseProposed when the end of a quarantine was proposed.
@@ -61,6 +62,7 @@
 		SettleDelay: quarantiner.PartSettleDelay,
 		Earlier:     q.earlierParts,
 	}
+	q.evidence.startLeadership(q.coordinator.now(), q.detector, q.partDetector)
 }
 
 // earlierParts returns the parts of a quarantine that all are among the given ones, nil for none, and whether it
@@ -241,7 +243,7 @@
 			q.partDetector.Drop(verdict)
 		}
 	}
-	return nil
+	return q.evidence.tick(now, q.detector, q.partDetector)
 }
 
 // enforce proposes a quarantine without its strikes and end, and reports whether it has been committed.
--- a/src/governor/registry.go
+++ b/src/governor/registry.go
@@ -88,7 +88,7 @@
 	}
 	batch := &messages.UpstreamBatch{
 		From:   c.settings.OwnPeerAddress(),
-		WallNs: time.Now().UnixNano(),
+		WallNs: c.wall().UnixNano(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.unsent)) {
 		if message := c.table.Message(now, id); message != nil {
@@ -220,7 +220,7 @@
 }
 
 func (c *coordinator) trueTime(now time.Time) time.Time {
-	return c.estimator.TrueTime(now, time.Now())
+	return c.estimator.TrueTime(now, c.wall())
 }
 
 // EncodeLoads encodes the loads in flight by upstream.
--- a/src/governor/replicatedfleet_test.go
+++ b/src/governor/replicatedfleet_test.go
@@ -48,6 +48,9 @@
 	isCutOff    bool
 }
 
+// wallOffset is the time of day less the clock, on all instances.
+const wallOffset = 1_000_000 * time.Hour
+
 type fleetMessage struct {
 	from, to *fleetMember
 	content  peerMessage
@@ -141,6 +144,7 @@
 		Log:      zerolog.Nop(),
 		Client:   &connector.Client{},
 		Clock:    func() time.Time { return m.fleet.now },
+		Wall:     func() time.Time { return m.fleet.now.Add(wallOffset) },
 		Decode: func([]byte) (*matcher.Configuration, error) {
 			return &matcher.Configuration{Services: []matcher.Service{{Name: "s"}}}, nil
 		},
--- a/src/governor/state.go
+++ b/src/governor/state.go
@@ -34,6 +34,8 @@
 	// did, in nanoseconds of Unix time.
 	departures    map[units.Upstream]*messages.Departure
 	departedUntil int64
+	// crashEvidence is the evidence against requests and parts of prompts that have crashed upstreams.
+	crashEvidence *messages.CrashEvidence
 }
 
 // apply applies one committed command. The highest version of the configuration wins: a lower
@@ -58,6 +60,8 @@
 		s.applyReleases(change.ServiceReleases)
 	case *messages.Command_Departures:
 		s.applyDepartures(change.Departures.GetDepartures())
+	case *messages.Command_CrashEvidence:
+		s.crashEvidence = change.CrashEvidence
 	}
 }
 
@@ -140,6 +144,7 @@
 	reclaimKeyPrefix = "reclaims/"
 	releaseKeyPrefix = "releases/"
 	departuresKey    = "departures"
+	crashEvidenceKey = "crash-evidence"
 )
 
 // snapshot encodes the state.
@@ -182,6 +187,9 @@
 	if len(s.departures) > 0 {
 		entries[departuresKey] = s.departureList()
 	}
+	if s.crashEvidence != nil {
+		entries[crashEvidenceKey] = s.crashEvidence
+	}
 	return entries
 }
 
@@ -219,6 +227,8 @@
 		return s.restoreBounds(encoded)
 	case name == departuresKey:
 		return s.restoreDepartures(encoded)
+	case name == crashEvidenceKey:
+		return s.restoreCrashEvidence(encoded)
 	case strings.HasPrefix(name, rolloutKeyPrefix):
 		return s.restoreRollout(encoded)
 	case strings.HasPrefix(name, releaseKeyPrefix):
