Hold the acknowledgement of a repeated roll-out order as that of the first

Found when each acknowledgement was checked for the cause of the lost departures: an order of a roll-out that is sent again while the first one's acknowledgement waits for all voters was acknowledged at once, as the log of the voters of the moment held it. Two of the three first voters' disks could take it with them. An order that is in the log is now acknowledged by the same rule as one that has just been committed (durability).

TestRepeatedOrdersWaitForAllVoters fails before (the repeated order is accepted).

--- a/src/governor/rollout.go
+++ b/src/governor/rollout.go
@@ -49,7 +49,14 @@
 	}
 	service := e.order.Service
 	last := c.state.rollouts[service]
-	if outcome, detail := r.checkOrder(now, e.order, last); outcome != messages.RolloutOutcome_ROLLOUT_OUTCOME_UNSPECIFIED {
+	outcome, detail := r.checkOrder(now, e.order, last)
+	if outcome == messages.RolloutOutcome_ROLLOUT_OUTCOME_ACCEPTED && !c.durability.isReached(now) {
+		held := make(chan declareReply, 1)
+		c.durability.accept(now, held)
+		e.reply <- rolloutReply{committed: held}
+		return nil
+	}
+	if outcome != messages.RolloutOutcome_ROLLOUT_OUTCOME_UNSPECIFIED {
 		e.reply <- rolloutReply{
 			outcome: outcome,
 			detail:  detail,
--- a/src/governor/rollout_test.go
+++ b/src/governor/rollout_test.go
@@ -76,6 +76,33 @@
 	}
 }
 
+// Guards against an order that is acknowledged as it is sent again, while too few disks hold the first one.
+func TestRepeatedOrdersWaitForAllVoters(t *testing.T) {
+	_, c := newLeader(t)
+	c.settings.Rollouts.ResendPeriod = 5 * time.Second
+	c.configuration = &matcher.Configuration{Services: []matcher.Service{{Name: "s"}}}
+	c.durability.voters = 5
+	start := c.now()
+	c.now = func() time.Time { return start }
+	c.durability.startedAt = start
+	send := func() rolloutReply {
+		reply := make(chan rolloutReply, 1)
+		if err := c.rollouts.start(rolloutRequested{order: RolloutOrder{Service: "s", Target: "v2", Duration: 10 * time.Second}, reply: reply}); err != nil {
+			t.Fatal(err)
+		}
+		return <-reply
+	}
+	for _, name := range []string{"first", "repeated"} {
+		if got := send(); got.outcome != messages.RolloutOutcome_ROLLOUT_OUTCOME_UNSPECIFIED || got.committed == nil {
+			t.Fatalf("%s order: got outcome %v, want one that waits for the voters", name, got.outcome)
+		}
+	}
+	c.durability.reached = true
+	if got := send(); got.outcome != messages.RolloutOutcome_ROLLOUT_OUTCOME_ACCEPTED {
+		t.Errorf("order once there are enough voters: got outcome %v, want it accepted", got.outcome)
+	}
+}
+
 // Guards against shares without a basis: from a new leader, which has no figures yet, and
 // from an instance that does not lead.
 func TestNewLeaderGivesNoShareAtOnce(t *testing.T) {
