Take an answer without a length for complete only once its request is taken

An engine answers a long upload at once, without a length, sends a part of its body and resets the connection while the upload is still being written: the caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call on the socket comes first. The entry writes a long body beside reading the answer; where the writer got the reset, the reader found an ordinary end, and nothing looked at the writer's result.

The end of a connection now ends an answer only once the upload has succeeded: written without an error, and acknowledged by the other end. Until then the attempt waits for the upload, within the call's time.

--- a/src/exchanger/end.go
+++ b/src/exchanger/end.go
@@ -53,9 +53,9 @@
 
 // checkEnd returns why an answer whose connection was not lost is not complete, or nil.
 //
-// An upstream that closes the connection of a close-delimited answer has completed it, unless the kernel
-// did so because the process ended. A further connection shows that; one that is neither accepted nor refused in time,
-// such as on a busy machine, shows nothing.
+// An upstream that closes the connection of a close-delimited answer has completed it, unless it has not taken the whole
+// request, or the kernel closed the connection because the process ended. A further connection shows the latter; one that is
+// neither accepted nor refused in time, such as on a busy machine, shows nothing.
 func (e *exchange) checkEnd(ctx context.Context) error {
 	if e.receipt.End == framer.InsideEvent {
 		return errInsideEvent
@@ -63,6 +63,10 @@
 	if e.receipt.End != framer.Closed {
 		return nil
 	}
+	if err := e.awaitUpload(ctx); err != nil {
+		e.receipt.End = framer.EndOf(e.receipt.Framing, err)
+		return err
+	}
 	// The connection may be the last one that the upstream accepts from this entry.
 	e.Pool.drop(e.conn)
 	e.dropped = true
