Take an answer with a status that is none for no answer

An engine in trouble sends an answer with status 000. The entry skipped it like an informational one and read what followed, the answer's body too, as the next head: callers waited for their time limit, and where the body looked like an answer they got that as the whole answer to their call. 101, 600 and 999 were passed on as they are.

Cause: capper.Reader took each status below 200 but 101 for informational, and nothing bounded the others. Only 100 to 199 without 101 are informational now, a final answer has 200 to 599, and all else is an *InvalidStatusError: the connection ends and the call may have run. The library's client is checked likewise (capper.Transport), and so is a status that another entry passes on, as a server panics when it writes one below 100.

--- a/src/capper/reader.go
+++ b/src/capper/reader.go
@@ -39,7 +39,8 @@
 }
 
 // ReadResponse reads the head of the final answer to a request and skips informational ones. What the head takes is
-// added to hold. An error for a bound that is exceeded is an *ExceededError, also when the body is read.
+// added to hold. An error for a bound that is exceeded is an *ExceededError, also when the body is read, and one for a status
+// that is none an *InvalidStatusError.
 func (r *Reader) ReadResponse(request *http.Request, hold *Hold) (*http.Response, error) {
 	waiting := r.Buffered()
 	// The last read may bring as much of the body as the buffer holds.
@@ -59,10 +60,14 @@
 		if waiting+r.source.taken-r.Buffered() > MaxHeadBytes {
 			return nil, errHead()
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			response.Body = &body{ReadCloser: response.Body}
-			return response, nil
+		if isInformational(response.StatusCode) {
+			continue
 		}
+		if err := CheckStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
+		response.Body = &body{ReadCloser: response.Body}
+		return response, nil
 	}
 }
 
--- a/src/capper/transport.go
+++ b/src/capper/transport.go
@@ -1,7 +1,7 @@
 package capper
 
 import (
-	"io"
+	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -31,7 +31,8 @@
 	return NewTransport(base.Clone())
 }
 
-// RoundTrip makes one request. An error for a bound that is exceeded is an *ExceededError, also when the body is read.
+// RoundTrip makes one request. An error for a bound that is exceeded is an *ExceededError, also when the body is read, and one
+// for a status that is none an *InvalidStatusError.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	heads := &headCounter{}
 	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{Got1xxResponse: heads.add})
@@ -40,14 +41,11 @@
 		return nil, classify(err)
 	}
 	// Each head by itself is bounded by the transport.
-	if err := heads.addHeader(response.Header); err != nil {
+	if err := errors.Join(CheckStatus(response.StatusCode), heads.addHeader(response.Header)); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
-	// A body that is also written is that of a changed protocol.
-	if _, changed := response.Body.(io.Writer); !changed {
-		response.Body = &body{ReadCloser: response.Body}
-	}
+	response.Body = &body{ReadCloser: response.Body}
 	return response, nil
 }
 
--- a/src/relayer/codec.go
+++ b/src/relayer/codec.go
@@ -6,6 +6,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/rosecroft/rosecroft/src/capper"
 	"github.com/rosecroft/rosecroft/src/connector"
 	"github.com/rosecroft/rosecroft/src/dispatcher"
 	"github.com/rosecroft/rosecroft/src/framer"
@@ -212,6 +213,15 @@
 		}
 	}
 	if answer := end.GetAnswer(); answer != nil {
+		if err := capper.CheckStatus(int(answer.GetStatus())); err != nil {
+			return dispatcher.Result{
+				Kind: dispatcher.OutcomeUnknown,
+				Err: &PeerError{
+					Peer:   peer.Name,
+					Reason: err.Error(),
+				},
+			}
+		}
 		result.Answer = &dispatcher.Answer{
 			Status: int(answer.GetStatus()),
 			Header: decodeHeader(answer.GetHeader()),
