Acknowledge the first configurations only on enough disks

Cause: the log begins with its seeds. Acknowledgements waited for five voters, but at most for 2.5 s after the start of the process, which a late seed uses up before the log exists. So three voters of five acknowledged.

There is no such time any more. Two lost disks of four voters leave half: voters whose disks are known to be lost may be replaced if all others agree, at least half.

Ruled out: to wait for all five voters, as a deployment that has lost one machine before its first start would never acknowledge anything; to found the log with all five, as control would then not start at all.

--- a/src/control/recovery.go
+++ b/src/control/recovery.go
@@ -121,13 +121,16 @@
 	random := make([]byte, logIDBytes)
 	_, _ = rand.Read(random)
 	logID := hex.EncodeToString(random)
+	index := kept.Base.GetBaseIndex() + uint64(len(kept.Records)) + 1
 	state := &messages.HardState{
 		Term:    kept.State.GetTerm() + 1,
 		Founded: true,
+		// The operator decides that the voters of the membership before it no longer count.
+		CommittedMembership: index,
 	}
 	next := &messages.LogRecord{
 		Term:  state.GetTerm(),
-		Index: kept.Base.GetBaseIndex() + uint64(len(kept.Records)) + 1,
+		Index: index,
 		Command: &messages.Command{
 			Change: &messages.Command_Membership{
 				Membership: &messages.Membership{
--- a/src/governor/coordinator.go
+++ b/src/governor/coordinator.go
@@ -215,9 +215,9 @@
 		Records:  stored.Records,
 	})
 	c.durability = &durability{
-		node:      c.node,
-		voters:    c.settings.Voters(),
-		startedAt: c.now(),
+		node:   c.node,
+		log:    c.log,
+		voters: c.settings.Voters(),
 	}
 	return c, nil
 }
@@ -311,7 +311,7 @@
 		return err
 	}
 	now := c.now()
-	c.durability.tick(now)
+	c.durability.tick()
 	if c.node.LeaderID() != "" {
 		c.leaderSeenAt = now
 	}
@@ -451,7 +451,7 @@
 		return nil
 	}
 	if e.declaration.GetVersion() <= c.state.configuration.GetVersion() {
-		c.durability.accept(c.now(), e.reply)
+		c.durability.accept(e.reply)
 		return nil
 	}
 	c.nextToken++
--- a/src/governor/departures.go
+++ b/src/governor/departures.go
@@ -48,7 +48,7 @@
 	c := d.coordinator
 	switch {
 	case covers(c.state.departures[units.Upstream(departure.GetUpstream())], departure):
-		c.durability.accept(now, reply)
+		c.durability.accept(reply)
 	case !c.node.IsConfirmedLeader(now):
 		return false
 	case c.state.countDepartures(c.trueTime(now))+len(d.pending) >= maxDepartures:
--- a/src/governor/rollout.go
+++ b/src/governor/rollout.go
@@ -50,9 +50,9 @@
 	service := e.order.Service
 	last := c.state.rollouts[service]
 	outcome, detail := r.checkOrder(now, e.order, last)
-	if outcome == messages.RolloutOutcome_ROLLOUT_OUTCOME_ACCEPTED && !c.durability.isReached(now) {
+	if outcome == messages.RolloutOutcome_ROLLOUT_OUTCOME_ACCEPTED && !c.durability.isReached() {
 		held := make(chan declareReply, 1)
-		c.durability.accept(now, held)
+		c.durability.accept(held)
 		e.reply <- rolloutReply{committed: held}
 		return nil
 	}
--- a/src/governor/voter.go
+++ b/src/governor/voter.go
@@ -116,7 +116,7 @@
 				reply <- declareReply{}
 				continue
 			}
-			c.durability.accept(c.now(), reply)
+			c.durability.accept(reply)
 		}
 	}
 }
--- a/src/replicator/membership.go
+++ b/src/replicator/membership.go
@@ -86,6 +86,34 @@
 	return voters
 }
 
+// uncommittedFrom returns the membership before the current one until the current one is known to be committed, then nil.
+func (n *Node) uncommittedFrom() *messages.Membership {
+	last := len(n.memberships) - 1
+	if last < 1 || n.memberships[last].index <= max(n.commit, n.committedMembership) {
+		return nil
+	}
+	return n.memberships[last-1].membership
+}
+
+// recordCommittedMembership stores that the current membership is committed. A voter that didn't know it after a restart
+// would need a quorum of the membership before too, whose voters may have ended for good.
+func (n *Node) recordCommittedMembership(now time.Time) {
+	index := n.memberships.lastIndex()
+	if len(n.memberships) < 2 || n.committedMembership >= index || n.commit < index {
+		return
+	}
+	n.committedMembership = index
+	n.persistState()
+	if n.role != Leader {
+		return
+	}
+	if !n.isVoter() {
+		n.becomeFollower(now, n.term, "")
+		return
+	}
+	n.updatePeers(now)
+}
+
 // updateMembership adopts the membership that is now in effect.
 func (n *Node) updateMembership(now time.Time) {
 	membership := n.memberships.current()
@@ -103,7 +131,7 @@
 // updatePeers tracks the current members and keeps the progress of those that remain.
 func (n *Node) updatePeers(now time.Time) {
 	peers := make(map[units.VoterID]*progress)
-	for _, peer := range n.otherMembers() {
+	for _, peer := range n.replicaIDs() {
 		peers[peer] = n.peers[peer]
 		if peers[peer] == nil {
 			peers[peer] = &progress{
@@ -116,19 +144,32 @@
 	n.peers = peers
 }
 
-func (n *Node) isVoter() bool { return slices.Contains(n.voters, n.options.ID) }
+func (n *Node) isVoter() bool { return slices.Contains(n.electorate(), n.options.ID) }
 
-func (n *Node) quorum() int { return len(n.voters)/2 + 1 }
+// electorate returns the voters, with those of the membership before until the current one is committed.
+func (n *Node) electorate() []units.VoterID {
+	voters := slices.Clone(n.voters)
+	for _, voter := range votersOf(n.uncommittedFrom()) {
+		if !slices.Contains(voters, voter) {
+			voters = append(voters, voter)
+		}
+	}
+	return voters
+}
 
-// otherMembers returns the ids of the other members in the order of the membership.
-func (n *Node) otherMembers() []units.VoterID {
-	var otherMembers []units.VoterID
+// replicaIDs returns the ids of the others that a leader sends records to: the members in the order of the membership, and
+// the voters of the membership before until the current one is committed.
+func (n *Node) replicaIDs() []units.VoterID {
+	var ids []units.VoterID
 	for _, member := range n.membership.GetMembers() {
-		if id := units.VoterID(member.GetId()); id != n.options.ID {
-			otherMembers = append(otherMembers, id)
+		ids = append(ids, units.VoterID(member.GetId()))
+	}
+	for _, voter := range n.electorate() {
+		if !slices.Contains(ids, voter) {
+			ids = append(ids, voter)
 		}
 	}
-	return otherMembers
+	return slices.DeleteFunc(ids, func(id units.VoterID) bool { return id == n.options.ID })
 }
 
 // canChangeMembership reports whether a new membership may be proposed. A second
--- a/src/replicator/node.go
+++ b/src/replicator/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -103,16 +102,21 @@
 	snapshotRequested    bool
 	incomingSnapshot     *incomingSnapshot
 
-	memberships  memberships
-	membership   *messages.Membership
-	voters       []units.VoterID
-	helloAnswers map[units.Instance]helloAnswer
+	memberships memberships
+	// committedMembership is the index of the last membership that is stored as committed.
+	committedMembership units.Index
+	membership          *messages.Membership
+	voters              []units.VoterID
+	helloAnswers        map[units.Instance]helloAnswer
 	// knownInstances are instances that sent a message or were named in one, with
 	// their data centre, "" until they report it.
 	knownInstances map[units.Instance]units.DataCentre
 	nextHelloAt    time.Time
 	spares         map[units.VoterID]*spare
 
+	// lost are voters whose disks are known to be lost.
+	lost map[units.VoterID]bool
+
 	role             Role
 	leader           units.Instance
 	leaderSince      time.Time
@@ -153,13 +157,15 @@
 			baseTerm: units.Term(stored.Base.GetBaseTerm()),
 			records:  stored.Records,
 		},
-		snapshot:       stored.Snapshot,
-		logID:          stored.Snapshot.GetLogId(),
-		commit:         units.Index(stored.Snapshot.GetIndex()),
-		applied:        units.Index(stored.Snapshot.GetIndex()),
-		helloAnswers:   make(map[units.Instance]helloAnswer),
-		knownInstances: make(map[units.Instance]units.DataCentre),
-		spares:         make(map[units.VoterID]*spare),
+		snapshot:            stored.Snapshot,
+		logID:               stored.Snapshot.GetLogId(),
+		commit:              units.Index(stored.Snapshot.GetIndex()),
+		applied:             units.Index(stored.Snapshot.GetIndex()),
+		helloAnswers:        make(map[units.Instance]helloAnswer),
+		knownInstances:      make(map[units.Instance]units.DataCentre),
+		spares:              make(map[units.VoterID]*spare),
+		lost:                make(map[units.VoterID]bool),
+		committedMembership: units.Index(stored.State.GetCommittedMembership()),
 		// A restarted voter does not know when its leader last contacted it. It
 		// could help to elect another leader while the lease runs, and both would
 		// answer. Counting the start as a heartbeat keeps the lease valid.
@@ -196,6 +202,7 @@
 	case SnapshotTaken:
 		n.storeSnapshot(now, e)
 	}
+	n.recordCommittedMembership(now)
 	n.apply()
 	n.reportRole()
 	return n.actions
@@ -275,21 +282,18 @@
 }
 
 // leaseEnd returns the end of this leader's lease: an election timeout, less the
-// possible clock drift in it, after the latest time at which a majority, including
+// possible clock drift in it, after the latest time at which a quorum, including
 // this voter, is known to have received a heartbeat. Votes extend no lease: a voter
 // may grant its next vote immediately.
 func (n *Node) leaseEnd(now time.Time) time.Time {
-	acked := make([]time.Time, 0, len(n.voters))
-	for _, voter := range n.voters {
+	acked := latestOfQuorum(n, time.Time.Compare, func(voter units.VoterID) time.Time {
 		if voter == n.options.ID {
-			acked = append(acked, now)
-			continue
+			return now
 		}
-		acked = append(acked, n.peers[voter].ackedAt)
-	}
-	slices.SortFunc(acked, func(a, b time.Time) int { return b.Compare(a) })
+		return n.peers[voter].ackedAt
+	})
 	lease := n.options.ElectionTimeout - n.options.ElectionTimeout/clockDriftDivisor
-	return acked[n.quorum()-1].Add(lease)
+	return acked.Add(lease)
 }
 
 func (n *Node) campaign(now time.Time, preVote bool) {
@@ -310,7 +314,7 @@
 	if n.advanceIfElected(now, preVote) {
 		return
 	}
-	for _, peer := range n.voters {
+	for _, peer := range n.electorate() {
 		if peer == n.options.ID {
 			continue
 		}
@@ -327,16 +331,11 @@
 	}
 }
 
-// advanceIfElected moves on to the election or to leadership if a majority has
+// advanceIfElected moves on to the election or to leadership if a quorum has
 // granted the vote, and reports whether it did.
 func (n *Node) advanceIfElected(now time.Time, preVote bool) bool {
-	granted := 0
-	for _, voter := range n.voters {
-		if n.votes[voter] {
-			granted++
-		}
-	}
-	if granted < n.quorum() {
+	isGranted := latestOfQuorum(n, compareBools, func(voter units.VoterID) bool { return n.votes[voter] })
+	if !isGranted {
 		return false
 	}
 	if preVote {
@@ -418,9 +417,10 @@
 
 func (n *Node) hardState() *messages.HardState {
 	return &messages.HardState{
-		Term:     uint64(n.term),
-		VotedFor: string(n.votedFor),
-		Founded:  n.hasLog(),
+		Term:                uint64(n.term),
+		VotedFor:            string(n.votedFor),
+		Founded:             n.hasLog(),
+		CommittedMembership: uint64(n.committedMembership),
 	}
 }
 
--- a/src/replicator/receive.go
+++ b/src/replicator/receive.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 		n.sendReplaced(m)
 		return
 	}
+	if n.isForLostVoter(m) {
+		n.sendLostVoter(m)
+		return
+	}
 	if !n.isAddressedTo(m) {
 		return
 	}
@@ -35,6 +40,8 @@
 		n.handleSnapshotPieceResponse(now, m, body.SnapshotPieceResponse)
 	case *messages.LogMessage_Start:
 		n.handleStart(now, m, body.Start)
+	case *messages.LogMessage_LostVoter:
+		n.handleLostVoter(now, m, body.LostVoter)
 	}
 }
 
@@ -63,7 +70,7 @@
 	// the learner holds all committed records. If the learner refused until it had
 	// received that record itself, the loss of the leader in between would leave no
 	// majority to elect the next.
-	if !n.isMember(n.options.ID) {
+	if !n.isMember(n.options.ID) && !slices.Contains(n.electorate(), n.options.ID) {
 		return
 	}
 	// A voter in contact with a live leader grants no vote: otherwise an instance
@@ -241,19 +248,15 @@
 	}
 }
 
-// advanceCommit commits the records that a majority of the voters holds, and reports
+// advanceCommit commits the records that a quorum of the voters holds, and reports
 // whether there were new ones. Learners are not counted.
 func (n *Node) advanceCommit() bool {
-	matches := make([]units.Index, 0, len(n.voters))
-	for _, voter := range n.voters {
+	candidate := latestOfQuorum(n, cmp.Compare[units.Index], func(voter units.VoterID) units.Index {
 		if voter == n.options.ID {
-			matches = append(matches, n.log.lastIndex())
-			continue
+			return n.log.lastIndex()
 		}
-		matches = append(matches, n.peers[voter].match)
-	}
-	slices.Sort(matches)
-	candidate := matches[len(matches)-n.quorum()]
+		return n.peers[voter].match
+	})
 	if candidate <= n.commit || n.log.termAt(candidate) != n.term {
 		return false
 	}
@@ -264,7 +267,7 @@
 func (n *Node) broadcastAppend(now time.Time) {
 	n.round++
 	n.nextHeartbeatAt = now.Add(n.options.HeartbeatInterval)
-	for _, peer := range n.otherMembers() {
+	for _, peer := range n.replicaIDs() {
 		n.sendAppend(now, peer)
 	}
 }
