Bound the limits that upstreams state

Cause: Allocator.Grant converts what has accrued to an int before it takes the minimum with the number of entries. On x86-64 a float64 beyond the range becomes the least int64, and that less one is the index; on arm64 the conversion saturates. Entries report the limit to the next leader as well.

The rate in use is from 0.2 to 1,000,000 calls a second, whatever is stated, at the leader and at entries without one, and a rate that is no number counts as the lowest.

--- a/src/pacer/observation.go
+++ b/src/pacer/observation.go
@@ -1,6 +1,7 @@
 package pacer
 
 import (
+	"math"
 	"time"
 
 	"github.com/rosecroft/rosecroft/src/units"
@@ -16,6 +17,8 @@
 	// minRate is the rate for an upstream that states a lower limit, so that it can state a
 	// higher one in a response.
 	minRate units.CallRate = 0.2
+	// maxRate is the rate for an upstream that states a higher limit; what accrues has to fit an int.
+	maxRate units.CallRate = 1e6
 )
 
 // Observation is what an upstream's response states about its call rate.
@@ -37,4 +40,9 @@
 }
 
 // effectiveRate returns the calls per second that may go to an upstream with a limit.
-func effectiveRate(limit units.CallRate) float64 { return float64(max(limit, minRate)) }
+func effectiveRate(limit units.CallRate) float64 {
+	if math.IsNaN(float64(limit)) {
+		limit = minRate
+	}
+	return float64(min(max(limit, minRate), maxRate))
+}
--- a/src/pacer/pacer_test.go
+++ b/src/pacer/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -405,3 +406,47 @@
 		t.Error("shortageTTL after the last denied call: got a shortage, want none")
 	}
 }
+
+// TestLimitsOfAnySizeAreGranted guards against a stated limit that ends the leader, as its calls are no int.
+func TestLimitsOfAnySizeAreGranted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{0, 3.1e19, 1e20, math.MaxFloat64, math.Inf(1), math.NaN()}))
+		al := &Allocator{}
+		now := startTime
+		for range rapid.IntRange(1, 8).Draw(t, "statements") {
+			al.RecordObservation(now, Observation{
+				IncarnationID: life,
+				HasLimit:      true,
+				Rate:          units.CallRate(limits.Draw(t, "limit")),
+				AnsweredAt:    now,
+				SentAt:        now,
+			})
+			now = now.Add(time.Duration(rapid.Int64Range(1, int64(time.Hour)).Draw(t, "passed")))
+			want := rapid.IntRange(1, math.MaxInt32).Draw(t, "calls")
+			entry := units.Instance(rapid.SampledFrom([]string{"e0", "e1"}).Draw(t, "entry"))
+			if got := al.Grant(now, entry, life, want); got < 0 || got > want {
+				t.Fatalf("granted: got %d calls, want 0 to %d", got, want)
+			}
+		}
+	})
+}
+
+// TestHugeLimitLimitsNothing guards against an upstream that is denied calls as its limit is too large.
+func TestHugeLimitLimitsNothing(t *testing.T) {
+	for _, limit := range []units.CallRate{1e7, 3.1e19, 1e20, math.MaxFloat64} {
+		t.Run(fmt.Sprint(float64(limit)), func(t *testing.T) {
+			al := &Allocator{}
+			al.RecordObservation(startTime, Observation{
+				IncarnationID: life,
+				HasLimit:      true,
+				Rate:          limit,
+				AnsweredAt:    startTime,
+				SentAt:        startTime,
+			})
+			const want = 1000
+			if got := al.Grant(startTime.Add(maxAccrualTime), "e0", life, want); got != want {
+				t.Errorf("granted: got %d calls, want %d", got, want)
+			}
+		})
+	}
+}
