Refuse texts from outside that bring headers of their own

Cause: another writer announced an upstream whose id held a line break and a header. Registration.Validate asked for valid UTF-8 of at most 256 bytes, so that the table took it and entries wrote it into X-Expected-Instance as it is.

No text of an announcement may contain control characters any more, and no id white space at its ends, as the upstream reads the header without it. The same fault was found by reading in the names of client accounts, which become X-Tenant; a configuration with one is refused. Whatever else gets into a head, a request with a line break in a header is not sent.

--- a/src/enroller/registration.go
+++ b/src/enroller/registration.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/rosecroft/rosecroft/src/messages"
@@ -95,10 +97,16 @@
 		if len(t.text) > MaxTextBytes {
 			return invalid(t.field, fmt.Sprintf("is longer than %d bytes", MaxTextBytes))
 		}
+		if strings.ContainsFunc(t.text, unicode.IsControl) {
+			return invalid(t.field, "contains a control character")
+		}
 	}
 	switch {
 	case r.ID == "":
 		return invalid("id", "is empty")
+	case strings.TrimSpace(string(r.ID)) != string(r.ID):
+		// A header's value is read without them, so that the upstream would take it for another id.
+		return invalid("id", "begins or ends with white space")
 	case r.Address == "" && r.State != Gone:
 		return invalid("address", "is empty")
 	case r.State < Ready || r.State > Gone:
--- a/src/enroller/table_test.go
+++ b/src/enroller/table_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -246,7 +247,7 @@
 func TestTableHoldsOnlyWhatCanBePassedOn(t *testing.T) {
 	text := rapid.OneOf(
 		rapid.String(),
-		rapid.SampledFrom([]string{"", "\xff", strings.Repeat("x", MaxTextBytes), strings.Repeat("x", 10*MaxTextBytes)}),
+		rapid.SampledFrom([]string{"", "\xff", "i-1\r\nX-Tenant: t2", "i-1 ", strings.Repeat("x", MaxTextBytes), strings.Repeat("x", 10*MaxTextBytes)}),
 		rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 8), func(b []byte) string { return string(b) }),
 	)
 	rapid.Check(t, func(t *rapid.T) {
@@ -265,6 +266,14 @@
 			}, 0)
 		}
 		for _, m := range table.ChangesSince(start, 0, 0) {
+			for _, passedOn := range []string{m.GetId(), m.GetService(), m.GetAddress(), m.GetDataCentre(), m.GetVersion()} {
+				if strings.ContainsFunc(passedOn, unicode.IsControl) {
+					t.Errorf("text of a row: got %q, want none with a control character", passedOn)
+				}
+			}
+			if got, want := m.GetId(), strings.TrimSpace(m.GetId()); got != want {
+				t.Errorf("id of a row: got %q, want %q", got, want)
+			}
 			content, err := proto.Marshal(m)
 			if err != nil {
 				t.Fatalf("encode: got %v, want no error", err)
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -323,7 +323,15 @@
 	header := e.Dialect.RequestHeader(e.call, sending)
 	buffer := headBuffers.Get().(*[]byte)
 	defer headBuffers.Put(buffer)
-	*buffer = appendHead((*buffer)[:0], e.call, header)
+	*buffer, err = appendHead((*buffer)[:0], e.call, header)
+	if err != nil {
+		e.reusable = true
+		return dispatcher.Result{
+			Kind:   dispatcher.NotRun,
+			Unsent: true,
+			Err:    fmt.Errorf("send to %s: %w", e.upstream.Name, err),
+		}, false
+	}
 	body := e.call.Body
 	if len(body) <= maxInlineBody {
 		*buffer = append(*buffer, body...)
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -308,6 +308,32 @@
 	}
 }
 
+// TestLineBreaksInHeadersAreNotSent guards against values from outside that bring headers of their own to an upstream.
+func TestLineBreaksInHeadersAreNotSent(t *testing.T) {
+	for name, value := range map[string]string{
+		"a header":       "c1\r\nX-Account: other",
+		"line feed":      "c1\nX-Account: other",
+		"end of a head":  "c1\r\n\r\n",
+		"return":         "c1\rX-Account: other",
+		"zero byte":      "c1\x00",
+		"only a newline": "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, func(int, int, string) string { return wholeAnswer })
+			call := newCall()
+			call.ID = units.CallID(value)
+			result := newExchanger(&fakeGuard{}).Exchange(t.Context(), call, 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+			var invalid *HeadError
+			if result.Kind != dispatcher.NotRun || !result.Unsent || !errors.As(result.Err, &invalid) {
+				t.Errorf("result: got %v (%v), unsent %t, want it not run, unsent and a *HeadError", result.Kind, result.Err, result.Unsent)
+			}
+			if _, requests := u.counts(); requests != 0 {
+				t.Errorf("requests at the upstream: got %d, want none", requests)
+			}
+		})
+	}
+}
+
 func TestUnreachableUpstreamDidNotRun(t *testing.T) {
 	u := newUpstream(t, nil)
 	_ = u.listener.Close()
--- a/src/matcher/matcher_test.go
+++ b/src/matcher/matcher_test.go
@@ -53,6 +53,7 @@
 		"shared key":         {change: func(d *Configuration) { d.Accounts[1].Keys = []string{"k1"} }},
 		"key twice, one":     {change: func(d *Configuration) { d.Accounts[0].Keys = []string{"k1", "k1"} }, valid: true},
 		"account twice":      {change: func(d *Configuration) { d.Accounts[1].Name = "one" }},
+		"a line break":       {change: func(d *Configuration) { d.Accounts[1].Name = "two\r\nX-Tenant: one" }},
 		"service twice":      {change: func(d *Configuration) { d.Services[1].Name = "s" }},
 		"a weight of 0 of 2": {change: func(d *Configuration) { d.Routes[1].Splits[0].Weight = 0 }, valid: true},
 	}
--- a/src/matcher/validator.go
+++ b/src/matcher/validator.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"unicode"
 
 	"github.com/rosecroft/rosecroft/src/units"
 )
@@ -106,6 +108,12 @@
 				Remedy: "give each account a name of its own",
 			}
 		}
+		if strings.ContainsFunc(string(a.Name), unicode.IsControl) {
+			return &InvalidError{
+				Reason: fmt.Sprintf("the name of account %q contains a control character", a.Name),
+				Remedy: "use a name that a header can state",
+			}
+		}
 		names[a.Name] = true
 		for _, key := range a.Keys {
 			if other, taken := accountByKey[key]; taken && other != a.Name {
