Take no connection limit and no dying process for an upstream that runs

An answer without a length ends with its connection; a further one shows whether the upstream still runs. Two causes: Pool.Probe made none where the entry had its maximum open, which falls as entries are added, and took that for reached.

Probe opens a connection beyond the limit now, 16 at once at most. The end of an answer is probed with one that is watched for 20 ms; if it ends in that time, a second one decides, which an upstream accepts that resets what it has too many of.

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,6 +115,76 @@
 	}
 }
 
+// TestEndsBeyondTheConnectionLimit guards against answers that count as complete as no connection more may be opened, as the
+// maximum falls while entries are added, or as the upstream still accepts one while it ends.
+func TestEndsBeyondTheConnectionLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		marker string
+		want   dispatcher.ResultKind
+	}{
+		"upstream ended":        {marker: endMarker, want: dispatcher.OutcomeUnknown},
+		"upstream ended slowly": {marker: slowEndMarker, want: dispatcher.OutcomeUnknown},
+		"whole":                 {marker: closeMarker, want: dispatcher.Answered},
+	} {
+		for kind, limit := range map[string]int{"at the limit": 0, "below it": 2} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				var sent atomic.Bool
+				u := newUpstream(t, func(int, int, string) string {
+					sent.Store(true)
+					return okHead + "\r\nhi" + c.marker
+				})
+				x := newExchanger(&fakeGuard{})
+				x.Pool.MaxConnections = func(*tracker.Upstream) int {
+					if sent.Load() {
+						return limit
+					}
+					return 2
+				}
+				result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+				if result.Kind != c.want {
+					t.Errorf("result: got %v (%v), want %v", result.Kind, result.Err, c.want)
+				}
+				if got := len(x.Pool.extra); got != 0 {
+					t.Errorf("connections beyond the limit: got %d, want 0", got)
+				}
+			})
+		}
+	}
+}
+
+// TestUpstreamsThatResetConnectionsAreReached guards against whole answers that count as broken off, as their upstream has too
+// many connections and resets those beyond.
+func TestUpstreamsThatResetConnectionsAreReached(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	upstream := &tracker.Upstream{
+		Name:    "u1",
+		Address: listener.Addr().String(),
+		Local:   &tracker.LocalState{},
+	}
+	for name, limit := range map[string]int{"at the limit": 0, "below it": 2} {
+		t.Run(name, func(t *testing.T) {
+			p := &Pool{MaxConnections: func(*tracker.Upstream) int { return limit }}
+			if err := p.ProbeFor(t.Context(), upstream, probeTime); err != nil {
+				t.Errorf("probe: got %v, want no error", err)
+			}
+		})
+	}
+}
+
 // Guards against answers without a length that their upstream broke off and that reach callers as
 // complete, and against whole ones that do not reach them.
 func TestBrokenOffAnswersAreNotComplete(t *testing.T) {
--- a/src/exchanger/end.go
+++ b/src/exchanger/end.go
@@ -33,6 +33,9 @@
 // accepted or refused. An upstream that accepts one is the one that answered, as none starts again within this time.
 const endCheckTime = 400 * time.Millisecond
 
+// probeTime is for how long such a connection is watched: many times what the kernel takes to close what a process had open.
+const probeTime = 20 * time.Millisecond
+
 // probePause is the time between two of these connections.
 const probePause = 20 * time.Millisecond
 
@@ -87,7 +90,7 @@
 func (e *exchange) probeAfterEnd(ctx context.Context) error {
 	startedAt := timekeeper.Now()
 	for {
-		err := e.Pool.Probe(ctx, e.upstream)
+		err := e.Pool.ProbeFor(ctx, e.upstream, probeTime)
 		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 			return err
 		}
--- a/src/exchanger/exchanger_test.go
+++ b/src/exchanger/exchanger_test.go
@@ -22,6 +22,8 @@
 type fakeUpstream struct {
 	*tracker.Upstream
 	listener net.Listener
+	// end closes all connections.
+	end context.CancelFunc
 	// answer receives the number of the connection and of the request on it. An empty
 	// answer closes the connection at once, and one that ends with a marker after it.
 	answer func(connection, request int, head string) string
@@ -37,6 +39,10 @@
 	closeMarker = "\x00close"
 	resetMarker = "\x00reset"
 	endMarker   = "\x00end"
+	// slowEndMarker closes the connection, and what else the upstream has open some time later.
+	slowEndMarker = "\x00slow end"
+	// slowEnd is the time between the two.
+	slowEnd = 5 * time.Millisecond
 )
 
 func newUpstream(t *testing.T, answer func(connection, request int, head string) string) *fakeUpstream {
@@ -57,6 +63,7 @@
 	}
 	var served sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
+	u.end = cancel
 	served.Go(func() {
 		for {
 			c, err := listener.Accept()
@@ -103,6 +110,11 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 		case endMarker:
 			_ = u.listener.Close()
+		case slowEndMarker:
+			_ = c.Close()
+			time.Sleep(slowEnd)
+			_ = u.listener.Close()
+			u.end()
 		}
 		if text == "" || ends {
 			return
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -37,6 +37,9 @@
 	// sweepInterval is how often idle connections that the upstream has closed, or
 	// that are too old, are removed.
 	sweepInterval = time.Second
+	// maxExtraConnections is how many connections beyond the maximum are open at once, to see whether upstreams can be
+	// reached.
+	maxExtraConnections = 16
 )
 
 // Dialer opens connections.
@@ -68,6 +71,10 @@
 	open int
 	// meanDialTime is the moving average of the time to open a connection.
 	meanDialTime time.Duration
+
+	// extra has an element for each connection that is open beyond the maximum.
+	extra     chan struct{}
+	extraOnce sync.Once
 }
 
 // hostKey identifies one incarnation of an upstream at one address. Connections to an
@@ -101,6 +108,8 @@
 	openedAt time.Time
 	// reused is set where the connection has served an earlier call.
 	reused bool
+	// isExtra is set where the connection is one beyond the maximum.
+	isExtra bool
 	// idleSince is on the clock that counts suspension.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -197,19 +206,81 @@
 }
 
 // Probe opens a connection to an upstream, which is kept for the next call, or returns why
-// it could not. An upstream to which the maximum number of connections is open counts as
-// reachable.
+// it could not. Where the maximum number of connections is open, which may have fallen since,
+// it opens one beyond it and closes that at once.
 func (p *Pool) Probe(ctx context.Context, upstream *tracker.Upstream) error {
+	c, err := p.openProbe(ctx, upstream)
+	if err != nil {
+		return err
+	}
+	p.endProbe(c, true)
+	return nil
+}
+
+// ProbeFor is like Probe and watches the connection for a time. Where the upstream ends it
+// before, whether it accepts another one decides: the kernel closes the connections of a process
+// that ends before the socket on which it listens, and an upstream may close what it has too many of.
+func (p *Pool) ProbeFor(ctx context.Context, upstream *tracker.Upstream, watched time.Duration) error {
+	c, err := p.openProbe(ctx, upstream)
+	if err != nil {
+		return err
+	}
+	wait := time.NewTimer(watched)
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		p.endProbe(c, false)
+		return ctx.Err()
+	case <-wait.C:
+	}
+	lasts := c.isOpen()
+	p.endProbe(c, lasts)
+	if lasts {
+		return nil
+	}
+	return p.Probe(ctx, upstream)
+}
+
+// openProbe opens a connection, beyond the maximum if need be; endProbe ends its use.
+func (p *Pool) openProbe(ctx context.Context, upstream *tracker.Upstream) (*conn, error) {
 	c, err := p.get(ctx, upstream, true)
 	var limitErr *ConnectionLimitError
-	if errors.As(err, &limitErr) {
-		return nil
+	if !errors.As(err, &limitErr) {
+		return c, err
+	}
+	p.extraOnce.Do(func() { p.extra = make(chan struct{}, maxExtraConnections) })
+	select {
+	case p.extra <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	startedAt := timekeeper.Now()
+	opened, err := p.dial(ctx, upstream.Address)
+	if p.OnDialed != nil && (err == nil || ctx.Err() == nil) {
+		p.OnDialed(upstream, startedAt, err)
 	}
 	if err != nil {
-		return err
+		<-p.extra
+		return nil, err
+	}
+	return &conn{
+		Conn:    opened,
+		reader:  capper.NewReader(opened, readBuffer),
+		isExtra: true,
+	}, nil
+}
+
+// endProbe keeps the connection for the next call if that may use it, or closes it.
+func (p *Pool) endProbe(c *conn, isUsable bool) {
+	switch {
+	case c.isExtra:
+		_ = c.Close()
+		<-p.extra
+	case isUsable:
+		p.put(c)
+	default:
+		p.drop(c)
 	}
-	p.put(c)
-	return nil
 }
 
 // dialTimeGain is the weight of the latest dial time in the moving average.
@@ -386,7 +457,12 @@
 // isUsable reports whether a connection has not been idle for too long, is open, and has
 // no unrequested bytes waiting, which would be read as the next call's answer.
 func (c *conn) isUsable() bool {
-	if timekeeper.Now().Sub(c.idleSince) > time.Duration(float64(c.idleTimeout)*idleTimeoutFraction) || c.reader.Buffered() > 0 {
+	return timekeeper.Now().Sub(c.idleSince) <= time.Duration(float64(c.idleTimeout)*idleTimeoutFraction) && c.isOpen()
+}
+
+// isOpen reports whether a connection is open and has no unrequested bytes waiting.
+func (c *conn) isOpen() bool {
+	if c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
