Take no new engine for the one whose answer ended while the entry was frozen

Cause: an answer without a length ends with its connection, and an upstream that accepts another one counts as the one that answered, as none starts again within 0.4 s. That time was counted from when the entry reads the end. An entry that was frozen reads it late, and by then the engine had started again.

An entry notices now that it has not run for 250 ms. What ends within 0.5 s of such a pause is complete only if the upstream confirms the incarnation that answered; otherwise the answer is broken off, or resumed where it may be. Ruled out: the age of the last packet on the connection, as probes of idle connections renew it every second.

Open, by reading: an end that a slow caller or a partition delays (docs/incidents/frozen-end.md).

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -334,3 +335,41 @@
 		})
 	}
 }
+
+// TestEndsReadAfterAPause guards against answers that count as complete as another process accepts connections in the place of
+// the upstream, which ended while this process was frozen.
+func TestEndsReadAfterAPause(t *testing.T) {
+	cases := map[string]struct {
+		identity    string
+		incarnation units.Incarnation
+		running     bool
+		withheld    bool
+		want        dispatcher.ResultKind
+	}{
+		"process ran":               {identity: statedIdentity(8), incarnation: 7, running: true, want: dispatcher.Answered},
+		"same incarnation":          {identity: statedIdentity(7), incarnation: 7, want: dispatcher.Answered},
+		"another incarnation":       {identity: statedIdentity(8), incarnation: 7, want: dispatcher.OutcomeUnknown},
+		"states none":               {identity: noReport, incarnation: 7, want: dispatcher.OutcomeUnknown},
+		"no answer to the question": {identity: "", incarnation: 7, want: dispatcher.OutcomeUnknown},
+		"must not be asked":         {identity: statedIdentity(7), incarnation: 7, withheld: true, want: dispatcher.OutcomeUnknown},
+		"new name at each start":    {identity: statedIdentity(0), want: dispatcher.OutcomeUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			u := newUpstream(t, func(_, _ int, head string) string {
+				if strings.HasPrefix(head, "GET /identity ") {
+					return c.identity
+				}
+				return okHead + "\r\nhi" + closeMarker
+			})
+			u.Incarnation = c.incarnation
+			x := newExchanger(&fakeGuard{})
+			x.HasPaused = func() bool { return !c.running }
+			x.MayAsk = func(*tracker.Upstream) bool { return !c.withheld }
+			result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
+			if result.Kind != c.want {
+				t.Errorf("result: got %v (%v), want %v", result.Kind, result.Err, c.want)
+			}
+		})
+	}
+}
--- a/src/exchanger/end.go
+++ b/src/exchanger/end.go
@@ -30,7 +30,8 @@
 func (e *UpstreamEndedError) Unwrap() error { return io.ErrUnexpectedEOF }
 
 // endCheckTime is for how long after the end of a close-delimited answer further connections are tried while none is
-// accepted or refused. An upstream that accepts one is the one that answered, as none starts again within this time.
+// accepted or refused. An upstream that accepts one is the one that answered, as none starts again within this time, unless
+// this process was paused.
 const endCheckTime = 400 * time.Millisecond
 
 // probeTime is for how long such a connection is watched: many times what the kernel takes to close what a process had open.
@@ -66,6 +67,7 @@
 	if e.receipt.End != framer.Closed {
 		return nil
 	}
+	isOld := e.HasPaused != nil && e.HasPaused()
 	if err := e.awaitUpload(ctx); err != nil {
 		e.receipt.End = framer.EndOf(e.receipt.Framing, err)
 		return err
@@ -75,6 +77,9 @@
 	e.dropped = true
 	err := e.probeAfterEnd(ctx)
 	if err == nil || e.HasEnded != nil && !e.HasEnded(ctx, e.upstream) {
+		if isOld {
+			return e.checkAnswerer(ctx)
+		}
 		return nil
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -86,6 +91,30 @@
 	}
 }
 
+// errOldEnd is why an end that has waited for this process shows nothing.
+var errOldEnd = errors.New("this process was paused, and another one may have taken its place since")
+
+// checkAnswerer returns why the upstream that accepts connections may not be the one whose answer ended, or nil: another one
+// may have started while this process was paused.
+func (e *exchange) checkAnswerer(ctx context.Context) error {
+	reason := errOldEnd
+	if e.MayAsk != nil && e.upstream.Incarnation != 0 && e.MayAsk(e.upstream) {
+		identity, err := e.Ask(ctx, e.upstream, identityTimeout)
+		switch {
+		case err != nil:
+			reason = err
+		case identity == Confirmed:
+			return nil
+		case identity == Replaced:
+			return &UpstreamEndedError{Upstream: e.upstream.Name}
+		}
+	}
+	return &UnknownEndError{
+		Upstream: e.upstream.Name,
+		Reason:   reason,
+	}
+}
+
 // probeAfterEnd returns why the upstream accepts no connection, or nil.
 func (e *exchange) probeAfterEnd(ctx context.Context) error {
 	startedAt := timekeeper.Now()
--- a/src/exchanger/exchanger.go
+++ b/src/exchanger/exchanger.go
@@ -129,6 +129,9 @@
 	// HasEnded reports whether an upstream that accepts no connection from this entry has ended; nil
 	// takes each such upstream for ended.
 	HasEnded func(ctx context.Context, upstream *tracker.Upstream) bool
+	// HasPaused reports whether what is read now may have arrived long ago, as this process did not run; nil stands for
+	// never.
+	HasPaused func() bool
 	// MayAsk reports whether an upstream may be asked for its incarnation now; nil asks none.
 	MayAsk func(upstream *tracker.Upstream) bool
 	// OnIdentity is called with the answer of an upstream that was asked for its incarnation, before the
--- a/src/gateway/gateway.go
+++ b/src/gateway/gateway.go
@@ -88,6 +88,7 @@
 	trafficStats  *trafficStats
 	rolloutStats  rolloutStats
 	pool          *exchanger.Pool
+	pauses        timekeeper.Pauses
 	direct        *exchanger.Exchanger
 	dispatcher    *dispatcher.Dispatcher
 	evidence      quarantiner.Evidence
@@ -179,6 +180,7 @@
 		OnStarted:  g.countCall,
 		OnAnswer:   g.recordAnswer,
 		HasEnded:   g.hasEnded,
+		HasPaused:  g.pauses.IsRecent,
 		MayAsk:     g.mayAsk,
 		OnIdentity: g.recordIdentity,
 		Capper:     g.capper,
@@ -238,6 +240,10 @@
 		g.pool.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		g.pauses.Run(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		g.prober().Run(ctx)
 		return nil
