Take a connection that is reset while it is opened for one that was accepted

Cause: an upstream that resets the connections that it has too many of may do so before the call that opens one returns. ProbeFor took that for an upstream that cannot be reached, so that a whole answer without a length ended as broken off if this happened for 0.4 s.

Such a connection was accepted: the first one that ends so asks for the second, and the second counts as reached. A process that has ended refuses the second.

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// resettingDialer opens connections, of which the first ones are reset while they are opened.
+type resettingDialer struct{ resets int }
+
+func (d *resettingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.resets > 0 {
+		d.resets--
+		return nil, syscall.ECONNRESET
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
 // TestUpstreamsThatResetConnectionsAreReached guards against whole answers that count as broken off, as their upstream has too
 // many connections and resets those beyond.
 func TestUpstreamsThatResetConnectionsAreReached(t *testing.T) {
@@ -177,12 +188,17 @@
 		Local:   &tracker.LocalState{},
 	}
 	for name, limit := range map[string]int{"at the limit": 0, "below it": 2} {
-		t.Run(name, func(t *testing.T) {
-			p := &Pool{MaxConnections: func(*tracker.Upstream) int { return limit }}
-			if err := p.ProbeFor(t.Context(), upstream, probeTime); err != nil {
-				t.Errorf("probe: got %v, want no error", err)
-			}
-		})
+		for kind, resets := range map[string]int{"once open": 0, "while the first is opened": 1, "while both are opened": 2} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				p := &Pool{
+					MaxConnections: func(*tracker.Upstream) int { return limit },
+					Dialer:         &resettingDialer{resets: resets},
+				}
+				if err := p.ProbeFor(t.Context(), upstream, probeTime); err != nil {
+					t.Errorf("probe: got %v, want no error", err)
+				}
+			})
+		}
 	}
 }
 
--- a/src/exchanger/pool.go
+++ b/src/exchanger/pool.go
@@ -222,6 +222,9 @@
 // that ends before the socket on which it listens, and an upstream may close what it has too many of.
 func (p *Pool) ProbeFor(ctx context.Context, upstream *tracker.Upstream, watched time.Duration) error {
 	c, err := p.openProbe(ctx, upstream)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return p.probeAgain(ctx, upstream)
+	}
 	if err != nil {
 		return err
 	}
@@ -238,7 +241,15 @@
 	if lasts {
 		return nil
 	}
-	return p.Probe(ctx, upstream)
+	return p.probeAgain(ctx, upstream)
+}
+
+// probeAgain is like Probe after the upstream has ended a connection. One that is reset while it is opened was accepted.
+func (p *Pool) probeAgain(ctx context.Context, upstream *tracker.Upstream) error {
+	if err := p.Probe(ctx, upstream); !errors.Is(err, syscall.ECONNRESET) {
+		return err
+	}
+	return nil
 }
 
 // openProbe opens a connection, beyond the maximum if need be; endProbe ends its use.
