Weigh evidence of crashes the same in whatever order it is gone through

A request whose losses an earlier verdict explains in part has fewer points than its verdict. It then counted among those that its own verdict explains, and lost its losses while the others were gone through in the order of a map: a harmless request was quarantined or not by chance. A verdict doesn't explain its own request any more.

A later loss at an upstream moved the time of its crash next to another one's, and two that come together count as one. The leader that had counted them before kept its verdict; the next one, which weighs what was kept, did not reach it. A crash keeps the time of its first loss.

--- a/src/quarantiner/parts.go
+++ b/src/quarantiner/parts.go
@@ -92,10 +92,12 @@
 		s := d.suspect(part, parts)
 		s.lastLossAt = now
 		if c, known := s.crashes[loss.IncarnationID]; known || len(s.crashes) < maxCrashes {
-			s.crashes[loss.IncarnationID] = crash{
-				at:     at,
-				points: max(points, c.points),
+			// An incarnation crashes once, at the latest when the first of its calls was lost.
+			if !known || at.Before(c.at) {
+				c.at = at
 			}
+			c.points = max(points, c.points)
+			s.crashes[loss.IncarnationID] = c
 		}
 		s.keepCommon(parts)
 		if slices.Contains(earlier, part) {
--- a/src/quarantiner/quarantiner.go
+++ b/src/quarantiner/quarantiner.go
@@ -206,7 +206,8 @@
 	}
 	incarnations := q.suspects[verdict.Request].byIncarnation
 	for request, s := range q.suspects {
-		if s.points >= verdict.Points {
+		// Its own points may be fewer by now, if an earlier verdict explains some of its losses.
+		if request == verdict.Request || s.points >= verdict.Points {
 			continue
 		}
 		for id := range incarnations {
