Ask after the upstream was reached, too, whether the entry has run

Cause, by the log and by reading: the call ended within 25 ms of the entry's going on, and its end was read before the entry stopped, so that no pause was known then. The connection to the upstream was made after it, and led to the new engine.

Whether there was a pause is asked before and after the upstream was reached.

--- a/src/exchanger/broken_off_test.go
+++ b/src/exchanger/broken_off_test.go
@@ -359,12 +359,15 @@
 		identity    string
 		incarnation units.Incarnation
 		running     bool
-		withheld    bool
-		want        dispatcher.ResultKind
+		// later is set where the pause comes after the end was read.
+		later    bool
+		withheld bool
+		want     dispatcher.ResultKind
 	}{
 		"process ran":               {identity: statedIdentity(8), incarnation: 7, running: true, want: dispatcher.Answered},
 		"same incarnation":          {identity: statedIdentity(7), incarnation: 7, want: dispatcher.Answered},
 		"another incarnation":       {identity: statedIdentity(8), incarnation: 7, want: dispatcher.OutcomeUnknown},
+		"paused after the end":      {identity: statedIdentity(8), incarnation: 7, later: true, want: dispatcher.OutcomeUnknown},
 		"states none":               {identity: noReport, incarnation: 7, want: dispatcher.OutcomeUnknown},
 		"no answer to the question": {identity: "", incarnation: 7, want: dispatcher.OutcomeUnknown},
 		"must not be asked":         {identity: statedIdentity(7), incarnation: 7, withheld: true, want: dispatcher.OutcomeUnknown},
@@ -380,7 +383,11 @@
 			})
 			u.Incarnation = c.incarnation
 			x := newExchanger(&fakeGuard{})
-			x.HasPaused = func() bool { return !c.running }
+			asked := 0
+			x.HasPaused = func() bool {
+				asked++
+				return !c.running && (!c.later || asked > 1)
+			}
 			x.MayAsk = func(*tracker.Upstream) bool { return !c.withheld }
 			result := x.Exchange(t.Context(), newCall(), 1, u.Upstream, &dispatcher.Stream{Sink: &recordingSink{}})
 			if result.Kind != c.want {
--- a/src/exchanger/end.go
+++ b/src/exchanger/end.go
@@ -77,7 +77,8 @@
 	e.dropped = true
 	err := e.probeAfterEnd(ctx)
 	if err == nil || e.HasEnded != nil && !e.HasEnded(ctx, e.upstream) {
-		if isOld {
+		// The pause may have come after the end was read, and before the upstream was reached.
+		if isOld || e.HasPaused != nil && e.HasPaused() {
 			return e.checkAnswerer(ctx)
 		}
 		return nil
